--- /dev/null
+++ b/crates/adoption/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which publication of the configuration stream is in force.
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP interface towards callers.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fenced orders to model engines.
--- /dev/null
+++ b/crates/entity/src/request.rs
@@ -0,0 +1,62 @@
+//! Ids of requests.
+
+use rand::Rng;
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use std::fmt;
+use std::str::FromStr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Bits of an id that are random; the rest are milliseconds since the Unix epoch.
+const RANDOM_BITS: u32 = 80;
+
+/// The id of one request: 48 bits of milliseconds since the Unix epoch, then 80 random bits,
+/// written as 32 hexadecimal digits.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct Id(pub u128);
+
+/// The text is not 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a request id is 32 hexadecimal digits")]
+pub struct Error;
+
+impl Id {
+    /// A new id for a request that arrives at `now`.
+    pub fn random(now: SystemTime, rng: &mut impl Rng) -> Self {
+        let millis = now
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or(Duration::ZERO)
+            .as_millis();
+        let random = (u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64())) >> 48;
+        Self(millis << RANDOM_BITS | random)
+    }
+
+    /// Milliseconds since the Unix epoch at which the id was made.
+    pub fn millis(self) -> u64 {
+        (self.0 >> RANDOM_BITS) as u64
+    }
+}
+
+impl FromStr for Id {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        if text.len() != 32 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(Error);
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_| Error)
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
--- /dev/null
+++ b/crates/fellow/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol between instances: digests, pulls and held records.
--- /dev/null
+++ b/crates/instances/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's instance list.
--- /dev/null
+++ b/crates/logs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's append-only log.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operations of the command line: check, publish, show, diff, bill.
--- /dev/null
+++ b/crates/quality/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on versions: ratings, cascades and roll-outs.
--- /dev/null
+++ b/crates/rating/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the answer-rating service.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on upstreams: filters, choice, cold slots, retries and admission.
--- /dev/null
+++ b/crates/session/src/lib.rs
@@ -0,0 +1,1 @@
+//! Session tokens: a session keeps its version.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings of one process.
--- /dev/null
+++ b/crates/timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Events with a clock that orders them over all processes.
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of model engines and plain services.
--- /dev/null
+++ b/crates/weights/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the weight store.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! citrontrack: a model-aware router for versions and cascades.
+fn main() {}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the platform and the upstreams, and the load tool.
