--- /dev/null
+++ b/crates/claims/src/record.rs
@@ -0,0 +1,116 @@
+//! What attempts append to a stream of claims.
+
+use crate::digest::Digest;
+use crate::key::{Key, Sending};
+use entity::{name, request};
+use serde::{Deserialize, Serialize};
+
+/// Longest response body that an outcome keeps, in bytes.
+pub const MAX_BODY_BYTES: usize = 16 * 1024;
+
+/// An attempt wants to run the operation of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Claim {
+    /// The operation.
+    pub key: Key,
+    /// The attempt, by the id of its request.
+    pub attempt: request::Id,
+    /// Which sending of the key the attempt is.
+    pub sending: Sending,
+    /// The instance that handles the attempt.
+    pub instance: name::Instance,
+    /// Digest of the request, which must be the same for all attempts.
+    pub fingerprint: Digest,
+}
+
+/// An attempt will never dispatch.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Release {
+    /// The operation.
+    pub key: Key,
+    /// The attempt.
+    pub attempt: request::Id,
+    /// Sendings up to this one can't win after the release, unless the caller doesn't number them.
+    pub sending: Sending,
+}
+
+/// What the operation answered.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Outcome {
+    /// The operation.
+    pub key: Key,
+    /// The attempt that ran it.
+    pub attempt: request::Id,
+    /// Digest of the request that ran.
+    pub fingerprint: Digest,
+    /// The answer, for repeats.
+    pub answer: Answer,
+}
+
+/// The part of an HTTP answer that is kept for repeats.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The media type, empty if there was none.
+    pub content_type: Box<str>,
+    /// Digest of the whole body.
+    pub digest: Digest,
+    /// The body; `None` where it was longer than [`MAX_BODY_BYTES`] or not text.
+    pub body: Option<Box<str>>,
+}
+
+impl Answer {
+    /// Keeps an answer, with its body only if that is short text.
+    pub fn new(status: u16, content_type: &str, body: &[u8]) -> Self {
+        let short = body.len() <= MAX_BODY_BYTES;
+        let text = std::str::from_utf8(body).ok().filter(|_| short);
+        Self {
+            status,
+            content_type: content_type.into(),
+            digest: Digest::of(&[body]),
+            body: text.map(Into::into),
+        }
+    }
+}
+
+/// One record of a stream of claims.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Record {
+    /// An attempt wants to run.
+    Claim(Claim),
+    /// An attempt will never run.
+    Release(Release),
+    /// An attempt ran and was answered.
+    Outcome(Outcome),
+}
+
+impl Record {
+    /// The operation that the record is about.
+    pub fn key(&self) -> Key {
+        match self {
+            Self::Claim(claim) => claim.key,
+            Self::Release(release) => release.key,
+            Self::Outcome(outcome) => outcome.key,
+        }
+    }
+}
+
+/// The bytes of one log record that holds a batch.
+///
+/// # Panics
+///
+/// Never: records consist of text and numbers, which JSON can always hold.
+pub fn encode(batch: &[Record]) -> Vec<u8> {
+    serde_json::to_vec(batch).expect("records serialise to JSON")
+}
+
+/// The batch in one log record.
+///
+/// # Errors
+///
+/// The bytes are not a batch of records.
+pub fn decode(data: &[u8]) -> Result<Vec<Record>, serde_json::Error> {
+    serde_json::from_slice(data)
+}
