Explore the specification of claims

Cause: the claim protocol had an argument but no check of it. Change: a state machine that steps the product's fold and holder through lost replies, late appends, pauses past retention, death and outages, explored exhaustively for two instances and two attempts; six mutations; random runs; single cases of fold, window and keys.

--- a/crates/claims/src/holder.rs
+++ b/crates/claims/src/holder.rs
@@ -2,6 +2,23 @@
 //!
 //! No state can be cloned and each step consumes the state before it, so an attempt can neither be
 //! dispatched twice nor before its own claim was read, nor after it was released.
+//!
+//! A second dispatch does not compile:
+//!
+//! ```compile_fail,E0382
+//! fn twice(won: claims::holder::Won) {
+//!     let first = won.dispatch();
+//!     let second = won.dispatch();
+//! }
+//! ```
+//!
+//! Nor does one before the claim was read:
+//!
+//! ```compile_fail,E0599
+//! fn unread(pending: claims::holder::Pending) {
+//!     let dispatched = pending.dispatch();
+//! }
+//! ```
 
 use crate::fold::{Fold, Position, Standing, Status};
 use crate::key::{Created, Sending};
--- /dev/null
+++ b/crates/claims/tests/fold.rs
@@ -0,0 +1,179 @@
+//! Fold, window and keys on single cases.
+
+use claims::fold::{Position, Standing, Status};
+use claims::holder::{NotRun, Pending, Ran, Reading, Won};
+use claims::key::{Created, Sending};
+use claims::record::{self, Answer, Claim, MAX_BODY_BYTES, Record};
+use claims::window::Phase;
+use claims::{Digest, Fold, Key, Window};
+use entity::{Offset, Span, request};
+use googletest::prelude::*;
+
+const CREATED: Created = Created(1_000_000);
+
+fn window() -> Window {
+    Window::new(
+        Span::from_secs(3600),
+        Span::from_secs(120),
+        Span::from_secs(60),
+    )
+}
+
+fn claim(attempt: u128, body: &[u8]) -> Claim {
+    let organisation = "water".parse().expect("a name");
+    Claim {
+        key: Key::new(&organisation, "notice-1", CREATED),
+        attempt: request::Id(attempt),
+        sending: Sending::new(attempt as u32),
+        instance: "entry-1".parse().expect("a name"),
+        fingerprint: Digest::of(&[body]),
+    }
+}
+
+fn pending(attempt: u128, body: &[u8]) -> Pending {
+    Pending::open(claim(attempt, body), CREATED, window())
+}
+
+fn apply(fold: &mut Fold, record: &Record, time_ms: u64) {
+    let offset = fold.next();
+    fold.apply(Position { offset, time_ms }, std::slice::from_ref(record));
+}
+
+fn empty() -> Fold {
+    Fold::open(Offset(1), Offset(1))
+}
+
+fn win(fold: &mut Fold, attempt: u128) -> Won {
+    let pending = pending(attempt, b"body");
+    apply(fold, &pending.record(), CREATED.0);
+    match pending.read(fold) {
+        Reading::Won(won) => won,
+        other => panic!("expected to win, read {other:?}"),
+    }
+}
+
+#[gtest]
+fn repeat_is_given_the_stored_answer() {
+    let mut fold = empty();
+    let won = win(&mut fold, 1);
+    let answer = Answer::new(201, "application/json", b"{}");
+    let settled = won.dispatch().settle(answer.clone());
+    apply(&mut fold, &settled.record(), CREATED.0);
+    let repeat = pending(2, b"body");
+    apply(&mut fold, &repeat.record(), CREATED.0);
+    let Reading::Lost(lost) = repeat.read(&fold) else {
+        panic!("the key was settled");
+    };
+    expect_that!(lost.answer(&fold), some(eq(&answer)));
+    expect_that!(lost.ran(&fold), eq(Ran::MayHaveRun));
+}
+
+#[gtest]
+fn another_body_under_the_same_key_is_told_apart() {
+    let mut fold = empty();
+    win(&mut fold, 1);
+    let other = pending(2, b"other");
+    apply(&mut fold, &other.record(), CREATED.0);
+    let Reading::Lost(lost) = other.read(&fold) else {
+        panic!("another body can't win");
+    };
+    expect_that!(lost.standing(), eq(Standing::Mismatched));
+    let key = claim(1, b"").key;
+    expect_true!(fold.mismatches(key, Digest::of(&[b"other"])));
+    expect_false!(fold.mismatches(key, Digest::of(&[b"body"])));
+}
+
+#[gtest]
+fn key_whose_holder_died_stays_held() {
+    let mut fold = empty();
+    drop(win(&mut fold, 1).dispatch());
+    let repeat = pending(2, b"body");
+    apply(&mut fold, &repeat.record(), CREATED.0 + 3_000_000);
+    let released = match repeat.read(&fold) {
+        Reading::Lost(lost) => lost,
+        other => panic!("the key is held, read {other:?}"),
+    };
+    expect_that!(released.ran(&fold), eq(Ran::MayHaveRun));
+}
+
+#[gtest]
+fn release_frees_the_key_for_a_later_sending_only() {
+    let mut fold = empty();
+    let released = win(&mut fold, 2).dispatch().retract(NotRun).release();
+    apply(&mut fold, &released.record(), CREATED.0);
+    expect_that!(released.read(&fold), some(eq(Ran::NotRun)));
+    let older = pending(1, b"body");
+    apply(&mut fold, &older.record(), CREATED.0);
+    let Reading::Lost(lost) = older.read(&fold) else {
+        panic!("sending 1 is excluded by the release of sending 2");
+    };
+    expect_that!(lost.standing(), eq(Standing::Excluded));
+    expect_that!(lost.ran(&fold), eq(Ran::NotRun));
+    win(&mut fold, 3);
+}
+
+#[gtest]
+fn delayed_copy_of_a_released_claim_changes_nothing() {
+    let mut fold = empty();
+    let released = pending(1, b"body").release();
+    apply(&mut fold, &released.record(), CREATED.0);
+    apply(&mut fold, &pending(1, b"body").record(), CREATED.0);
+    expect_that!(fold.status(claim(1, b"").key), eq(Status::Free));
+    win(&mut fold, 2);
+}
+
+#[gtest]
+fn claim_from_before_the_fold_began_does_not_win() {
+    let mut fold = Fold::open(Offset(1), Offset(2));
+    let pending = pending(1, b"body");
+    apply(&mut fold, &pending.record(), CREATED.0);
+    expect_that!(
+        pending.read(&fold),
+        matches_pattern!(Reading::Expired(anything()))
+    );
+}
+
+#[gtest]
+fn window_ends_before_retention_and_begins_with_the_skew() {
+    let window = window();
+    let at = |seconds: i64| {
+        let millis = CREATED.0.checked_add_signed(seconds * 1000);
+        window.phase(CREATED, millis.expect("after the epoch"))
+    };
+    expect_that!(at(-61), eq(Phase::Early));
+    expect_that!(at(-60), eq(Phase::Open));
+    expect_that!(at(3480), eq(Phase::Open));
+    expect_that!(at(3481), eq(Phase::Expired));
+}
+
+#[gtest]
+fn creation_time_is_read_from_a_uuid_of_version_7() {
+    let time = Created::of_uuid("017F22E2-79B0-7CC3-98C4-DC0C0C07398F");
+    expect_that!(time, some(eq(Created(0x017f_22e2_79b0))));
+    expect_that!(
+        Created::of_uuid("017F22E2-79B0-4CC3-98C4-DC0C0C07398F"),
+        none()
+    );
+    expect_that!(Created::of_uuid("notice-1"), none());
+}
+
+#[gtest]
+fn forgetting_drops_only_keys_without_recent_records() {
+    let mut fold = empty();
+    win(&mut fold, 1);
+    fold.forget(CREATED.0);
+    expect_that!(fold.len(), eq(1));
+    fold.forget(CREATED.0 + 1);
+    expect_true!(fold.is_empty());
+}
+
+#[gtest]
+fn batches_survive_encoding() {
+    let claim = pending(1, b"body");
+    let long = Answer::new(200, "text/plain", &[b'a'; MAX_BODY_BYTES + 1]);
+    expect_that!(long.body, none());
+    let settled = win(&mut empty(), 2).dispatch().settle(long);
+    let batch = vec![claim.record(), claim.release().record(), settled.record()];
+    let decoded = record::decode(&record::encode(&batch));
+    expect_that!(decoded, ok(eq(&batch)));
+}
--- /dev/null
+++ b/crates/claims/tests/model/mod.rs
@@ -0,0 +1,495 @@
+//! A specification of claims as a state machine: instances, a log with late appends and retention,
+//! and attempts of one key. Each step runs the product's own fold and holder.
+
+use claims::fold::{Position, Status};
+use claims::holder::{Pending, Ran, Reading, Released};
+use claims::key::{Created, Sending};
+use claims::record::{Answer, Claim, Outcome, Record};
+use claims::{Digest, Fold, Key, Window};
+use entity::{Offset, Span, request};
+
+/// Milliseconds in a tick of the log's clock.
+const TICK_MS: u64 = 1000;
+
+/// Ticks for which the log retains a record.
+const RETENTION_TICKS: u8 = 3;
+
+/// The tick at which the key was made, by the clock of its caller, which is a tick ahead.
+const CREATED_TICK: u64 = 1;
+
+/// Ids from here on stand for copies of a claim that a fold without tombstones takes for new.
+const ALIAS: u128 = 100;
+
+/// What is left out of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    None,
+    DispatchUnread,
+    NoTombstone,
+    OrderIgnored,
+    NotRunInOutage,
+    NotRunUnexcluded,
+    ExpiredAdmitted,
+}
+
+/// The size of the model.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    pub mutation: Mutation,
+    pub numbered: bool,
+    pub instances: u8,
+    pub attempts: u8,
+    pub resends: u8,
+    pub kills: u8,
+    pub ticks: u8,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Event {
+    Claim(u8),
+    Release(u8),
+    Outcome(u8),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Phase {
+    Idle,
+    Claimed,
+    Won,
+    Dispatched,
+    Releasing,
+    Done,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reply {
+    NotRun,
+    MayHaveRun,
+    Stored(u8),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Attempt {
+    pub phase: Phase,
+    pub runs: u8,
+    pub resends: u8,
+    pub reply: Option<Reply>,
+}
+
+/// An instance that follows the stream: its fold began at `first` when the next offset was `next`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Reader {
+    first: u8,
+    next: u8,
+    read: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    pub now: u8,
+    kills: u8,
+    /// Each record with the tick of its append; index 0 has offset 1.
+    pub log: Vec<(u8, Event)>,
+    /// Appends that were sent and have not taken effect, sorted.
+    pub sent: Vec<Event>,
+    pub readers: Vec<Option<Reader>>,
+    pub attempts: Vec<Attempt>,
+}
+
+/// A step and the fault that it stands for, if any.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    Begin(u8),
+    Append(usize),
+    LostReply(u8),
+    Read(u8),
+    Step(u8),
+    Dispatch(u8),
+    Settle(u8),
+    GiveUp(u8),
+    Outage(u8),
+    Refuse(u8),
+    Kill(u8),
+    Tick,
+}
+
+impl Spec {
+    pub fn start(&self) -> State {
+        let attempt = Attempt {
+            phase: Phase::Idle,
+            runs: 0,
+            resends: 0,
+            reply: None,
+        };
+        State {
+            now: 0,
+            kills: 0,
+            log: Vec::new(),
+            sent: Vec::new(),
+            readers: vec![None; usize::from(self.instances)],
+            attempts: vec![attempt; usize::from(self.attempts)],
+        }
+    }
+
+    /// All steps that are possible in a state, with the states that they lead to.
+    pub fn steps(&self, state: &State) -> Vec<(Action, State)> {
+        let mut steps = Vec::new();
+        for action in self.actions(state) {
+            let mut next = state.clone();
+            if self.act(&mut next, action) {
+                next.sent.sort_unstable();
+                steps.push((action, next));
+            }
+        }
+        steps
+    }
+
+    fn actions(&self, state: &State) -> Vec<Action> {
+        let mut actions = vec![Action::Tick];
+        actions.extend((0..state.sent.len()).map(Action::Append));
+        actions.extend((0..self.instances).flat_map(|k| [Action::Read(k), Action::Kill(k)]));
+        for i in 0..self.attempts {
+            let of_phase: &[Action] = match state.attempts[usize::from(i)].phase {
+                Phase::Idle => &[Action::Begin(i)],
+                Phase::Claimed => &[
+                    Action::Step(i),
+                    Action::GiveUp(i),
+                    Action::Outage(i),
+                    Action::LostReply(i),
+                ],
+                Phase::Won => &[Action::Dispatch(i), Action::GiveUp(i), Action::Outage(i)],
+                Phase::Dispatched => &[Action::Settle(i)],
+                Phase::Releasing => &[Action::Refuse(i), Action::LostReply(i)],
+                Phase::Done => &[],
+            };
+            actions.extend_from_slice(of_phase);
+        }
+        actions
+    }
+
+    fn act(&self, state: &mut State, action: Action) -> bool {
+        match action {
+            Action::Begin(i) => self.begin(state, i),
+            Action::Append(index) => {
+                let event = state.sent.remove(index);
+                state.log.push((state.now, event));
+                true
+            }
+            Action::LostReply(i) => self.resend(state, i),
+            Action::Read(k) => state.read(usize::from(k)),
+            Action::Step(i) => self.step(state, i),
+            Action::Dispatch(i) => {
+                let attempt = &mut state.attempts[usize::from(i)];
+                attempt.phase = Phase::Dispatched;
+                attempt.runs += 1;
+                true
+            }
+            Action::Settle(i) => {
+                state.sent.push(Event::Outcome(i));
+                state.finish(i, Reply::Stored(i))
+            }
+            Action::GiveUp(i) => {
+                state.sent.push(Event::Release(i));
+                state.attempts[usize::from(i)].phase = Phase::Releasing;
+                true
+            }
+            Action::Outage(i) => self.give_up_in_outage(state, i),
+            Action::Refuse(i) => self.refuse(state, i),
+            Action::Kill(k) => self.kill(state, k),
+            Action::Tick => {
+                state.now += 1;
+                state.now <= self.ticks
+            }
+        }
+    }
+
+    fn instance(&self, attempt: u8) -> u8 {
+        attempt % self.instances
+    }
+
+    fn begin(&self, state: &mut State, i: u8) -> bool {
+        let k = usize::from(self.instance(i));
+        if state.readers[k].is_none() {
+            state.readers[k] = Some(state.open());
+        }
+        state.attempts[usize::from(i)].phase = Phase::Claimed;
+        state.sent.push(Event::Claim(i));
+        true
+    }
+
+    fn resend(&self, state: &mut State, i: u8) -> bool {
+        let attempt = &mut state.attempts[usize::from(i)];
+        if attempt.resends == self.resends {
+            return false;
+        }
+        attempt.resends += 1;
+        let event = match attempt.phase {
+            Phase::Claimed => Event::Claim(i),
+            _ => Event::Release(i),
+        };
+        state.sent.push(event);
+        true
+    }
+
+    fn step(&self, state: &mut State, i: u8) -> bool {
+        let appended = state.log.iter().any(|(_, event)| *event == Event::Claim(i));
+        if self.mutation == Mutation::DispatchUnread && appended {
+            state.attempts[usize::from(i)].phase = Phase::Won;
+            return true;
+        }
+        let fold = self.fold(state, self.instance(i));
+        match self.pending(i).read(&fold) {
+            Reading::Unread(_) => false,
+            Reading::Won(_) => {
+                state.attempts[usize::from(i)].phase = Phase::Won;
+                true
+            }
+            Reading::Lost(_) if self.mutation == Mutation::OrderIgnored => {
+                state.attempts[usize::from(i)].phase = Phase::Won;
+                true
+            }
+            Reading::Lost(lost) => match lost.answer(&fold) {
+                Some(answer) => state.finish(i, Reply::Stored(answer.status as u8)),
+                None => state.finish(i, reply(lost.ran(&fold))),
+            },
+            Reading::Expired(_) if self.mutation == Mutation::ExpiredAdmitted => {
+                state.attempts[usize::from(i)].phase = Phase::Won;
+                true
+            }
+            Reading::Expired(_) => {
+                state.sent.push(Event::Release(i));
+                state.attempts[usize::from(i)].phase = Phase::Releasing;
+                true
+            }
+        }
+    }
+
+    fn give_up_in_outage(&self, state: &mut State, i: u8) -> bool {
+        state.sent.push(Event::Release(i));
+        if self.mutation == Mutation::NotRunInOutage {
+            return state.finish(i, Reply::NotRun);
+        }
+        state.finish(i, reply(self.released(i).unread()))
+    }
+
+    fn refuse(&self, state: &mut State, i: u8) -> bool {
+        let fold = self.fold(state, self.instance(i));
+        let Some(ran) = self.released(i).read(&fold) else {
+            return false;
+        };
+        let free = fold.status(self.key()) == Status::Free;
+        if self.mutation == Mutation::NotRunUnexcluded && free {
+            return state.finish(i, Reply::NotRun);
+        }
+        state.finish(i, reply(ran))
+    }
+
+    fn kill(&self, state: &mut State, k: u8) -> bool {
+        if state.kills == self.kills || state.readers[usize::from(k)].is_none() {
+            return false;
+        }
+        state.kills += 1;
+        state.readers[usize::from(k)] = None;
+        for i in 0..self.attempts {
+            let attempt = &mut state.attempts[usize::from(i)];
+            if self.instance(i) == k && attempt.phase != Phase::Idle {
+                attempt.phase = Phase::Done;
+            }
+        }
+        true
+    }
+
+    fn key(&self) -> Key {
+        let organisation = "water".parse().expect("a name");
+        Key::new(&organisation, "notice-1", Created(CREATED_TICK * TICK_MS))
+    }
+
+    fn sending(&self, i: u8) -> Sending {
+        if self.numbered {
+            return Sending::new(u32::from(i) + 1);
+        }
+        Sending::UNNUMBERED
+    }
+
+    fn claim(&self, i: u8) -> Claim {
+        Claim {
+            key: self.key(),
+            attempt: request::Id(u128::from(i)),
+            sending: self.sending(i),
+            instance: "entry-1".parse().expect("a name"),
+            fingerprint: Digest::of(&[b"body"]),
+        }
+    }
+
+    fn pending(&self, i: u8) -> Pending {
+        let retention = Span::from_millis(u64::from(RETENTION_TICKS) * TICK_MS);
+        let window = Window::new(
+            retention,
+            Span::from_millis(2 * TICK_MS),
+            Span::from_millis(TICK_MS),
+        );
+        Pending::open(self.claim(i), Created(CREATED_TICK * TICK_MS), window)
+    }
+
+    fn released(&self, i: u8) -> Released {
+        self.pending(i).release()
+    }
+
+    fn record(&self, event: Event) -> Record {
+        match event {
+            Event::Claim(i) => self.pending(i).record(),
+            Event::Release(i) => self.release(i),
+            Event::Outcome(i) => {
+                let claim = self.claim(i);
+                Record::Outcome(Outcome {
+                    key: claim.key,
+                    attempt: claim.attempt,
+                    fingerprint: claim.fingerprint,
+                    answer: Answer::new(u16::from(i), "", b""),
+                })
+            }
+        }
+    }
+
+    fn release(&self, i: u8) -> Record {
+        let mut record = self.released(i).record();
+        if let Record::Release(release) = &mut record
+            && self.mutation == Mutation::NotRunUnexcluded
+        {
+            release.sending = Sending::UNNUMBERED;
+        }
+        record
+    }
+
+    /// The product's fold of what an instance has read.
+    pub fn fold(&self, state: &State, k: u8) -> Fold {
+        let reader = state.readers[usize::from(k)].expect("an attempt's instance reads");
+        let mut fold = Fold::open(offset(reader.first), offset(reader.next));
+        for index in reader.first - 1..reader.read {
+            let (tick, event) = state.log[usize::from(index)];
+            let mut record = self.record(event);
+            if self.mutation == Mutation::NoTombstone && state.released_before(index, event) {
+                alias(&mut record);
+            }
+            let at = Position {
+                offset: offset(index + 1),
+                time_ms: u64::from(tick) * TICK_MS,
+            };
+            fold.apply(at, &[record]);
+        }
+        fold
+    }
+
+    /// The invariant that a state violates, if any.
+    pub fn violation(&self, state: &State) -> Option<&'static str> {
+        let runs: u8 = state.attempts.iter().map(|attempt| attempt.runs).sum();
+        if runs > 1 {
+            return Some("a key was dispatched twice");
+        }
+        for (i, attempt) in state.attempts.iter().enumerate() {
+            let earlier = if self.numbered {
+                i + 1
+            } else {
+                state.attempts.len()
+            };
+            let ran = state.attempts[..earlier].iter().any(|other| other.runs > 0);
+            if attempt.reply == Some(Reply::NotRun) && ran {
+                return Some("not-run was said of a sending that was dispatched");
+            }
+            if let Some(Reply::Stored(of)) = attempt.reply
+                && state.attempts[usize::from(of)].runs != 1
+            {
+                return Some("a repeat was given an outcome of no run");
+            }
+        }
+        self.revived(state)
+    }
+
+    /// Checks that no attempt holds the key after its release, except one whose release was sent
+    /// and whose outcome exists, which the holder's life cycle rules out.
+    fn revived(&self, state: &State) -> Option<&'static str> {
+        for k in 0..self.instances {
+            let Some(reader) = state.readers[usize::from(k)] else {
+                continue;
+            };
+            let fold = self.fold(state, k);
+            let Status::Held(holder) = fold.status(self.key()) else {
+                continue;
+            };
+            let release = Event::Release((holder.0 % ALIAS) as u8);
+            let read = &state.log[usize::from(reader.first) - 1..usize::from(reader.read)];
+            if read.iter().any(|(_, event)| *event == release) {
+                return Some("a released attempt holds the key");
+            }
+        }
+        None
+    }
+}
+
+impl State {
+    /// The first retained offset.
+    fn first(&self) -> u8 {
+        let expired = |(tick, _): &&(u8, Event)| tick + RETENTION_TICKS <= self.now;
+        self.log.iter().take_while(expired).count() as u8 + 1
+    }
+
+    fn open(&self) -> Reader {
+        let first = self.first();
+        Reader {
+            first,
+            next: self.log.len() as u8 + 1,
+            read: first - 1,
+        }
+    }
+
+    /// Reads one record; after a gap the fold begins anew.
+    fn read(&mut self, k: usize) -> bool {
+        let Some(reader) = self.readers[k] else {
+            return false;
+        };
+        if usize::from(reader.read) == self.log.len() {
+            return false;
+        }
+        if reader.read + 1 < self.first() {
+            self.readers[k] = Some(self.open());
+            return true;
+        }
+        self.readers[k] = Some(Reader {
+            read: reader.read + 1,
+            ..reader
+        });
+        true
+    }
+
+    fn finish(&mut self, i: u8, reply: Reply) -> bool {
+        let attempt = &mut self.attempts[usize::from(i)];
+        attempt.phase = Phase::Done;
+        attempt.reply = Some(reply);
+        true
+    }
+
+    fn released_before(&self, index: u8, event: Event) -> bool {
+        let Event::Claim(i) = event else {
+            return false;
+        };
+        let earlier = &self.log[..usize::from(index)];
+        earlier.iter().any(|(_, e)| *e == Event::Release(i))
+    }
+}
+
+fn offset(number: u8) -> Offset {
+    Offset(u64::from(number))
+}
+
+fn reply(ran: Ran) -> Reply {
+    match ran {
+        Ran::NotRun => Reply::NotRun,
+        Ran::MayHaveRun => Reply::MayHaveRun,
+    }
+}
+
+fn alias(record: &mut Record) {
+    if let Record::Claim(claim) = record {
+        claim.attempt = request::Id(claim.attempt.0 + ALIAS);
+    }
+}
--- /dev/null
+++ b/crates/claims/tests/spec.rs
@@ -0,0 +1,219 @@
+//! Explores the specification of claims: exhaustively at a small size, at random at a larger one,
+//! and with one rule left out at a time.
+
+mod model;
+
+use googletest::prelude::*;
+use model::{Action, Mutation, Spec, State};
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Steps of one random run.
+const RUN_STEPS: usize = 120;
+
+/// Random runs where `CLAIMS_SEEDS` does not say otherwise.
+const SEEDS: u64 = 200;
+
+const SMALL: Spec = Spec {
+    mutation: Mutation::None,
+    numbered: true,
+    instances: 2,
+    attempts: 2,
+    resends: 1,
+    kills: 1,
+    ticks: 0,
+};
+
+const AGEING: Spec = Spec {
+    resends: 0,
+    kills: 0,
+    ticks: 3,
+    ..SMALL
+};
+
+fn successors(spec: &Spec, state: &State) -> Vec<State> {
+    let steps = spec.steps(state);
+    steps.into_iter().map(|(_, next)| next).collect()
+}
+
+fn explore(name: &str, spec: &Spec) -> usize {
+    let mut states = 0;
+    for state in bfs_reach(spec.start(), |state| successors(spec, state)) {
+        states += 1;
+        let violation = spec.violation(&state);
+        assert!(violation.is_none(), "{name}: {violation:?} in {state:#?}");
+    }
+    println!("{name}: {states} states, 0 violations");
+    states
+}
+
+/// The length of the shortest way to a violation, which must exist.
+fn caught(spec: &Spec) -> usize {
+    let path = bfs(
+        &spec.start(),
+        |state| successors(spec, state),
+        |state| spec.violation(state).is_some(),
+    );
+    let path = path.unwrap_or_else(|| panic!("{:?} was not caught", spec.mutation));
+    let last = path.last().expect("a path has a start");
+    let violation = spec.violation(last);
+    println!(
+        "{:?}: {violation:?} after {} steps",
+        spec.mutation,
+        path.len() - 1
+    );
+    path.len()
+}
+
+#[gtest]
+fn no_violation_with_lost_replies_and_late_appends() {
+    let spec = Spec { kills: 0, ..SMALL };
+    expect_that!(explore("numbered, lost replies", &spec), gt(1000));
+}
+
+#[gtest]
+fn no_violation_after_a_holder_died() {
+    let spec = Spec {
+        resends: 0,
+        ..SMALL
+    };
+    expect_that!(explore("numbered, death", &spec), gt(1000));
+}
+
+#[gtest]
+fn no_violation_where_callers_do_not_number_sendings() {
+    let spec = Spec {
+        numbered: false,
+        kills: 0,
+        ..SMALL
+    };
+    expect_that!(explore("unnumbered, lost replies", &spec), gt(1000));
+}
+
+#[gtest]
+fn no_violation_while_records_expire() {
+    expect_that!(explore("retention", &AGEING), gt(1000));
+}
+
+#[gtest]
+fn dispatch_before_reading_is_caught() {
+    let mutation = Mutation::DispatchUnread;
+    expect_that!(caught(&Spec { mutation, ..SMALL }), gt(1));
+}
+
+#[gtest]
+fn missing_tombstone_is_caught() {
+    let spec = Spec {
+        mutation: Mutation::NoTombstone,
+        numbered: false,
+        ..SMALL
+    };
+    expect_that!(caught(&spec), gt(1));
+}
+
+#[gtest]
+fn ignored_order_is_caught() {
+    let mutation = Mutation::OrderIgnored;
+    expect_that!(caught(&Spec { mutation, ..SMALL }), gt(1));
+}
+
+#[gtest]
+fn not_run_in_an_outage_is_caught() {
+    let mutation = Mutation::NotRunInOutage;
+    expect_that!(caught(&Spec { mutation, ..SMALL }), gt(1));
+}
+
+#[gtest]
+fn not_run_without_excluding_older_sendings_is_caught() {
+    let mutation = Mutation::NotRunUnexcluded;
+    expect_that!(caught(&Spec { mutation, ..SMALL }), gt(1));
+}
+
+#[gtest]
+fn admission_of_an_expired_key_is_caught() {
+    let mutation = Mutation::ExpiredAdmitted;
+    expect_that!(caught(&Spec { mutation, ..AGEING }), gt(1));
+}
+
+#[derive(Default)]
+struct Faults {
+    lost_replies: usize,
+    late_appends: usize,
+    outages: usize,
+    kills: usize,
+    ticks: usize,
+    runs: usize,
+}
+
+impl Faults {
+    fn count(&mut self, action: Action, before: &State) {
+        match action {
+            Action::LostReply(_) => self.lost_replies += 1,
+            Action::Append(_) if before.sent.len() > 1 => self.late_appends += 1,
+            Action::Outage(_) => self.outages += 1,
+            Action::Kill(_) => self.kills += 1,
+            Action::Tick => self.ticks += 1,
+            Action::Dispatch(_) => self.runs += 1,
+            _ => {}
+        }
+    }
+}
+
+fn is_rare(action: Action) -> bool {
+    use Action::{GiveUp, Kill, Outage, Tick};
+    matches!(action, GiveUp(_) | Kill(_) | Outage(_) | Tick)
+}
+
+fn random_run(spec: &Spec, seed: u64, faults: &mut Faults) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut state = spec.start();
+    for step in 0..RUN_STEPS {
+        let mut steps = spec.steps(&state);
+        // These are rare, or hardly any run would get as far as a dispatch.
+        if rng.random_range(0..20) > 0 {
+            steps.retain(|(action, _)| !is_rare(*action));
+        }
+        if steps.is_empty() {
+            continue;
+        }
+        let (action, next) = steps.swap_remove(rng.random_range(0..steps.len()));
+        faults.count(action, &state);
+        state = next;
+        let violation = spec.violation(&state);
+        assert!(
+            violation.is_none(),
+            "seed {seed}, step {step}: {violation:?} in {state:#?}"
+        );
+    }
+}
+
+#[gtest]
+fn random_runs_keep_the_invariants() {
+    let seeds = std::env::var("CLAIMS_SEEDS").ok();
+    let seeds = seeds.map_or(SEEDS, |count| count.parse().expect("a number of seeds"));
+    let mut faults = Faults::default();
+    for seed in 0..seeds {
+        let spec = Spec {
+            numbered: seed % 2 == 0,
+            instances: 3,
+            attempts: 5,
+            resends: 2,
+            kills: 3,
+            ticks: 8,
+            ..SMALL
+        };
+        random_run(&spec, seed, &mut faults);
+    }
+    println!(
+        "{seeds} runs, {} dispatches; faults: {} lost replies, {} late appends, {} outages, \
+         {} kills, {} ticks of retention; 0 violations",
+        faults.runs,
+        faults.lost_replies,
+        faults.late_appends,
+        faults.outages,
+        faults.kills,
+        faults.ticks
+    );
+    expect_that!(faults.runs, gt(0));
+}
