--- /dev/null
+++ b/crates/billing/tests/model/mod.rs
@@ -0,0 +1,262 @@
+//! A specification of one record's way to the log: its owner, two holders, messages that can be
+//! lost, appends that take effect late, and deaths. Each step runs the product's own state.
+
+use billing::custody::Custody;
+use billing::held::{Held, Policy};
+use billing::ledger::{Checkpoint, Horizon, Ledger};
+use billing::usage::{Entry, Record, Step, Target};
+use entity::unit::{Cost, Tokens};
+use entity::{Moment, Offset, Span, name, request};
+
+/// Fellows that can hold the record.
+pub const FELLOWS: usize = 2;
+
+/// The time in the ids of the records, in milliseconds since the Unix epoch.
+pub const TIME_MS: u64 = 1_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mutation {
+    None,
+    NoDedup,
+    ReleasedUnsafe,
+    DroppedEarly,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    pub owner: bool,
+    pub custody: Custody,
+    pub answered: bool,
+    /// Which fellows are alive, and which hold the record.
+    pub alive: [bool; FELLOWS],
+    pub holds: [bool; FELLOWS],
+    /// Messages to hold and to drop the record, and confirmations, that are under way.
+    hold: [bool; FELLOWS],
+    confirm: [bool; FELLOWS],
+    drop: [bool; FELLOWS],
+    /// Appends under way and their replies, of the owner and of each fellow.
+    sent: [u8; FELLOWS + 1],
+    replied: [bool; FELLOWS + 1],
+    sends_left: u8,
+    pub log: u8,
+}
+
+pub fn instance(index: usize) -> name::Instance {
+    format!("entry-{index}").parse().expect("a name")
+}
+
+pub fn record(request: u128, organisation: &str) -> Record {
+    let version: name::Version = "draft/1".parse().expect("a name");
+    Record {
+        request: request::Id(u128::from(TIME_MS) << 80 | request),
+        organisation: organisation.parse().expect("a name"),
+        service: "advise".parse().expect("a name"),
+        target: Target::Version(version.clone()),
+        steps: vec![Step {
+            target: Target::Version(version),
+            upstream: "gpu-1".parse().expect("a name"),
+            tokens_in: Tokens(100),
+            tokens_out: Tokens(20),
+            cost: Cost(7),
+        }],
+        lender: None,
+    }
+}
+
+fn policy() -> Policy {
+    Policy {
+        patience: Span::from_secs(1),
+        hold: Span::from_secs(100),
+        capacity: 10,
+    }
+}
+
+/// The product's holder in the state that the model has for it.
+fn held(holds: bool) -> Held {
+    let mut held = Held::new(policy());
+    if holds {
+        let kept = held.hold(record(1, "water"), instance(0), Moment(0));
+        kept.expect("there is room");
+    }
+    held
+}
+
+impl State {
+    pub fn start(sends: u8) -> Self {
+        Self {
+            owner: true,
+            custody: Custody::new(FELLOWS),
+            answered: false,
+            alive: [true; FELLOWS],
+            holds: [false; FELLOWS],
+            hold: [false; FELLOWS],
+            confirm: [false; FELLOWS],
+            drop: [false; FELLOWS],
+            sent: [0; FELLOWS + 1],
+            replied: [false; FELLOWS + 1],
+            sends_left: sends,
+            log: 0,
+        }
+    }
+
+    pub fn steps(&self, mutation: Mutation) -> Vec<Self> {
+        let mut steps = Vec::new();
+        let mut step = |change: &dyn Fn(&mut Self) -> bool| {
+            let mut next = self.clone();
+            if change(&mut next) {
+                steps.push(next);
+            }
+        };
+        step(&|s| s.answer(mutation));
+        step(&|s| std::mem::replace(&mut s.owner, false));
+        step(&|s| s.owner && !s.custody.is_appended() && s.send(0));
+        step(&|s| s.owner && s.take_reply());
+        for writer in 0..=FELLOWS {
+            step(&|s| s.apply(writer, true));
+            step(&|s| s.apply(writer, false));
+        }
+        for f in 0..FELLOWS {
+            step(&|s| s.ask(f));
+            step(&|s| s.receive_hold(f));
+            step(&|s| s.receive_confirm(f));
+            step(&|s| s.send_drop(f, mutation));
+            step(&|s| s.receive_drop(f));
+            step(&|s| s.replay(f));
+            step(&|s| s.take_holder_reply(f));
+            step(&|s| s.kill(f));
+        }
+        steps
+    }
+
+    fn answer(&mut self, mutation: Mutation) -> bool {
+        let safe = self.custody.is_safe() || mutation == Mutation::ReleasedUnsafe;
+        let now = self.owner && !self.answered && safe;
+        self.answered |= now;
+        now
+    }
+
+    fn send(&mut self, writer: usize) -> bool {
+        if self.sends_left == 0 {
+            return false;
+        }
+        self.sends_left -= 1;
+        self.sent[writer] += 1;
+        true
+    }
+
+    /// An append takes effect; its reply arrives or is lost.
+    fn apply(&mut self, writer: usize, replied: bool) -> bool {
+        if self.sent[writer] == 0 {
+            return false;
+        }
+        self.sent[writer] -= 1;
+        self.log += 1;
+        self.replied[writer] |= replied;
+        true
+    }
+
+    fn take_reply(&mut self) -> bool {
+        if self.replied[0] {
+            self.custody.append();
+        }
+        std::mem::take(&mut self.replied[0])
+    }
+
+    fn ask(&mut self, f: usize) -> bool {
+        if !self.owner || self.custody.has_asked(&instance(f + 1)) {
+            return false;
+        }
+        self.custody.ask(instance(f + 1));
+        self.hold[f] = true;
+        true
+    }
+
+    fn receive_hold(&mut self, f: usize) -> bool {
+        if !std::mem::take(&mut self.hold[f]) || !self.alive[f] {
+            return false;
+        }
+        self.holds[f] = !held(true).is_empty();
+        self.confirm[f] = true;
+        true
+    }
+
+    fn receive_confirm(&mut self, f: usize) -> bool {
+        if !std::mem::take(&mut self.confirm[f]) || !self.owner {
+            return false;
+        }
+        self.custody.confirm(instance(f + 1));
+        true
+    }
+
+    fn send_drop(&mut self, f: usize, mutation: Mutation) -> bool {
+        let name = instance(f + 1);
+        let early = mutation == Mutation::DroppedEarly && self.sent[0] > 0;
+        let may = self.custody.droppable().contains(&name) || (early && self.holds[f]);
+        let now = self.owner && may && !self.drop[f];
+        self.drop[f] |= now;
+        now
+    }
+
+    fn receive_drop(&mut self, f: usize) -> bool {
+        if !std::mem::take(&mut self.drop[f]) {
+            return false;
+        }
+        self.forget(f);
+        true
+    }
+
+    fn forget(&mut self, f: usize) {
+        let mut held = held(self.holds[f]);
+        held.appended(record(1, "water").request);
+        self.holds[f] = !held.is_empty();
+    }
+
+    fn replay(&mut self, f: usize) -> bool {
+        let due = held(self.holds[f]).replay(Moment(1_000_000), 1);
+        self.alive[f] && !due.is_empty() && self.send(f + 1)
+    }
+
+    fn take_holder_reply(&mut self, f: usize) -> bool {
+        if !std::mem::take(&mut self.replied[f + 1]) || !self.alive[f] {
+            return false;
+        }
+        self.forget(f);
+        true
+    }
+
+    fn kill(&mut self, f: usize) -> bool {
+        self.holds[f] = false;
+        std::mem::replace(&mut self.alive[f], false)
+    }
+
+    /// Whether an answered request's record is gone; appends under way don't count as copies.
+    pub fn is_lost(&self) -> bool {
+        let held = self.holds.contains(&true);
+        self.answered && self.log == 0 && !self.owner && !held
+    }
+
+    /// Requests that the product's ledger bills after this log.
+    pub fn billed(&self, mutation: Mutation) -> u64 {
+        let mut ledger = ledger();
+        for copy in 0..u64::from(self.log) {
+            let request = if mutation == Mutation::NoDedup {
+                copy + 1
+            } else {
+                1
+            };
+            let entry = Entry::Request(record(u128::from(request), "water"));
+            ledger.apply(Offset(copy + 1), TIME_MS, &[entry]);
+        }
+        ledger
+            .checkpoint()
+            .accounts
+            .iter()
+            .map(|a| a.requests)
+            .sum()
+    }
+}
+
+pub fn ledger() -> Ledger {
+    let horizon = Horizon(Span::from_secs(600));
+    Ledger::open(horizon, Checkpoint::default(), Offset(1))
+}
--- /dev/null
+++ b/crates/billing/tests/spec.rs
@@ -0,0 +1,75 @@
+//! Explores the specification of a record's way to the log, whole and with one rule left out.
+
+mod model;
+
+use googletest::prelude::*;
+use model::{Mutation, State};
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+
+/// Appends sent, over all instances.
+const SENDS: u8 = 3;
+
+/// Who has died in a state: the owner, then each fellow.
+fn dead(state: &State) -> Vec<&'static str> {
+    let alive = [state.owner, state.alive[0], state.alive[1]];
+    let names = ["owner", "first holder", "second holder"];
+    let dead = names.iter().zip(alive).filter(|(_, alive)| !alive);
+    dead.map(|(name, _)| *name).collect()
+}
+
+#[gtest]
+fn only_the_loss_of_owner_and_all_holders_loses_a_record() {
+    let mut states = 0;
+    let mut losses = Vec::new();
+    for state in bfs_reach(State::start(SENDS), |s| s.steps(Mutation::None)) {
+        states += 1;
+        assert_that!(
+            state.billed(Mutation::None),
+            eq(u64::from(state.log.min(1)))
+        );
+        if state.is_lost() && !losses.contains(&dead(&state)) {
+            losses.push(dead(&state));
+        }
+    }
+    println!("{states} states; losses that lose an answered record: {losses:?}");
+    expect_that!(
+        losses,
+        elements_are![eq(&vec!["owner", "first holder", "second holder"])]
+    );
+}
+
+/// Whether a state breaks what the whole protocol keeps.
+fn is_violated(state: &State, mutation: Mutation) -> bool {
+    let lost = state.is_lost() && dead(state).len() < 3;
+    lost || state.billed(mutation) > 1
+}
+
+fn caught(mutation: Mutation) -> Option<usize> {
+    let path = bfs(
+        &State::start(SENDS),
+        |state| state.steps(mutation),
+        |state| is_violated(state, mutation),
+    )?;
+    println!("{mutation:?}: caught after {} steps", path.len() - 1);
+    Some(path.len() - 1)
+}
+
+#[gtest]
+fn missing_dedup_is_caught() {
+    expect_that!(caught(Mutation::NoDedup), some(gt(0)));
+}
+
+#[gtest]
+fn answer_before_the_record_is_safe_is_caught() {
+    expect_that!(caught(Mutation::ReleasedUnsafe), some(gt(0)));
+}
+
+#[gtest]
+fn holder_that_drops_early_is_caught() {
+    expect_that!(caught(Mutation::DroppedEarly), some(gt(0)));
+}
+
+#[gtest]
+fn whole_protocol_is_not_caught() {
+    expect_that!(caught(Mutation::None), none());
+}
