--- a/crates/billing/src/custody.rs
+++ b/crates/billing/src/custody.rs
@@ -92,9 +92,10 @@
         self.asked.retain(|asked| asked != fellow);
     }
 
-    /// Whether a fellow was asked to hold the record.
-    pub fn has_asked(&self, fellow: &name::Instance) -> bool {
-        self.asked.binary_search(fellow).is_ok()
+    /// Whether a fellow confirmed that it holds the record. One that was asked and did not answer
+    /// is asked again: the message may have been lost.
+    pub fn is_held_by(&self, fellow: &name::Instance) -> bool {
+        self.holders.binary_search(fellow).is_ok()
     }
 
     /// Notes that the log confirmed the append.
--- a/crates/billing/tests/model/mod.rs
+++ b/crates/billing/tests/model/mod.rs
@@ -163,7 +163,7 @@
     }
 
     fn ask(&mut self, f: usize) -> bool {
-        if !self.owner || self.custody.has_asked(&instance(f + 1)) {
+        if !self.owner || self.hold[f] || self.custody.is_held_by(&instance(f + 1)) {
             return false;
         }
         self.custody.ask(instance(f + 1));
