--- /dev/null
+++ b/crates/caller/src/server.rs
@@ -0,0 +1,260 @@
+//! Accepts connections and runs each request as a task of its own.
+
+use crate::body::{self, Body};
+use crate::parse::{self, bad};
+use crate::reply::{Refusal, Reply};
+use crate::request::{Request, Target};
+use bytes::Bytes;
+use entity::unit;
+use entity::{Span, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Pause after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest read buffer that hyper allows, in bytes.
+const MIN_HEADER: usize = 8192;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// The reply to one request. It runs as a task of its own, which goes on when the caller goes.
+    fn handle(&self, request: Request) -> impl Future<Output = Reply> + Send;
+
+    /// Whether the balancer may send requests here; the text says why not.
+    fn ready(&self) -> Result<(), Box<str>>;
+
+    /// A page of another kind, such as the state for operators; `None` where there is none.
+    fn page(&self, path: &str) -> Option<Bytes> {
+        let _ = path;
+        None
+    }
+}
+
+/// What a caller may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest body.
+    pub body: unit::Bytes,
+    /// Largest head, at least 8 KiB.
+    pub header: unit::Bytes,
+    /// Longest time for a head or a body to arrive.
+    pub read: Span,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    connections: TaskTracker,
+    requests: TaskTracker,
+}
+
+struct Shared<H> {
+    handler: H,
+    limits: Limits,
+    requests: TaskTracker,
+}
+
+impl Server {
+    /// Binds an address and serves until the token is cancelled; then no connection is accepted
+    /// any more, and those that are open end with the request that they carry.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind<H: Handler>(
+        address: SocketAddr,
+        limits: Limits,
+        handler: H,
+        cancel: CancellationToken,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (connections, requests) = (TaskTracker::new(), TaskTracker::new());
+        let shared = Arc::new(Shared {
+            handler,
+            limits,
+            requests: requests.clone(),
+        });
+        connections.spawn(accept(listener, shared, cancel, connections.clone()));
+        Ok(Self {
+            address,
+            connections,
+            requests,
+        })
+    }
+
+    /// The address that was bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until each request has ended and was answered, after the token was cancelled.
+    pub async fn closed(&self) {
+        self.connections.close();
+        self.connections.wait().await;
+        self.requests.close();
+        self.requests.wait().await;
+    }
+}
+
+async fn accept<H: Handler>(
+    listener: TcpListener,
+    shared: Arc<Shared<H>>,
+    cancel: CancellationToken,
+    connections: TaskTracker,
+) {
+    loop {
+        let accepted = tokio::select! {
+            // Connections that wait are accepted first, so that a shutdown cuts none of them off.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = cancel.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        connections.spawn(serve(stream, shared.clone(), cancel.clone()));
+    }
+}
+
+async fn serve<H: Handler>(stream: TcpStream, shared: Arc<Shared<H>>, cancel: CancellationToken) {
+    let _ = stream.set_nodelay(true);
+    let header = usize::try_from(shared.limits.header.0)
+        .unwrap_or(usize::MAX)
+        .max(MIN_HEADER);
+    let read = shared.limits.read.duration();
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(answer(&shared, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(read)
+        .max_buf_size(header)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = cancel.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn answer<H: Handler>(
+    shared: &Arc<Shared<H>>,
+    request: hyper::Request<Incoming>,
+) -> Response<Body> {
+    if let Some(response) = probe(&shared.handler, &request) {
+        return response;
+    }
+    let id = request::Id::random(SystemTime::now(), &mut rand::rng());
+    let request = match read(shared, id, request).await {
+        Ok(request) => request,
+        Err(refusal) => return Reply::Refused(refusal).into_response(id),
+    };
+    // The request goes on when its caller goes: what it holds must be settled, and what it used is
+    // billed. The guard tells it that nobody waits any more.
+    let gone = request.gone.clone();
+    let guard = gone.drop_guard();
+    let task = {
+        let shared = shared.clone();
+        shared
+            .clone()
+            .requests
+            .spawn(async move { shared.handler.handle(request).await })
+    };
+    let reply = task.await;
+    guard.disarm();
+    match reply {
+        Ok(reply) => reply.into_response(id),
+        Err(_) => Reply::Refused(Refusal::may_have_run(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "internal",
+            "the request's task ended without a reply",
+        ))
+        .into_response(id),
+    }
+}
+
+/// The answers that need no key: health, readiness and pages.
+fn probe(handler: &impl Handler, request: &hyper::Request<Incoming>) -> Option<Response<Body>> {
+    let plain = |status: StatusCode, bytes: Bytes| {
+        let mut response = Response::new(body::whole(bytes));
+        *response.status_mut() = status;
+        response
+    };
+    match request.uri().path() {
+        "/healthz" => Some(plain(StatusCode::OK, Bytes::from_static(b"ok\n"))),
+        "/readyz" => Some(match handler.ready() {
+            Ok(()) => plain(StatusCode::OK, Bytes::from_static(b"ready\n")),
+            Err(reason) => plain(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format!("{reason}\n").into(),
+            ),
+        }),
+        path => handler.page(path).map(|page| plain(StatusCode::OK, page)),
+    }
+}
+
+async fn read<H: Handler>(
+    shared: &Shared<H>,
+    id: request::Id,
+    request: hyper::Request<Incoming>,
+) -> Result<Request, Refusal> {
+    let arrival = Instant::now();
+    let (parts, body) = request.into_parts();
+    let head = parse::head(&parts.headers)?;
+    let target: Target = parse::target(&parts, collect(body, shared.limits).await?)?;
+    Ok(Request {
+        id,
+        arrival,
+        bearer: head.bearer,
+        session: head.session,
+        idempotency: head.idempotency,
+        timeout: head.timeout,
+        live: head.live,
+        target,
+        gone: CancellationToken::new(),
+    })
+}
+
+async fn collect(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
+    let size = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+    let collected = Limited::new(body, size).collect();
+    let Ok(collected) = tokio::time::timeout(limits.read.duration(), collected).await else {
+        let message = "the body did not arrive in time";
+        return Err(Refusal::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "slow-body",
+            message,
+        ));
+    };
+    match collected {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = format!("the body has more than {}", limits.body);
+            Err(Refusal::not_run(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body-too-large",
+                message,
+            ))
+        }
+        Err(error) => Err(bad("bad-body", error.to_string())),
+    }
+}
--- a/crates/entity/src/request.rs
+++ b/crates/entity/src/request.rs
@@ -1,4 +1,4 @@
-//! Ids of requests.
+//! Ids of requests, and whether they have run.
 
 use rand::Rng;
 use serde_with::{DeserializeFromStr, SerializeDisplay};
@@ -60,3 +60,21 @@
         fmt::Display::fmt(self, f)
     }
 }
+
+/// Whether a request can have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Ran {
+    /// It certainly did not: no byte of it left this process, or the upstream said so.
+    No,
+    /// It may have.
+    Maybe,
+}
+
+impl fmt::Display for Ran {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::No => "not-run",
+            Self::Maybe => "may-have-run",
+        })
+    }
+}
