--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,169 @@
+//! Sections and keys of an INI text, with their lines.
+
+use entity::{Findings, Place};
+use ini_core::{Item, Parser};
+
+/// An INI text as its sections, in the order of the text.
+#[derive(Clone, Debug, Default)]
+pub struct Document<'a> {
+    /// Sections whose header is well formed; a header can occur more than once.
+    pub sections: Vec<Section<'a>>,
+}
+
+/// One section: its header and the keys below it.
+#[derive(Clone, Debug)]
+pub struct Section<'a> {
+    /// The text between the brackets.
+    pub header: &'a str,
+    /// Line of the header, counted from 1.
+    pub line: u32,
+    /// Keys in the order of the text, each once.
+    pub entries: Vec<Entry<'a>>,
+}
+
+/// One key with its value.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry<'a> {
+    /// The key.
+    pub key: &'a str,
+    /// The value, without the white space around it.
+    pub value: &'a str,
+    /// Its line, counted from 1.
+    pub line: u32,
+}
+
+impl<'a> Section<'a> {
+    /// The words of the header.
+    pub fn words(&self) -> Vec<&'a str> {
+        self.header.split_whitespace().collect()
+    }
+
+    /// The entry of a key, if it is there.
+    pub fn entry(&self, key: &str) -> Option<Entry<'a>> {
+        self.entries.iter().find(|entry| entry.key == key).copied()
+    }
+
+    /// The place of a key, or of the header where the key is missing.
+    pub fn place(&self, key: &str) -> Place {
+        Place {
+            line: self.entry(key).map_or(self.line, |entry| entry.line),
+            section: self.header.into(),
+            key: key.into(),
+        }
+    }
+
+    fn add(&mut self, entry: Entry<'a>, findings: &mut Findings) {
+        let Some(first) = self.entry(entry.key) else {
+            self.entries.push(entry);
+            return;
+        };
+        let place = Place {
+            line: entry.line,
+            ..self.place(entry.key)
+        };
+        let problem = format!("the key is there already, in line {}", first.line);
+        findings.add(place, problem, "keep one of the two");
+    }
+}
+
+/// Where the keys that follow belong.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// Before the first header.
+    Outside,
+    /// Below a well-formed header.
+    Section,
+    /// Below a malformed header, whose keys can't be checked.
+    Malformed,
+}
+
+impl<'a> Document<'a> {
+    /// Splits a text and adds a finding for each line that is no part of an INI text.
+    pub fn read(text: &'a str, findings: &mut Findings) -> Self {
+        let mut document = Self::default();
+        let mut scope = Scope::Outside;
+        let mut line = 0;
+        for item in Parser::new(text).auto_trim(true) {
+            // Every item but the end of a section stands for exactly one line.
+            if matches!(item, Item::SectionEnd) {
+                continue;
+            }
+            line += 1;
+            match item {
+                Item::Section(header) => {
+                    scope = Scope::Section;
+                    document.sections.push(Section {
+                        header,
+                        line,
+                        entries: Vec::new(),
+                    });
+                }
+                Item::Error(text) => {
+                    scope = Scope::Malformed;
+                    let problem = format!("malformed section header {:?}", shorten(text));
+                    findings.add(at(line), problem, "write [KIND NAME] and nothing after it");
+                }
+                Item::Property(key, value) => {
+                    document.property(scope, key, value, line, findings);
+                }
+                Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
+            }
+        }
+        document
+    }
+
+    fn property(
+        &mut self,
+        scope: Scope,
+        key: &'a str,
+        value: Option<&'a str>,
+        line: u32,
+        findings: &mut Findings,
+    ) {
+        if scope == Scope::Outside {
+            let problem = format!("{:?} stands before the first section", shorten(key));
+            findings.add(at(line), problem, "write it below a section header");
+            return;
+        }
+        let (Scope::Section, Some(section)) = (scope, self.sections.last_mut()) else {
+            return;
+        };
+        let place = Place {
+            line,
+            section: section.header.into(),
+            key: "".into(),
+        };
+        let Some(value) = value else {
+            let problem = format!("{:?} has no value", shorten(key));
+            findings.add(
+                place,
+                problem,
+                "write KEY = VALUE, or begin a comment with ;",
+            );
+            return;
+        };
+        if key.is_empty() {
+            findings.add(place, "a value without a key", "write KEY = VALUE");
+            return;
+        }
+        section.add(Entry { key, value, line }, findings);
+    }
+}
+
+fn at(line: u32) -> Place {
+    Place {
+        line,
+        ..Place::default()
+    }
+}
+
+/// Longest part of a text that a finding quotes, in characters.
+const QUOTED_CHARS: usize = 80;
+
+/// The beginning of a text, so that a finding stays readable whatever the text holds.
+pub(crate) fn shorten(text: &str) -> &str {
+    match text.char_indices().nth(QUOTED_CHARS) {
+        Some((end, _)) => &text[..end],
+        None => text,
+    }
+}
