Sign session tokens and assign new sessions by a monotone split

Cause: a session keeps its version, at any instance, without a store. Conclusion: a growing share moves sessions only upward; a shrinking one still moves those without a token.

--- /dev/null
+++ b/crates/session/tests/session.rs
@@ -0,0 +1,185 @@
+//! Tokens are authentic, and the split of sessions is monotone and agreed.
+
+use config::{Config, Kind, Organisation, Rollout, Service, Stage, Version};
+use entity::id::{self, Id};
+use entity::time::Span;
+use entity::unit::{Cost, Share};
+use entity::{Generation, Map};
+use googletest::prelude::*;
+use proptest::prelude::{any, proptest};
+use session::{Error, Resolution, Signer, Token, assign, resolve};
+
+const SECRET: &[u8] = b"0123456789abcdef0123456789abcdef";
+
+fn token() -> Token {
+    Token {
+        session: "caller 7".into(),
+        service: "advice".parse().unwrap(),
+        version: "large/1".parse().unwrap(),
+        generation: Generation(12),
+    }
+}
+
+fn config(services: &[&str], versions: &[&str]) -> Config {
+    let all: Vec<id::Version> = (0..versions.len()).map(id::Version::new).collect();
+    let version = |name: &&str| Version {
+        name: name.parse().unwrap(),
+        model: "large".parse().unwrap(),
+        price_in: Cost(1),
+        price_out: Cost(2),
+        stage: Stage::Active,
+    };
+    let service = |name: &&str| Service {
+        name: name.parse().unwrap(),
+        kind: Kind::Chat,
+        depends: Vec::new(),
+        versions: all.clone(),
+        quality: Share::percent(80),
+        cascade: false,
+        deadline: Span::from_secs(30),
+    };
+    let organisation = Organisation {
+        name: "branch".parse().unwrap(),
+        services: (0..services.len()).map(id::Service::new).collect(),
+        versions: all.clone(),
+        weight: 1,
+        reserve: 0,
+        keys: Vec::new(),
+    };
+    Config {
+        services: Map::new(services.iter().map(service).collect()),
+        versions: Map::new(versions.iter().map(version).collect()),
+        organisations: Map::new(vec![organisation]),
+        ..Config::default()
+    }
+}
+
+fn rollout(config: &Config) -> Rollout {
+    Rollout {
+        service: config.service("advice").unwrap(),
+        from: config.version("large/1").unwrap(),
+        to: config.version("large/2").unwrap(),
+        share: Share::percent(10),
+        limit: Share::percent(50),
+        false_alarm: Share::percent(1),
+    }
+}
+
+#[gtest]
+fn a_signed_token_verifies() {
+    let signer = Signer::open(SECRET).unwrap();
+    expect_that!(signer.verify(&signer.sign(&token())), ok(eq(&token())));
+}
+
+#[gtest]
+fn another_secret_does_not_verify() {
+    let text = Signer::new(b"another").sign(&token());
+    expect_that!(
+        Signer::new(SECRET).verify(&text),
+        err(eq(&Error::Signature))
+    );
+}
+
+#[gtest]
+fn a_short_secret_is_rejected() {
+    expect_that!(Signer::open(b"short").is_err(), eq(true));
+}
+
+#[gtest]
+fn every_altered_character_is_noticed() {
+    let signer = Signer::new(SECRET);
+    let text = signer.sign(&token());
+    for (index, character) in text.char_indices() {
+        let mut bytes = text.as_bytes().to_vec();
+        bytes[index] = if character == 'A' { b'B' } else { b'A' };
+        let altered = String::from_utf8(bytes).unwrap();
+        expect_that!(signer.verify(&altered), err(anything()), "{altered}");
+    }
+}
+
+#[gtest]
+fn a_long_text_is_rejected_unread() {
+    expect_that!(
+        Signer::new(SECRET).verify(&"A".repeat(2000)),
+        err(eq(&Error::Long))
+    );
+}
+
+proptest! {
+    #[test]
+    fn any_session_text_survives(session in "\\PC{0,64}|[a\n.]{0,64}", generation in any::<u64>()) {
+        let signer = Signer::new(SECRET);
+        let token = Token { session: session.into(), generation: Generation(generation), ..token() };
+        assert_eq!(signer.verify(&signer.sign(&token)), Ok(token));
+    }
+
+    #[test]
+    fn a_growing_share_moves_sessions_only_to_the_new_version(
+        session in "\\PC{0,32}", small in 0..=1_000_000u32, large in 0..=1_000_000u32,
+    ) {
+        let (small, large) = (small.min(large), small.max(large));
+        let config = config(&["advice"], &["large/1", "large/2"]);
+        let rollout = rollout(&config);
+        let before = assign(&session, &config, &rollout, Share::from_ppm(small));
+        let after = assign(&session, &config, &rollout, Share::from_ppm(large));
+        assert!(before == rollout.from || after == rollout.to);
+    }
+
+    #[test]
+    fn an_unrelated_edit_moves_no_session(session in "\\PC{0,32}", share in 0..=1_000_000u32) {
+        let share = Share::from_ppm(share);
+        let old = config(&["advice"], &["large/1", "large/2"]);
+        let new = config(&["a-new-service", "advice"], &["a-new/1", "large/1", "large/2"]);
+        let before = assign(&session, &old, &rollout(&old), share);
+        let after = assign(&session, &new, &rollout(&new), share);
+        assert_eq!(old.versions[before].name, new.versions[after].name);
+    }
+}
+
+#[gtest]
+fn the_split_matches_the_share() {
+    let config = config(&["advice"], &["large/1", "large/2"]);
+    let rollout = rollout(&config);
+    let mut moved = 0;
+    for session in 0..10_000 {
+        let version = assign(&session.to_string(), &config, &rollout, rollout.share);
+        moved += u32::from(version == rollout.to);
+    }
+    // Four standard deviations of a binomial with 10,000 trials at one in ten.
+    expect_that!(moved, all![ge(880), le(1120)]);
+}
+
+#[gtest]
+fn the_ends_of_the_split_are_exact() {
+    let config = config(&["advice"], &["large/1", "large/2"]);
+    let rollout = rollout(&config);
+    for session in 0..1000 {
+        let session = session.to_string();
+        let none = assign(&session, &config, &rollout, Share::NONE);
+        let whole = assign(&session, &config, &rollout, Share::WHOLE);
+        expect_that!((none, whole), eq((rollout.from, rollout.to)));
+    }
+}
+
+#[gtest]
+fn the_configuration_wins_over_the_token() {
+    let mut config = config(&["advice", "tags"], &["large/1", "large/2"]);
+    let organisation = id::Organisation::new(0);
+    let advice = config.service("advice").unwrap();
+    let tags = config.service("tags").unwrap();
+    let version = config.version("large/1").unwrap();
+    let ask = |config: &Config, session, service| {
+        resolve(&token(), session, config, organisation, service)
+    };
+    expect_that!(ask(&config, None, advice), eq(Resolution::Kept(version)));
+    expect_that!(
+        ask(&config, Some("caller 8"), advice),
+        eq(Resolution::Foreign)
+    );
+    expect_that!(ask(&config, None, tags), eq(Resolution::Foreign));
+    config.versions[version].stage = Stage::Withdrawn;
+    expect_that!(ask(&config, None, advice), eq(Resolution::Lost));
+    config.versions[version].stage = Stage::Active;
+    config.organisations[organisation].versions.remove(0);
+    expect_that!(ask(&config, None, advice), eq(Resolution::Lost));
+}
