quality: add the judge with version choice, cascades and the roll-out brake

Cause: the serving path needs a version for each request, and a roll-out that goes bad has to stop by itself.

--- /dev/null
+++ b/crates/quality/src/evidence.rs
@@ -0,0 +1,355 @@
+//! Evidence against a roll-out: a sequential test that instances can add up.
+//!
+//! The null hypothesis is that the mean rating of the new version, given all earlier ratings, is at
+//! least the service's target `q`. For a stake `f` below 1, each rating `x` multiplies a wealth by
+//! `1 + f (q - x) / (1 - q)`, which is never negative and has a mean of at most 1 under the null, so
+//! the wealth is a supermartingale (testing by betting: Waudby-Smith and Ramdas, "Estimating means
+//! of bounded random variables by betting", JRSS B 2024). With fixed stakes the logarithm of a
+//! wealth is a sum over ratings, so that the sums of several instances simply add up.
+//!
+//! A version may turn bad long after a good start. The test is therefore a mixture, with fixed
+//! weights that sum to 1, over stakes and over the window in which the betting starts (the mixture
+//! over starts is that of e-detectors: Shin, Ramdas and Rinaldo, 2024, with weights that sum to 1,
+//! which bounds the rate of false alarms over any horizon). By Ville's inequality the mixture
+//! reaches `1 / a` with a probability of at most `a` under the null, at whatever moments it is
+//! looked at, and for any assignment of ratings to windows that does not depend on their scores.
+
+use crate::posterior::Posterior;
+use entity::unit::Share;
+use entity::{Moment, Span};
+use serde::{Deserialize, Serialize};
+
+/// Length of a window in which an instance sums up ratings.
+pub const WINDOW: Span = Span::from_secs(16);
+
+/// Windows that stay open for late sums; older ones are settled.
+pub const OPEN_WINDOWS: u64 = 32;
+
+/// Number of stakes.
+pub const STAKES: usize = 5;
+
+/// Fractions of the wealth that may be lost on one rating.
+const STAKE: [f64; STAKES] = [0.05, 0.15, 0.35, 0.6, 0.9];
+
+/// Least distance between the target and the best rating that the test assumes.
+const MIN_HEADROOM: f64 = 0.02;
+
+/// The window that a moment is in.
+pub fn window(at: Moment) -> u64 {
+    at.0 / WINDOW.as_micros()
+}
+
+/// Sums over some ratings; sums of disjoint sets of ratings add up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Logarithms of the wealth for each stake.
+    pub wealth: [f64; STAKES],
+    /// Number of ratings.
+    pub ratings: u32,
+    /// Sum of the scores.
+    pub scores: f64,
+    /// Sum of the squares of the scores.
+    pub squares: f64,
+}
+
+impl Tally {
+    /// Adds a rating from 0 to 1 with a weight from 0 to 1, against a target from 0 to 1.
+    pub fn add(&mut self, target: f64, score: f64, weight: f64) {
+        let headroom = (1.0 - target).max(MIN_HEADROOM);
+        let surplus = (weight * (target - score) / headroom).max(-1.0);
+        for (wealth, stake) in self.wealth.iter_mut().zip(STAKE) {
+            *wealth += (stake * surplus).ln_1p();
+        }
+        self.ratings += 1;
+        self.scores += score;
+        self.squares += score * score;
+    }
+
+    /// Adds the sums of other ratings.
+    pub fn merge(&mut self, other: &Self) {
+        for (wealth, more) in self.wealth.iter_mut().zip(other.wealth) {
+            *wealth += more;
+        }
+        self.ratings += other.ratings;
+        self.scores += other.scores;
+        self.squares += other.squares;
+    }
+
+    /// Takes away the sums of some of the ratings.
+    fn remove(&mut self, other: &Self) {
+        for (wealth, less) in self.wealth.iter_mut().zip(other.wealth) {
+            *wealth -= less;
+        }
+        self.ratings -= other.ratings;
+        self.scores -= other.scores;
+        self.squares -= other.squares;
+    }
+
+    /// Whether every number is finite and within what so many ratings can give.
+    pub fn is_sound(&self) -> bool {
+        let ratings = f64::from(self.ratings);
+        self.wealth.iter().all(|wealth| wealth.is_finite())
+            && (0.0..=ratings + 1e-6).contains(&self.scores)
+            && (0.0..=self.scores + 1e-6).contains(&self.squares)
+    }
+}
+
+/// The sums of one instance for one window.
+#[derive(Clone, Debug, PartialEq)]
+struct Part {
+    window: u64,
+    source: Box<str>,
+    tally: Tally,
+}
+
+/// All evidence on one roll-out that one instance has seen.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    target: f64,
+    /// The first window; earlier ratings count as if they were in it.
+    origin: Option<u64>,
+    /// Sums by window and source, sorted; the open windows only.
+    parts: Vec<Part>,
+    /// Logarithms of the wealth of all starts up to the last settled window, by stake.
+    settled: [f64; STAKES],
+    /// Number of windows, from the origin, that are settled.
+    settled_windows: u64,
+    /// Sums over all ratings, settled or not.
+    all: Tally,
+    /// When the latest rating or sum arrived.
+    at: Moment,
+}
+
+/// The evidence at one moment, as a verdict records it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Finding {
+    /// Number of ratings.
+    pub ratings: u32,
+    /// Their mean, as a share of the best.
+    pub mean: Share,
+    /// Natural logarithm of the test's value, in whole thousandths.
+    pub log_value: f64,
+    /// Natural logarithm of the value at which the roll-out is braked, in whole thousandths.
+    pub log_limit: f64,
+}
+
+impl Finding {
+    /// What the evidence says, held against the logarithm of the value at which to brake.
+    ///
+    /// Logarithms are rounded so that they survive being written and read unchanged: instances
+    /// compare digests of verdicts.
+    pub fn of(evidence: &Evidence, log_limit: f64) -> Self {
+        let all = evidence.all();
+        let mean = all.scores / f64::from(all.ratings.max(1));
+        Self {
+            ratings: all.ratings,
+            mean: Share::from_fraction(mean),
+            log_value: thousandths(evidence.log_value()),
+            log_limit: thousandths(log_limit),
+        }
+    }
+}
+
+fn thousandths(value: f64) -> f64 {
+    (value * 1e3).round() / 1e3
+}
+
+impl Evidence {
+    /// No evidence, against a target from 0 to 1.
+    pub fn new(target: f64) -> Self {
+        assert!((0.0..=1.0).contains(&target), "a target is from 0 to 1");
+        Self {
+            target,
+            origin: None,
+            parts: Vec::new(),
+            settled: [f64::NEG_INFINITY; STAKES],
+            settled_windows: 0,
+            all: Tally::default(),
+            at: Moment::default(),
+        }
+    }
+
+    /// The target that ratings are held against.
+    pub fn target(&self) -> f64 {
+        self.target
+    }
+
+    /// Sums over all ratings.
+    pub fn all(&self) -> &Tally {
+        &self.all
+    }
+
+    /// Adds a rating that a source saw.
+    pub fn add(&mut self, source: &str, score: f64, weight: f64, at: Moment) {
+        let Some(index) = self.part(source, window(at)) else {
+            return;
+        };
+        let target = self.target;
+        self.parts[index].tally.add(target, score, weight);
+        let mut one = Tally::default();
+        one.add(target, score, weight);
+        self.all.merge(&one);
+        self.at = self.at.max(at);
+    }
+
+    /// Takes over a source's sums for a window, unless it has later ones; returns whether it did.
+    ///
+    /// Sums of one source and window only grow, so taking the one with most ratings makes the
+    /// operation idempotent and independent of the order of arrival.
+    pub fn merge(&mut self, source: &str, window: u64, tally: &Tally, at: Moment) -> bool {
+        if !tally.is_sound() || tally.ratings == 0 {
+            return false;
+        }
+        let Some(index) = self.part(source, window) else {
+            return false;
+        };
+        let part = &mut self.parts[index];
+        if part.tally.ratings >= tally.ratings {
+            return false;
+        }
+        self.all.remove(&part.tally);
+        self.all.merge(tally);
+        part.tally = *tally;
+        self.at = self.at.max(at);
+        true
+    }
+
+    /// The sums of a source, by window, of the last few windows.
+    pub fn sums<'a>(&'a self, source: &'a str) -> impl Iterator<Item = (u64, &'a Tally)> {
+        self.parts
+            .iter()
+            .filter(move |part| &*part.source == source)
+            .map(|part| (part.window, &part.tally))
+    }
+
+    /// Natural logarithm of the test's value; 0 without ratings.
+    pub fn log_value(&self) -> f64 {
+        let Some(origin) = self.origin else {
+            return 0.0;
+        };
+        let (wealth, windows) = fold(&self.parts, origin, self.settled, self.settled_windows);
+        let stakes = (STAKES as f64).ln();
+        // Starts that are still to come keep their weight.
+        let mut value = (1.0 - started(windows)).ln();
+        for stake in wealth {
+            value = log_sum(value, stake - stakes);
+        }
+        value
+    }
+
+    /// The posterior of the mean over all ratings.
+    pub fn posterior(&self) -> Posterior {
+        self.posterior_of(&self.all)
+    }
+
+    /// The posterior of the mean over the ratings of the open windows.
+    pub fn recent(&self) -> Posterior {
+        let mut tally = Tally::default();
+        for part in &self.parts {
+            tally.merge(&part.tally);
+        }
+        self.posterior_of(&tally)
+    }
+
+    fn posterior_of(&self, tally: &Tally) -> Posterior {
+        let ratings = f64::from(tally.ratings);
+        Posterior::of(ratings, tally.scores, tally.squares, self.at)
+    }
+
+    /// Index of the sums of a source and window, which are made if need be; none if the window is
+    /// settled.
+    fn part(&mut self, source: &str, window: u64) -> Option<usize> {
+        let origin = *self.origin.get_or_insert(window);
+        let window = window.max(origin);
+        if window < origin + self.settled_windows {
+            return None;
+        }
+        self.settle(origin, window);
+        let key = (window, source);
+        let found = self
+            .parts
+            .binary_search_by(|part| (part.window, &*part.source).cmp(&key));
+        Some(found.unwrap_or_else(|index| {
+            let part = Part {
+                window,
+                source: source.into(),
+                tally: Tally::default(),
+            };
+            self.parts.insert(index, part);
+            index
+        }))
+    }
+
+    /// Settles windows that are too old once there are sums for `newest`.
+    fn settle(&mut self, origin: u64, newest: u64) {
+        let open = newest.saturating_sub(OPEN_WINDOWS).max(origin);
+        let count = self.parts.partition_point(|part| part.window < open);
+        let old: Vec<Part> = self.parts.drain(..count).collect();
+        (self.settled, _) = fold(&old, origin, self.settled, self.settled_windows);
+        self.settled = start_until(
+            self.settled,
+            &old,
+            origin,
+            self.settled_windows,
+            open - origin,
+        );
+        self.settled_windows = self.settled_windows.max(open - origin);
+    }
+}
+
+/// Weight of all starts in the first windows: half on the first one, and the rest with a slowly
+/// falling density, so that the weights sum to 1 over any horizon.
+fn started(windows: u64) -> f64 {
+    if windows == 0 {
+        return 0.0;
+    }
+    1.0 - 0.5 / (1.0 + (windows as f64).ln())
+}
+
+/// Extends wealths over sorted parts; returns them with the number of windows from the origin that
+/// they then cover.
+fn fold(
+    parts: &[Part],
+    origin: u64,
+    mut wealth: [f64; STAKES],
+    mut windows: u64,
+) -> ([f64; STAKES], u64) {
+    for part in parts {
+        let reached = part.window - origin + 1;
+        if reached > windows {
+            let weight = (started(reached) - started(windows)).ln();
+            wealth = wealth.map(|stake| log_sum(stake, weight));
+            windows = reached;
+        }
+        for (stake, more) in wealth.iter_mut().zip(part.tally.wealth) {
+            *stake += more;
+        }
+    }
+    (wealth, windows)
+}
+
+/// Adds the starts of windows without ratings after the last of some parts, up to a window.
+fn start_until(
+    wealth: [f64; STAKES],
+    parts: &[Part],
+    origin: u64,
+    settled: u64,
+    windows: u64,
+) -> [f64; STAKES] {
+    let last = parts.last().map_or(0, |part| part.window - origin + 1);
+    let covered = last.max(settled);
+    if windows <= covered {
+        return wealth;
+    }
+    let weight = (started(windows) - started(covered)).ln();
+    wealth.map(|stake| log_sum(stake, weight))
+}
+
+/// The logarithm of the sum of two numbers that are given by their logarithms.
+fn log_sum(a: f64, b: f64) -> f64 {
+    let (low, high) = if a < b { (a, b) } else { (b, a) };
+    if low == f64::NEG_INFINITY {
+        return high;
+    }
+    high + (low - high).exp().ln_1p()
+}
--- /dev/null
+++ b/crates/quality/tests/judge.rs
@@ -0,0 +1,100 @@
+//! The judge as the serving path uses it.
+
+mod support;
+
+use entity::unit::Share;
+use entity::{Generation, id, id::Id};
+use googletest::prelude::*;
+use quality::{Judge, Reason, Verdict};
+use support::*;
+
+const BOTH: [usize; 2] = [LARGE, SMALL];
+
+fn ids(of: &[usize]) -> Vec<id::Version> {
+    of.iter().copied().map(id).collect()
+}
+
+/// Plans many requests and counts how many each version gets first.
+fn firsts(judge: &mut Judge, candidates: &[id::Version], position: Share, at: f64) -> [u32; 3] {
+    let mut counts = [0; 3];
+    for _ in 0..1000 {
+        let plan = judge.plan(&query(candidates, position, second(at)));
+        counts[plan.expect("a plan").first.index()] += 1;
+    }
+    counts
+}
+
+#[gtest]
+fn without_ratings_the_dearest_serves_but_for_exploration() {
+    let mut judge = Judge::new(1, "i");
+    judge.configure(&config("80%", false, vec![]), Generation(1));
+    let counts = firsts(&mut judge, &ids(&BOTH), Share::NONE, 0.0);
+    expect_that!(counts[SMALL], all!(gt(20), lt(70)));
+    expect_that!(counts[LARGE], gt(930));
+}
+
+#[gtest]
+fn the_cheapest_that_meets_the_target_serves() {
+    let mut judge = Judge::new(1, "i");
+    judge.configure(&config("80%", false, vec![]), Generation(1));
+    for n in 0..100 {
+        rate(&mut judge, LARGE, 0.95, second(f64::from(n)));
+        rate(&mut judge, SMALL, 0.9, second(f64::from(n)));
+    }
+    let counts = firsts(&mut judge, &ids(&BOTH), Share::NONE, 100.0);
+    expect_that!(counts[SMALL], gt(930));
+}
+
+#[gtest]
+fn a_poor_cheap_version_does_not_serve_at_all() {
+    let mut judge = Judge::new(1, "i");
+    judge.configure(&config("80%", false, vec![]), Generation(1));
+    for n in 0..100 {
+        rate(&mut judge, LARGE, 0.95, second(f64::from(n)));
+        rate(&mut judge, SMALL, 0.5, second(f64::from(n)));
+    }
+    let counts = firsts(&mut judge, &ids(&BOTH), Share::NONE, 100.0);
+    expect_that!(counts[SMALL], eq(0));
+}
+
+#[gtest]
+fn a_rollout_takes_its_share_of_sessions_and_is_braked() {
+    let mut judge = Judge::new(1, "i");
+    let config = config("80%", false, vec![rollout("5%", "50%", "1%")]);
+    judge.configure(&config, Generation(1));
+    let all = ids(&[LARGE, NEW, SMALL]);
+    let below = share("4.9999%");
+    let plan = judge
+        .plan(&query(&all, below, second(0.0)))
+        .expect("a plan");
+    expect_that!(plan.first, eq(id(NEW)));
+    expect_that!(plan.reason, eq(Reason::Rollout));
+    let above = firsts(&mut judge, &all, share("5%"), 0.0);
+    expect_that!(above[NEW], eq(0));
+    for n in 0..20 {
+        rate(&mut judge, NEW, 0.2, second(f64::from(n)));
+    }
+    expect_true!(judge.braked(id::Service::new(0), id(NEW)));
+    expect_that!(firsts(&mut judge, &all, below, 20.0)[NEW], eq(0));
+    expect_that!(
+        judge.share(id::Service::new(0), second(20.0)),
+        eq(Share::NONE)
+    );
+    let verdicts = judge.take_verdicts();
+    expect_that!(verdicts, elements_are![matches_pattern!(Verdict::Brake(_))]);
+    expect_that!(judge.take_verdicts(), is_empty());
+}
+
+#[gtest]
+fn a_braked_version_alone_gets_no_plan() {
+    let mut judge = Judge::new(1, "i");
+    let config = config("80%", false, vec![rollout("5%", "50%", "1%")]);
+    judge.configure(&config, Generation(1));
+    for n in 0..20 {
+        rate(&mut judge, NEW, 0.2, second(f64::from(n)));
+    }
+    expect_that!(
+        judge.plan(&query(&ids(&[NEW]), Share::NONE, second(20.0))),
+        none()
+    );
+}
