--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -24,7 +24,7 @@
     Events {
         events,
         id,
-        ended: false,
+        state: State::Open,
     }
     .boxed()
 }
@@ -32,7 +32,17 @@
 struct Events {
     events: mpsc::Receiver<Event>,
     id: request::Id,
-    ended: bool,
+    state: State,
+}
+
+#[derive(PartialEq, Eq)]
+enum State {
+    /// More events may come.
+    Open,
+    /// The answer is whole.
+    Ended,
+    /// The answer is broken off after what was passed on has been written.
+    Broken,
 }
 
 fn event(data: &[u8]) -> Frame<Bytes> {
@@ -54,8 +64,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if self.ended {
-            return Poll::Ready(None);
+        match self.state {
+            State::Open => {}
+            State::Ended => return Poll::Ready(None),
+            State::Broken => {
+                let error = io::Error::other("the answer is not whole");
+                return Poll::Ready(Some(Err(error)));
+            }
         }
         let next = std::task::ready!(self.events.poll_recv(context));
         Poll::Ready(match next {
@@ -65,15 +80,21 @@
                 Some(Ok(event(&refusal.json(self.id))))
             }
             Some(Event::End) => {
-                self.ended = true;
+                self.state = State::Ended;
                 Some(Ok(event(b"[DONE]")))
             }
-            None => Some(Err(io::Error::other("the answer is not whole"))),
+            None => {
+                // An error drops what hyper has not yet written. It writes when the body has
+                // nothing ready, so the error waits for one more poll.
+                self.state = State::Broken;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
         })
     }
 
     fn is_end_stream(&self) -> bool {
-        self.ended
+        self.state == State::Ended
     }
 
     fn size_hint(&self) -> SizeHint {
--- /dev/null
+++ b/crates/fellow/tests/frames.rs
@@ -0,0 +1,119 @@
+//! Frames over connections that cut, mix up and forge.
+
+use fellow::message::{Body, Done, Envelope, Held, Hold, Pull, Text};
+use fellow::{Error, Handler, Link, Secret, Server, frame};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+fn secret() -> Secret {
+    Secret::new(b"a secret of the instances of one system")
+}
+
+struct Echo;
+
+impl Handler for Echo {
+    fn answer(&self, body: Body) -> Body {
+        match body {
+            Body::Pull(pull) => Body::Text(Text::new(pull.newer_than + 1, "text".to_owned())),
+            other => other,
+        }
+    }
+}
+
+fn pull(newer_than: i64) -> Body {
+    Body::Pull(Pull::new(newer_than))
+}
+
+async fn server(cancel: &CancellationToken) -> Server {
+    let address = "127.0.0.1:0".parse().unwrap();
+    Server::bind(address, secret(), Arc::new(Echo), cancel.clone())
+        .await
+        .unwrap()
+}
+
+fn link(address: std::net::SocketAddr, secret: Secret, cancel: &CancellationToken) -> Link {
+    Link::open(
+        address,
+        secret,
+        entity::Span::from_millis(300),
+        cancel.clone(),
+    )
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn a_question_is_answered_and_the_server_closes() {
+    let cancel = CancellationToken::new();
+    let server = server(&cancel).await;
+    let link = link(server.address(), secret(), &cancel);
+    for number in 0..3 {
+        let answer = link.ask(pull(number)).await;
+        expect_that!(
+            answer,
+            ok(eq(&Body::Text(Text::new(number + 1, "text".to_owned()))))
+        );
+    }
+    cancel.cancel();
+    server.closed().await;
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn another_secret_gets_no_answer() {
+    let cancel = CancellationToken::new();
+    let server = server(&cancel).await;
+    let stranger = link(server.address(), Secret::new(b"another"), &cancel);
+    expect_that!(
+        stranger.ask(pull(1)).await,
+        err(matches_pattern!(Error::Connection(_)))
+    );
+}
+
+/// Answers the first question only after the asker gave up, then the next one as well.
+async fn late(listener: TcpListener) {
+    let (mut first, _) = listener.accept().await.unwrap();
+    let question = frame::read(&mut first, &secret()).await.unwrap();
+    let (mut second, _) = listener.accept().await.unwrap();
+    let answer = Envelope::new(question.number, Body::Done(Done::new(1)));
+    let _ = frame::write(&mut first, &secret(), &answer).await;
+    let question = frame::read(&mut second, &secret()).await.unwrap();
+    let answer = Envelope::new(question.number, Body::Done(Done::new(2)));
+    let _ = frame::write(&mut second, &secret(), &answer).await;
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn a_late_answer_is_not_taken_for_the_next_one() {
+    let cancel = CancellationToken::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = link(listener.local_addr().unwrap(), secret(), &cancel);
+    tokio::spawn(late(listener));
+    expect_that!(link.ask(pull(1)).await, err(eq(&Error::Timeout)));
+    expect_that!(link.ask(pull(2)).await, ok(eq(&Body::Done(Done::new(2)))));
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn a_frame_out_of_bounds_is_refused_unread() {
+    let mut bytes: &[u8] = &[0xff, 0xff, 0xff, 0xff, 0];
+    let read = frame::read(&mut bytes, &secret()).await;
+    expect_that!(read, err(matches_pattern!(frame::Error::Length(_))));
+}
+
+proptest! {
+    #[test]
+    fn envelopes_round_trip(number: i64, owner in ".{0,20}", record: Vec<u8>) {
+        let held = Held::new(owner, "request".to_owned(), record);
+        let envelope = Envelope::new(number, Body::Hold(Hold::new(vec![held])));
+        let decoded = frame::decode(&frame::encode(&envelope).unwrap()).unwrap();
+        prop_assert_eq!(decoded, envelope);
+    }
+
+    #[test]
+    fn random_payloads_are_refused_without_a_panic(payload: Vec<u8>) {
+        let _ = frame::decode(&payload);
+    }
+}
