Read the settings of a process

Cause: a process learns its addresses and zone from its settings, which had no reader. A malformed secret is not quoted.

--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -57,6 +57,22 @@
         self.value(key, text, remedy)
     }
 
+    /// Like [`required`](Self::required) for a value that a finding must not quote.
+    pub fn confidential<T: FromStr<Err: Display>>(
+        &mut self,
+        key: &'static str,
+        remedy: &str,
+    ) -> Option<T> {
+        let text = self.present(key, remedy)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.add(key, error.to_string(), remedy);
+                None
+            }
+        }
+    }
+
     /// One of the choices, or the default where the key is missing; no default makes it required.
     pub fn choice<T: Copy>(
         &mut self,
