Choose upstreams through one filter, with slots for cold ones

Cause: every dispatch needs an upstream that it is allowed to run on, now. Change: a pure balancer with one filter for choice and dispatch, two random choices by score, claims to cold slots from views of the instance list, a circuit breaker, a retry budget and subsets of upstreams. The slot protocol is not model-checked yet, admission is not written yet. Conclusion: the serving path can be wired to choose, recheck and finish.

--- /dev/null
+++ b/crates/routing/src/balancer.rs
@@ -0,0 +1,484 @@
+//! The balancer of one instance: what it knows about upstreams, and the choice of one for each
+//! dispatch.
+
+use crate::filter::{Filter, Grant, Reason, Work};
+use crate::hash;
+use crate::load::Load;
+use crate::pool::Pools;
+use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
+use crate::retry;
+use crate::score::{self, Affinity};
+use crate::slots::{Bounds, Ceased, Claim, Members, Views};
+use crate::state::State;
+use config::Config;
+use entity::id::{self, Id};
+use entity::name;
+use entity::time::Span;
+use entity::{Generation, Map, Moment};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+
+/// Instances that are assumed to share an upstream before the instance list was read.
+const ASSUMED_LIVE: usize = 16;
+
+/// Upstreams of a pool that a prefix belongs to.
+const HOMES: usize = 2;
+
+/// When a caller may try again after a refusal for lack of room.
+const ROOM_WAIT: Span = Span::from_secs(1);
+
+/// When a caller may try again where upstreams are cold or failing.
+const RECOVERY_WAIT: Span = Span::from_secs(2);
+
+/// When a caller may try again where zones or upstreams are out.
+const RETURN_WAIT: Span = Span::from_secs(10);
+
+/// Chooses upstreams for one instance; owned by one task or behind a mutex.
+#[derive(Debug)]
+pub struct Balancer {
+    own: name::Instance,
+    zone: name::Zone,
+    random: ChaCha8Rng,
+    config: Arc<Config>,
+    generation: Generation,
+    views: Views,
+    pools: Pools,
+    /// What is known of the upstreams in use, and of others while choices of them are unfinished;
+    /// by name.
+    states: Vec<State>,
+    /// Where the state of an upstream is, if it has one.
+    places: Map<id::Upstream, Option<u32>>,
+    budget: retry::Budget,
+    tickets: u64,
+}
+
+/// An upstream that the filter lets through.
+struct Candidate {
+    upstream: id::Upstream,
+    grant: Grant,
+    score: f64,
+    tied: bool,
+}
+
+impl Balancer {
+    /// A balancer without configuration or instance list. `bounds` are the same at all instances.
+    pub fn new(own: name::Instance, zone: name::Zone, bounds: Bounds, seed: u64) -> Self {
+        Self {
+            views: Views::new(own.clone(), bounds),
+            own,
+            zone,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            config: Arc::default(),
+            generation: Generation::default(),
+            pools: Pools::default(),
+            states: Vec::new(),
+            places: Map::default(),
+            budget: retry::Budget::new(Moment(0)),
+            tickets: 0,
+        }
+    }
+
+    /// Puts a configuration in force. What is known of upstreams is kept by their names; those that
+    /// were out of service are unknown again.
+    pub fn configure(&mut self, config: &Arc<Config>, generation: Generation, now: Moment) {
+        debug_assert!(generation >= self.generation);
+        let old = std::mem::replace(&mut self.config, Arc::clone(config));
+        self.generation = generation;
+        for state in &mut self.states {
+            let name = state.name.as_str();
+            let was = old.upstream(name).is_some_and(|id| old.in_service(id));
+            let is = config
+                .upstream(name)
+                .is_some_and(|id| config.in_service(id));
+            if is && !was {
+                state.reset(now);
+            }
+        }
+        self.rebuild(now);
+    }
+
+    /// Takes in the instance list, whose read began at `begun` and ended at `now`.
+    pub fn members(&mut self, members: Members, begun: Moment, now: Moment) {
+        if self.views.read(members, begun, now) {
+            self.rebuild(now);
+        }
+    }
+
+    /// Takes in the word of a leaving instance that it takes no slots any more.
+    pub fn ceased(&mut self, word: Ceased, now: Moment) {
+        if self.views.ceased(word) {
+            self.rebuild(now);
+        }
+    }
+
+    /// Gives up all slots for good, at the begin of a graceful shutdown.
+    pub fn leave(&mut self, now: Moment) {
+        self.views.leave();
+        self.rebuild(now);
+    }
+
+    /// What a leaving instance tells the others; none while it is not leaving.
+    pub fn word(&self) -> Option<Ceased> {
+        if !self.views.leaving() {
+            return None;
+        }
+        let mut running = Vec::new();
+        for state in &self.states {
+            let held = state.held.iter();
+            running.extend(held.map(|held| (state.name.clone(), held.number)));
+        }
+        Some(Ceased {
+            instance: self.own.clone(),
+            running,
+        })
+    }
+
+    /// Takes in a load report of an upstream.
+    pub fn load(&mut self, upstream: &name::Upstream, load: Load, now: Moment) {
+        if let Some(state) = self.state_mut(upstream) {
+            state.report(load, now);
+        }
+    }
+
+    /// Upstreams whose load reports this instance needs.
+    pub fn watched(&self) -> Vec<id::Upstream> {
+        let reports = |id: &id::Upstream| !self.config.upstreams[*id].versions.is_empty();
+        self.pools.used().into_iter().filter(reports).collect()
+    }
+
+    /// Suspicions of cold start that no load report has settled yet, of this and other instances.
+    pub fn suspicions(&self) -> Vec<Suspicion> {
+        let mut suspicions = Vec::new();
+        for state in &self.states {
+            let Some(since) = state.suspected() else {
+                continue;
+            };
+            suspicions.push(Suspicion {
+                upstream: state.name.clone(),
+                since,
+            });
+        }
+        suspicions
+    }
+
+    /// Takes in a suspicion of another instance.
+    pub fn suspect(&mut self, suspicion: &Suspicion) {
+        if let Some(state) = self.state_mut(&suspicion.upstream) {
+            state.suspect(suspicion.since);
+        }
+    }
+
+    /// Chooses an upstream for a request.
+    ///
+    /// Of two upstreams picked at random, and those that the prefix belongs to, the one with the
+    /// best score is taken ("the power of two choices", Mitzenmacher, 2001): load reports lag, and
+    /// if all instances took the best of all, they would all take the same.
+    pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
+        if query.generation != self.generation {
+            return Err(refusal(Reason::Generation));
+        }
+        let work = Work {
+            service: query.service,
+            version: query.version,
+            organisation: query.organisation,
+            excluded: query.excluded,
+            deadline: query.deadline,
+        };
+        let filter = self.filter(now);
+        filter.permitted(&work).map_err(refusal)?;
+        let candidates = self.candidates(&work, query.prefix, now).map_err(refusal)?;
+        let best = self.best(&candidates);
+        Ok(self.begin(best, query, now))
+    }
+
+    /// Applies every filter to a choice again, immediately before its dispatch.
+    pub fn recheck(&self, choice: &Choice, now: Moment) -> Result<(), Refusal> {
+        let (work, upstream) = self.translate(choice).map_err(refusal)?;
+        let state = self.state(&choice.upstream);
+        let held = Some((choice.grant, choice.ticket));
+        let sharers = self.sharers(upstream);
+        let grant = self
+            .filter(now)
+            .check(&work, upstream, state, sharers, held)
+            .map_err(refusal)?;
+        assert_eq!(grant, choice.grant, "a choice keeps its grant");
+        assert!(self.config.in_service(upstream));
+        if let Some(version) = work.version {
+            assert!(self.config.allows(work.organisation, work.service, version));
+        }
+        Ok(())
+    }
+
+    /// Takes back a choice. Returns a suspicion of cold start, if the outcome raises one.
+    pub fn finish(&mut self, choice: Choice, outcome: Outcome, now: Moment) -> Option<Suspicion> {
+        let config = Arc::clone(&self.config);
+        let id = config.upstream(choice.upstream.as_str());
+        let limit = id.map_or(0, |id| config.upstreams[id].warm);
+        let state = self
+            .state_mut(&choice.upstream)
+            .expect("a state is kept while choices of it are unfinished");
+        let suspected = state.end((choice.grant, choice.ticket), outcome, limit, now);
+        suspected.then_some(Suspicion {
+            upstream: choice.upstream,
+            since: now,
+        })
+    }
+
+    /// Counts a request, not its retries, in the retry budget.
+    pub fn request(&mut self, now: Moment) {
+        self.budget.request(now);
+    }
+
+    /// The delay before retry number `retry`, counted from 0, of a request that is due at
+    /// `deadline`; none if it may not be retried.
+    pub fn retry(&mut self, retry: u32, deadline: Moment, now: Moment) -> Option<Span> {
+        let delay = retry::delay(retry, self.random.next_u64());
+        if now + delay >= deadline || !self.budget.retry(now) {
+            return None;
+        }
+        Some(delay)
+    }
+
+    fn filter(&self, now: Moment) -> Filter<'_> {
+        Filter {
+            config: &self.config,
+            views: &self.views,
+            now,
+        }
+    }
+
+    /// The upstreams that may take the request now, or the reason that is the likeliest to pass.
+    fn candidates(
+        &self,
+        work: &Work,
+        prefix: Option<u64>,
+        now: Moment,
+    ) -> Result<Vec<Candidate>, Reason> {
+        let filter = self.filter(now);
+        let pool = self.pools.pool(work.service, work.version);
+        let homes = prefix.map(|prefix| self.homes(prefix, &pool.used));
+        let zone = self.config.zone(self.zone.as_str());
+        let mut candidates = Vec::with_capacity(pool.used.len());
+        let mut strongest = self.absence(work);
+        for &upstream in &pool.used {
+            let state = self.state_of(upstream);
+            let grant = match filter.check(work, upstream, state, self.sharers(upstream), None) {
+                Ok(grant) => grant,
+                Err(reason) => {
+                    strongest = strongest.max(reason);
+                    continue;
+                }
+            };
+            let home = homes
+                .as_ref()
+                .is_some_and(|homes| homes.contains(&upstream));
+            let affinity = match prefix {
+                Some(prefix) if state.caches(prefix) => Affinity::Cached,
+                _ if home => Affinity::Home,
+                _ => Affinity::None,
+            };
+            candidates.push(Candidate {
+                upstream,
+                grant,
+                score: score::score(&self.config, zone, upstream, state, affinity, now),
+                tied: affinity != Affinity::None,
+            });
+        }
+        if candidates.is_empty() {
+            return Err(strongest);
+        }
+        Ok(candidates)
+    }
+
+    /// Why a pool without upstreams has none.
+    fn absence(&self, work: &Work) -> Reason {
+        let mut reason = Reason::NoUpstream;
+        for (id, upstream) in self.config.upstreams.iter() {
+            let serves = match work.version {
+                Some(version) => upstream.versions.binary_search(&version).is_ok(),
+                None => upstream.services.binary_search(&work.service).is_ok(),
+            };
+            if !serves || self.config.in_service(id) {
+                continue;
+            }
+            let zone = &self.config.zones[upstream.zone];
+            let out = zone.state == config::Presence::Out;
+            reason = reason.max(if out {
+                Reason::ZoneOut
+            } else {
+                Reason::Leaving
+            });
+        }
+        reason
+    }
+
+    /// The upstreams of a pool that a prefix belongs to, by rendezvous hashing.
+    fn homes(&self, prefix: u64, pool: &[id::Upstream]) -> Vec<id::Upstream> {
+        let mut ranked: Vec<(u64, id::Upstream)> = Vec::with_capacity(pool.len());
+        for &upstream in pool {
+            let name = hash::text(self.config.upstreams[upstream].name.as_str());
+            ranked.push((hash::weight(prefix, name), upstream));
+        }
+        ranked.sort_unstable_by(|left, right| right.cmp(left));
+        ranked.truncate(HOMES);
+        ranked.into_iter().map(|(_, upstream)| upstream).collect()
+    }
+
+    fn best<'a>(&mut self, candidates: &'a [Candidate]) -> &'a Candidate {
+        let first = self.random.random_range(0..candidates.len());
+        let second = self.random.random_range(0..candidates.len());
+        let mut best = &candidates[first];
+        let tied = candidates.iter().filter(|candidate| candidate.tied);
+        for candidate in tied.chain(std::iter::once(&candidates[second])) {
+            if candidate.score < best.score {
+                best = candidate;
+            }
+        }
+        best
+    }
+
+    fn begin(&mut self, candidate: &Candidate, query: &Query, now: Moment) -> Choice {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let place = self.places[candidate.upstream].expect("candidates have a state");
+        self.states[place as usize].begin(candidate.grant, ticket, now);
+        let upstream = &self.config.upstreams[candidate.upstream];
+        Choice {
+            upstream: upstream.name.clone(),
+            address: upstream.address,
+            grant: candidate.grant,
+            end: query.deadline,
+            ticket,
+            config: Arc::clone(&self.config),
+            generation: self.generation,
+            service: query.service,
+            version: query.version,
+            organisation: query.organisation,
+        }
+    }
+
+    /// A choice's work and upstream in the ids of the configuration in force.
+    fn translate(&self, choice: &Choice) -> Result<(Work<'static>, id::Upstream), Reason> {
+        let old = &choice.config;
+        let new = &self.config;
+        let upstream = new
+            .upstream(choice.upstream.as_str())
+            .filter(|&id| new.upstreams[id].address == choice.address)
+            .ok_or(Reason::NoUpstream)?;
+        let mut work = Work {
+            service: choice.service,
+            version: choice.version,
+            organisation: choice.organisation,
+            excluded: &[],
+            deadline: choice.end,
+        };
+        if choice.generation == self.generation {
+            return Ok((work, upstream));
+        }
+        let service = old.services[choice.service].name.as_str();
+        let organisation = old.organisations[choice.organisation].name.as_str();
+        work.service = new.service(service).ok_or(Reason::NotAllowed)?;
+        work.organisation = new.organisation(organisation).ok_or(Reason::NotAllowed)?;
+        if let Some(version) = choice.version {
+            let version = new.version(old.versions[version].name.as_str());
+            work.version = Some(version.ok_or(Reason::Withdrawn)?);
+        }
+        Ok((work, upstream))
+    }
+
+    fn sharers(&self, upstream: id::Upstream) -> usize {
+        let live = match self.views.live().len() {
+            0 => ASSUMED_LIVE,
+            live => live,
+        };
+        self.pools.sharers(&self.config, upstream, live)
+    }
+
+    fn state_of(&self, upstream: id::Upstream) -> &State {
+        let place = self.places[upstream].expect("upstreams in use have a state");
+        &self.states[place as usize]
+    }
+
+    fn state(&self, name: &name::Upstream) -> &State {
+        let found = self.states.binary_search_by(|state| state.name.cmp(name));
+        &self.states[found.expect("a state is kept while choices of it are unfinished")]
+    }
+
+    fn state_mut(&mut self, name: &name::Upstream) -> Option<&mut State> {
+        let found = self.states.binary_search_by(|state| state.name.cmp(name));
+        found.ok().map(|index| &mut self.states[index])
+    }
+
+    /// Brings pools, states and claims in line with the configuration and the instance list.
+    fn rebuild(&mut self, now: Moment) {
+        let config = Arc::clone(&self.config);
+        let mut claims: Vec<(id::Upstream, Vec<Claim>)> = Vec::new();
+        for (id, upstream) in config.upstreams.iter() {
+            let owned = self.views.claims(&upstream.name, upstream.cold);
+            if !owned.is_empty() {
+                claims.push((id, owned));
+            }
+        }
+        let slotted: Vec<id::Upstream> = claims.iter().map(|(id, _)| *id).collect();
+        self.pools = Pools::new(&self.own, &config, &slotted);
+        self.keep_states(now);
+        for state in &mut self.states {
+            state.claims.clear();
+        }
+        for (id, owned) in claims {
+            let Some(place) = self.places[id] else {
+                continue;
+            };
+            self.states[place as usize].claims = owned;
+        }
+    }
+
+    /// Adds states of upstreams that came into use and drops those out of use, but for those with
+    /// unfinished choices.
+    fn keep_states(&mut self, now: Moment) {
+        let config = Arc::clone(&self.config);
+        let used = self.pools.used();
+        let in_use = |state: &State| {
+            let id = config.upstream(state.name.as_str());
+            id.is_some_and(|id| used.binary_search(&id).is_ok())
+        };
+        self.states.retain(|state| in_use(state) || !state.unused());
+        for &id in &used {
+            let upstream = &config.upstreams[id];
+            let found = self
+                .states
+                .binary_search_by(|state| state.name.cmp(&upstream.name));
+            if let Err(index) = found {
+                let reports = !upstream.versions.is_empty();
+                let state = State::new(upstream.name.clone(), reports, now);
+                self.states.insert(index, state);
+            }
+        }
+        self.places = Map::filled(None, config.upstreams.len());
+        for (index, state) in self.states.iter().enumerate() {
+            if let Some(id) = config.upstream(state.name.as_str()) {
+                self.places[id] = Some(u32::try_from(index).expect("few upstreams"));
+            }
+        }
+        debug_assert!(used.iter().all(|id| id.index() < self.places.len()));
+    }
+}
+
+fn refusal(reason: Reason) -> Refusal {
+    let retry_after = match reason {
+        Reason::NoUpstream
+        | Reason::NotAllowed
+        | Reason::Withdrawn
+        | Reason::NotServed
+        | Reason::Deadline => None,
+        Reason::Generation => Some(Span::ZERO),
+        Reason::Excluded | Reason::Full => Some(ROOM_WAIT),
+        Reason::Cold | Reason::Failing => Some(RECOVERY_WAIT),
+        Reason::ZoneOut | Reason::Leaving => Some(RETURN_WAIT),
+    };
+    Refusal {
+        reason,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/pool.rs
@@ -0,0 +1,103 @@
+//! Pools: the upstreams of each version and plain service that an instance may use.
+
+use crate::subset;
+use config::Config;
+use entity::Map;
+use entity::id::{self, Id};
+use entity::name;
+
+/// The upstreams of one version or plain service.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    /// How many are in service, over all instances' subsets.
+    pub serving: usize,
+    /// Those that this instance uses, sorted.
+    pub used: Vec<id::Upstream>,
+}
+
+/// The pools of one configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Pools {
+    versions: Map<id::Version, Pool>,
+    services: Map<id::Service, Pool>,
+}
+
+impl Pools {
+    /// The pools of an instance: its subset of each, and all upstreams of which it may own a slot.
+    pub fn new(own: &name::Instance, config: &Config, slotted: &[id::Upstream]) -> Self {
+        let mut versions = Map::filled(Vec::new(), config.versions.len());
+        let mut services = Map::filled(Vec::new(), config.services.len());
+        for (id, upstream) in config.upstreams.iter() {
+            if !config.in_service(id) {
+                continue;
+            }
+            for &version in &upstream.versions {
+                versions[version].push(id);
+            }
+            for &service in &upstream.services {
+                services[service].push(id);
+            }
+        }
+        let pool = |serving: &Vec<id::Upstream>| Pool::new(own, config, serving, slotted);
+        Self {
+            versions: Map::new(versions.values().iter().map(pool).collect()),
+            services: Map::new(services.values().iter().map(pool).collect()),
+        }
+    }
+
+    /// The pool of a version or, without one, of a plain service.
+    pub fn pool(&self, service: id::Service, version: Option<id::Version>) -> &Pool {
+        match version {
+            Some(version) => &self.versions[version],
+            None => &self.services[service],
+        }
+    }
+
+    /// All upstreams that this instance uses, sorted.
+    pub fn used(&self) -> Vec<id::Upstream> {
+        let mut used = Vec::new();
+        let pools = self.versions.values().iter();
+        for pool in pools.chain(self.services.values()) {
+            used.extend_from_slice(&pool.used);
+        }
+        used.sort_unstable();
+        used.dedup();
+        used
+    }
+
+    /// How many instances of `live` share an upstream: the fewest over its pools, so that no
+    /// part of its limit is left to nobody.
+    pub fn sharers(&self, config: &Config, upstream: id::Upstream, live: usize) -> usize {
+        let upstream = &config.upstreams[upstream];
+        let versions = upstream.versions.iter().map(|&id| &self.versions[id]);
+        let services = upstream.services.iter().map(|&id| &self.services[id]);
+        versions
+            .chain(services)
+            .map(|pool| subset::sharers(live, pool.serving, subset::SIZE))
+            .min()
+            .unwrap_or(live)
+    }
+}
+
+impl Pool {
+    fn new(
+        own: &name::Instance,
+        config: &Config,
+        serving: &[id::Upstream],
+        slotted: &[id::Upstream],
+    ) -> Self {
+        let mut used = subset::pick(own, config, serving, subset::SIZE);
+        used.extend(
+            serving
+                .iter()
+                .filter(|id| slotted.binary_search(id).is_ok()),
+        );
+        used.sort_unstable();
+        used.dedup();
+        debug_assert!(used.iter().all(|id| id.index() < config.upstreams.len()));
+        Self {
+            serving: serving.len(),
+            used,
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/query.rs
@@ -0,0 +1,93 @@
+//! What is asked of the balancer, and what it answers.
+
+use crate::filter::{Grant, Reason};
+use config::Config;
+use entity::id;
+use entity::name;
+use entity::time::Span;
+use entity::{Generation, Moment};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How urgent a request is; 0 is the most urgent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Priority(pub u8);
+
+/// A request that needs an upstream: a first try, a retry, a hedge, a step of a cascade or one that
+/// has waited in a queue.
+#[derive(Clone, Debug)]
+pub struct Query<'a> {
+    /// The configuration that issued the ids.
+    pub generation: Generation,
+    /// The service that the caller asked for.
+    pub service: id::Service,
+    /// The version that has to run it; none for a plain service.
+    pub version: Option<id::Version>,
+    /// The organisation that pays for it.
+    pub organisation: id::Organisation,
+    /// Hash of the prompt's prefix, for chat services.
+    pub prefix: Option<u64>,
+    /// How urgent it is.
+    pub priority: Priority,
+    /// Upstreams that were tried before.
+    pub excluded: &'a [name::Upstream],
+    /// When the whole answer is due.
+    pub deadline: Moment,
+}
+
+/// An upstream for one dispatch.
+///
+/// It counts as running there from [`choose`](crate::Balancer::choose) on, and has to be given back
+/// to [`finish`](crate::Balancer::finish) whatever becomes of it.
+#[derive(Debug)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// On what ground the dispatch is allowed.
+    pub grant: Grant,
+    /// The moment after which the dispatch has to be ended, whatever its caller's deadline.
+    pub end: Moment,
+    pub(crate) ticket: u64,
+    pub(crate) config: Arc<Config>,
+    pub(crate) generation: Generation,
+    pub(crate) service: id::Service,
+    pub(crate) version: Option<id::Version>,
+    pub(crate) organisation: id::Organisation,
+}
+
+/// Why no upstream can take a request now; nothing of it has left the instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not run: {reason}")]
+pub struct Refusal {
+    /// The reason that is the likeliest to pass.
+    pub reason: Reason,
+    /// When another attempt may succeed; none where only an edit of the configuration helps.
+    pub retry_after: Option<Span>,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The answer arrived whole.
+    Done {
+        /// From dispatch to the first byte of the answer.
+        first_token: Span,
+    },
+    /// The upstream refused it before it ran.
+    Refused,
+    /// The connection failed, or the answer ended early, was too late or bore another id.
+    Failed,
+    /// It ended for a reason that says nothing about the upstream.
+    Cancelled,
+}
+
+/// An instance's belief that an upstream has turned cold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspicion {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// When it was noticed; a load report as of a later moment settles it.
+    pub since: Moment,
+}
--- /dev/null
+++ b/crates/routing/src/state.rs
@@ -0,0 +1,293 @@
+//! What an instance knows about one upstream.
+
+use crate::breaker::Breaker;
+use crate::filter::Grant;
+use crate::load::Load;
+use crate::query::Outcome;
+use crate::slots::Claim;
+use entity::Moment;
+use entity::name;
+use entity::time::Span;
+
+/// How long a load report counts; without a newer one the upstream is unknown.
+pub const REPORT_LIFE: Span = Span::from_secs(5);
+
+/// How much later than a suspicion a report has to be to settle it: the clocks of instances and
+/// engines may differ by this much.
+pub const CLOCK_SKEW: Span = Span::from_millis(500);
+
+/// How long an upstream's limit grows after cold start, from a tenth to the whole.
+pub const RAMP: Span = Span::from_secs(10);
+
+/// How long a suspicion lasts for an upstream that reports no load.
+pub const SUSPICION_LIFE: Span = Span::from_secs(10);
+
+/// A refusal is a sign of cold start if the load was below this share of the limit.
+const UNEXPLAINED: f64 = 0.8;
+
+/// A first token this many times slower than usual, without load to explain it, is a sign of cold
+/// start.
+const SLOW: f64 = 6.0;
+
+/// Weight of the newest first-token time in the moving average.
+const NEWEST: f64 = 0.05;
+
+/// Whether an upstream can bear full load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// In cold start, or nothing recent is known, which counts as cold.
+    Cold,
+    /// Warm since the moment.
+    Warm {
+        /// When it became warm for this instance.
+        since: Moment,
+    },
+}
+
+/// A slot in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The slot.
+    pub number: u32,
+    /// The choice that uses it.
+    pub ticket: u64,
+}
+
+/// What an instance knows about one upstream.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// The upstream.
+    pub name: name::Upstream,
+    /// Choices of this instance that are not finished.
+    pub running: u32,
+    /// Slots that requests of this instance run on, whether it owns them still or not.
+    pub held: Vec<Held>,
+    /// Claims to slots.
+    pub claims: Vec<Claim>,
+    /// The circuit breaker.
+    pub breaker: Breaker,
+    /// Whether it reports its load; plain services don't.
+    reports: bool,
+    known_since: Moment,
+    load: Option<Load>,
+    running_at_load: u32,
+    warm_since: Option<Moment>,
+    /// Whether it was in cold start, or might have been, before it became warm.
+    recovered: bool,
+    suspected: Option<Moment>,
+    first_token_ms: Option<f64>,
+}
+
+impl State {
+    /// An upstream about which nothing is known.
+    pub fn new(name: name::Upstream, reports: bool, now: Moment) -> Self {
+        Self {
+            name,
+            reports,
+            known_since: now,
+            running: 0,
+            held: Vec::new(),
+            claims: Vec::new(),
+            breaker: Breaker::default(),
+            load: None,
+            running_at_load: 0,
+            warm_since: None,
+            recovered: false,
+            suspected: None,
+            first_token_ms: None,
+        }
+    }
+
+    /// Whether it can bear full load, as far as is known.
+    ///
+    /// An upstream that reports its load is cold until a report says otherwise. One that doesn't is
+    /// cold only for a while after a sign of it.
+    pub fn readiness(&self, now: Moment) -> Readiness {
+        if !self.reports {
+            let since = match self.suspected {
+                Some(suspected) => suspected + SUSPICION_LIFE,
+                None => self.known_since,
+            };
+            return if now < since {
+                Readiness::Cold
+            } else {
+                Readiness::Warm { since }
+            };
+        }
+        let Some(load) = &self.load else {
+            return Readiness::Cold;
+        };
+        match self.warm_since {
+            Some(since) if now.since(load.as_of) <= REPORT_LIFE => Readiness::Warm { since },
+            _ => Readiness::Cold,
+        }
+    }
+
+    /// The share of its warm limit that it may be given: after cold start it grows from a tenth to
+    /// one, and one that was warm when it was first heard of has all of it.
+    pub fn ramp(&self, now: Moment) -> f64 {
+        let Readiness::Warm { since } = self.readiness(now) else {
+            return 0.0;
+        };
+        if !self.recovered {
+            return 1.0;
+        }
+        let grown = now.since(since).as_secs_f64() / RAMP.as_secs_f64();
+        (0.1 + 0.9 * grown).min(1.0)
+    }
+
+    /// Requests that are believed to run or wait there, of all instances.
+    pub fn total(&self) -> u32 {
+        let Some(load) = &self.load else {
+            return self.running;
+        };
+        let begun = self.running.saturating_sub(self.running_at_load);
+        let ended = self.running_at_load.saturating_sub(self.running);
+        (load.total() + begun)
+            .saturating_sub(ended)
+            .max(self.running)
+    }
+
+    /// Requests of this instance that were begun since the newest load report, less those ended.
+    pub fn begun(&self) -> u32 {
+        self.running.saturating_sub(self.running_at_load)
+    }
+
+    /// Requests of all instances in the newest load report.
+    pub fn reported(&self) -> u32 {
+        self.load.as_ref().map_or(0, Load::total)
+    }
+
+    /// Whether its cache held a prefix by the newest report.
+    pub fn caches(&self, prefix: u64) -> bool {
+        self.load
+            .as_ref()
+            .is_some_and(|load| load.prefixes.contains(&prefix))
+    }
+
+    /// The suspicion that it turned cold, if it is not settled.
+    pub fn suspected(&self) -> Option<Moment> {
+        self.suspected
+    }
+
+    /// Takes in a load report; one that is no newer than the last is ignored.
+    pub fn report(&mut self, load: Load, now: Moment) {
+        if self
+            .load
+            .as_ref()
+            .is_some_and(|known| load.as_of <= known.as_of)
+        {
+            return;
+        }
+        let stale = self.readiness(now) == Readiness::Cold;
+        if load.cold {
+            self.warm_since = None;
+            self.recovered = true;
+            self.suspected = None;
+        } else if self.settles(&load) {
+            self.suspected = None;
+            if stale {
+                self.warm_since = Some(now);
+            }
+        }
+        self.load = Some(load);
+        self.running_at_load = self.running;
+    }
+
+    fn settles(&self, load: &Load) -> bool {
+        self.suspected
+            .is_none_or(|since| load.as_of > since + CLOCK_SKEW)
+    }
+
+    /// Takes in a suspicion that it turned cold; a newer warm report settles it. Returns whether
+    /// it is news.
+    pub fn suspect(&mut self, since: Moment) -> bool {
+        let known = self.suspected.is_some_and(|suspected| since <= suspected);
+        let settled = self
+            .load
+            .as_ref()
+            .is_some_and(|load| load.as_of > since + CLOCK_SKEW);
+        if known || settled {
+            return false;
+        }
+        self.suspected = Some(since);
+        self.warm_since = None;
+        self.recovered = true;
+        true
+    }
+
+    /// Forgets that it was warm, as after its zone came back.
+    pub fn reset(&mut self, now: Moment) {
+        self.known_since = now;
+        self.load = None;
+        self.warm_since = None;
+        self.recovered = true;
+        self.breaker = Breaker::default();
+    }
+
+    /// Counts a choice.
+    pub fn begin(&mut self, grant: Grant, ticket: u64, now: Moment) {
+        self.breaker.sent(now);
+        self.running += 1;
+        if let Grant::Cold { slot } = grant {
+            debug_assert!(self.held.iter().all(|held| held.number != slot));
+            self.held.push(Held {
+                number: slot,
+                ticket,
+            });
+        }
+    }
+
+    /// Counts the end of a choice, for an upstream with a warm limit of `limit`. Returns whether it
+    /// raises a suspicion of cold start.
+    pub fn end(
+        &mut self,
+        (grant, ticket): (Grant, u64),
+        outcome: Outcome,
+        limit: u32,
+        now: Moment,
+    ) -> bool {
+        let light = f64::from(self.total()) < UNEXPLAINED * f64::from(limit);
+        assert!(self.running > 0, "a choice ends once");
+        self.running -= 1;
+        self.held.retain(|held| held.ticket != ticket);
+        match outcome {
+            Outcome::Done { first_token } => {
+                self.breaker.succeeded();
+                grant == Grant::Warm && self.slow(first_token) && light && self.suspect(now)
+            }
+            Outcome::Refused => {
+                self.breaker.unsettled(now);
+                grant == Grant::Warm && light && self.suspect(now)
+            }
+            Outcome::Failed => {
+                self.breaker.failed(now);
+                // A process that went away starts cold.
+                !self.breaker.allows(now) && self.suspect(now)
+            }
+            Outcome::Cancelled => {
+                self.breaker.unsettled(now);
+                false
+            }
+        }
+    }
+
+    /// Adds a first-token time to the moving average and says whether it is out of proportion.
+    fn slow(&mut self, first_token: Span) -> bool {
+        let ms = first_token.as_secs_f64() * 1e3;
+        let Some(usual) = self.first_token_ms else {
+            self.first_token_ms = Some(ms);
+            return false;
+        };
+        if ms > SLOW * usual {
+            return true;
+        }
+        self.first_token_ms = Some(usual + NEWEST * (ms - usual));
+        false
+    }
+
+    /// Whether nothing depends on this state any more.
+    pub fn unused(&self) -> bool {
+        self.running == 0
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/common/mod.rs
@@ -0,0 +1,137 @@
+//! A small configuration for tests: two zones, upstreams in turn, two versions, two organisations.
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use config::{
+    Config, Fencing, Kind, Organisation, Presence, Service, Stage, Upstream, Version, Zone,
+};
+use entity::id::{self, Id};
+use entity::time::Span;
+use entity::unit::{Cost, Share};
+use entity::{Generation, Map, Moment, name};
+use routing::{Balancer, Bounds, Load, Members, Priority, Query};
+use std::sync::Arc;
+
+pub const START: Moment = Moment(1_000_000_000);
+pub const FIRST: Generation = Generation(1);
+
+pub fn secs(secs: u64) -> Span {
+    Span::from_secs(secs)
+}
+
+pub fn millis(millis: u64) -> Span {
+    Span::from_millis(millis)
+}
+
+pub fn config(upstreams: usize) -> Config {
+    let zone = |name: &str| Zone {
+        name: name.parse().unwrap(),
+        region: "amman".parse().unwrap(),
+        state: Presence::In,
+    };
+    let version = |name: &str| Version {
+        name: name.parse().unwrap(),
+        model: "draft".parse().unwrap(),
+        price_in: Cost(1),
+        price_out: Cost(2),
+        stage: Stage::Active,
+    };
+    let service = Service {
+        name: "draft".parse().unwrap(),
+        kind: Kind::Chat,
+        depends: Vec::new(),
+        versions: vec![id::Version::new(0), id::Version::new(1)],
+        quality: Share::percent(80),
+        cascade: false,
+        deadline: secs(30),
+    };
+    Config {
+        zones: Map::new(vec![zone("amman-a"), zone("amman-b")]),
+        services: Map::new(vec![service]),
+        versions: Map::new(vec![version("draft/1"), version("draft/2")]),
+        upstreams: Map::new((0..upstreams).map(upstream).collect()),
+        organisations: Map::new(vec![organisation("clinics"), organisation("schools")]),
+        ..Config::default()
+    }
+}
+
+fn upstream(index: usize) -> Upstream {
+    Upstream {
+        name: format!("engine-{index:03}").parse().unwrap(),
+        zone: id::Zone::new(index % 2),
+        address: format!("127.0.0.1:{}", 9000 + index).parse().unwrap(),
+        versions: vec![id::Version::new(0)],
+        services: Vec::new(),
+        warm: 8,
+        cold: 2,
+        fencing: Fencing::Checked,
+        state: Presence::In,
+    }
+}
+
+fn organisation(name: &str) -> Organisation {
+    Organisation {
+        name: name.parse().unwrap(),
+        services: vec![id::Service::new(0)],
+        versions: vec![id::Version::new(0), id::Version::new(1)],
+        weight: 1,
+        reserve: 0,
+        keys: Vec::new(),
+    }
+}
+
+pub fn instance(index: usize) -> name::Instance {
+    format!("entry-{index}").parse().unwrap()
+}
+
+pub fn engine(index: usize) -> name::Upstream {
+    format!("engine-{index:03}").parse().unwrap()
+}
+
+pub fn members(version: u64, live: &[usize]) -> Members {
+    let live = live.iter().map(|&index| instance(index)).collect();
+    Members { version, live }
+}
+
+pub fn balancer(config: &Config, seed: u64) -> Balancer {
+    let zone = "amman-a".parse().unwrap();
+    let mut balancer = Balancer::new(instance(0), zone, Bounds::default(), seed);
+    balancer.configure(&Arc::new(config.clone()), FIRST, START);
+    balancer
+}
+
+pub fn warm(as_of: Moment) -> Load {
+    Load {
+        as_of,
+        ..Load::default()
+    }
+}
+
+pub fn query(now: Moment) -> Query<'static> {
+    Query {
+        generation: FIRST,
+        service: id::Service::new(0),
+        version: Some(id::Version::new(0)),
+        organisation: id::Organisation::new(0),
+        prefix: None,
+        priority: Priority(0),
+        excluded: &[],
+        deadline: now + secs(30),
+    }
+}
+
+/// Reports all upstreams warm and idle.
+pub fn warm_all(balancer: &mut Balancer, upstreams: usize, now: Moment) {
+    for index in 0..upstreams {
+        balancer.load(&engine(index), warm(now), now);
+    }
+}
+
+/// Reads the list once a second until all slots that this instance owns are usable.
+pub fn settle(balancer: &mut Balancer, live: &[usize], from: Moment) -> Moment {
+    let mut now = from;
+    for _ in 0..=Bounds::default().cleared().as_secs_f64() as u64 + 1 {
+        balancer.members(members(1, live), now, now);
+        now = now + secs(1);
+    }
+    now
+}
