Add stand-ins of the platform and the upstreams

Cause: the other packages need something that speaks the platform's protocols. Change: log, instance list, engine, plain service, rating service and weight store, as a library and as commands of one binary, with their fault switches.

--- /dev/null
+++ b/standins/src/engine/prefix.rs
@@ -0,0 +1,59 @@
+//! The cache of prompt prefixes: the least recently used ones leave first.
+
+use std::collections::VecDeque;
+
+/// Prefixes in limited memory.
+pub(super) struct Cache {
+    capacity: usize,
+    used: usize,
+    /// Hash and size of each prefix, the least recently used first.
+    prefixes: VecDeque<(u64, usize)>,
+}
+
+impl Cache {
+    pub(super) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            used: 0,
+            prefixes: VecDeque::new(),
+        }
+    }
+
+    /// Uses a prefix and returns whether it was cached; it is cached afterwards if it fits.
+    pub(super) fn touch(&mut self, hash: u64, bytes: usize) -> bool {
+        let found = self.prefixes.iter().position(|entry| entry.0 == hash);
+        if let Some(entry) = found.and_then(|index| self.prefixes.remove(index)) {
+            self.prefixes.push_back(entry);
+            return true;
+        }
+        if bytes > self.capacity {
+            return false;
+        }
+        while self.used + bytes > self.capacity {
+            let (_, freed) = self.prefixes.pop_front().expect("what is used is listed");
+            self.used -= freed;
+        }
+        self.prefixes.push_back((hash, bytes));
+        self.used += bytes;
+        false
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.prefixes.clear();
+        self.used = 0;
+    }
+
+    /// Bytes of prompt that are cached.
+    pub(super) fn used(&self) -> usize {
+        self.used
+    }
+
+    /// Hashes of the cached prefixes, as 16 hexadecimal digits.
+    pub(super) fn hashes(&self) -> Vec<Box<str>> {
+        let mut hashes = Vec::new();
+        for (hash, _) in &self.prefixes {
+            hashes.push(format!("{hash:016x}").into());
+        }
+        hashes
+    }
+}
--- /dev/null
+++ b/standins/src/instances.rs
@@ -0,0 +1,162 @@
+//! The platform's instance list.
+
+use crate::fault::Switch;
+use crate::server::{self, Call, Dropped, Handle, Reply, Service};
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Fault switches.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Faults {
+    /// Reads are answered by 503.
+    pub down: bool,
+    /// Delay of each read, in milliseconds.
+    pub delay_ms: u64,
+    /// How long a change takes to be listed, in milliseconds.
+    pub lag_ms: u64,
+}
+
+/// Settings of the list.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Seed of the random faults.
+    pub seed: u64,
+    /// Fault switches at the start.
+    pub faults: Faults,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: ([127, 0, 0, 1], 0).into(),
+            seed: 1,
+            faults: Faults::default(),
+        }
+    }
+}
+
+/// Whether an instance is to stay.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// It is to stay.
+    #[default]
+    Live,
+    /// It will end soon.
+    Leaving,
+}
+
+/// An instance without its name.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Instance {
+    zone: Box<str>,
+    region: Box<str>,
+    address: SocketAddr,
+    #[serde(default)]
+    state: State,
+}
+
+type List = BTreeMap<Box<str>, Instance>;
+
+/// Starts the list.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn spawn(options: Options, cancel: &CancellationToken) -> io::Result<Handle> {
+    let instances = Instances {
+        faults: Switch::new(options.faults, options.seed),
+        history: Mutex::new(vec![(Instant::now(), List::new())]),
+    };
+    server::spawn(Arc::new(instances), options.address, cancel).await
+}
+
+struct Instances {
+    faults: Switch<Faults>,
+    /// Each list with the time of the change that made it; the version is the index, and the
+    /// first list is empty.
+    history: Mutex<Vec<(Instant, List)>>,
+}
+
+impl Service for Instances {
+    async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
+        let (head, body) = call.into_parts();
+        let path = head.uri.path();
+        if path == "/faults" && head.method == Method::POST {
+            return Ok(server::changed(
+                self.faults.merge(&server::read(body).await?),
+            ));
+        }
+        if path == "/instances" && head.method == Method::GET {
+            return Ok(self.list().await);
+        }
+        let Some(name) = path.strip_prefix("/instances/") else {
+            return Ok(server::error(StatusCode::NOT_FOUND, "unknown_path"));
+        };
+        if head.method == Method::DELETE {
+            self.change(|list| {
+                list.remove(name);
+            });
+            return Ok(server::changed(Ok(())));
+        }
+        if head.method != Method::PUT {
+            return Ok(server::error(StatusCode::METHOD_NOT_ALLOWED, "method"));
+        }
+        let put = serde_json::from_slice(&server::read(body).await?).map(|instance| {
+            self.change(|list| {
+                list.insert(name.into(), instance);
+            });
+        });
+        Ok(server::changed(put))
+    }
+}
+
+impl Instances {
+    fn change(&self, edit: impl FnOnce(&mut List)) {
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let (_, last) = history.last().expect("the first list is never removed");
+        let mut list = last.clone();
+        edit(&mut list);
+        history.push((Instant::now(), list));
+    }
+
+    async fn list(&self) -> Reply {
+        let faults = self.faults.get();
+        server::pause(faults.delay_ms).await;
+        if faults.down {
+            return server::error(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let lag = Duration::from_millis(faults.lag_ms);
+        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let listed = history.partition_point(|(changed, _)| changed.elapsed() >= lag);
+        let version = listed.saturating_sub(1);
+        let mut instances = Vec::new();
+        for (name, instance) in &history[version].1 {
+            instances.push(entry(name, instance));
+        }
+        server::json(
+            StatusCode::OK,
+            &serde_json::json!({"version": version, "instances": instances}),
+        )
+    }
+}
+
+fn entry(name: &str, instance: &Instance) -> serde_json::Value {
+    serde_json::json!({
+        "name": name,
+        "zone": instance.zone,
+        "region": instance.region,
+        "address": instance.address,
+        "state": instance.state,
+    })
+}
--- /dev/null
+++ b/standins/src/rating.rs
@@ -0,0 +1,106 @@
+//! The answer-rating service.
+
+use crate::engine::answer;
+use crate::fault::Switch;
+use crate::server::{self, Call, Dropped, Handle, Reply, Service};
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+
+/// The score of an answer without a quality marker.
+const UNMARKED_SCORE: f64 = 0.5;
+
+/// Fault switches.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Faults {
+    /// Every call is answered by 503.
+    pub down: bool,
+    /// Delay of each rating, in milliseconds.
+    pub delay_ms: u64,
+    /// Largest deviation of a score from the answer's quality.
+    pub noise: f64,
+    /// Versions whose answers get a fixed score, before the noise.
+    pub bad: BTreeMap<Box<str>, f64>,
+}
+
+/// Settings of the service.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Seed of the noise.
+    pub seed: u64,
+    /// Fault switches at the start.
+    pub faults: Faults,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: ([127, 0, 0, 1], 0).into(),
+            seed: 1,
+            faults: Faults {
+                delay_ms: 20,
+                noise: 0.05,
+                ..Faults::default()
+            },
+        }
+    }
+}
+
+/// Starts the service.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn spawn(options: Options, cancel: &CancellationToken) -> io::Result<Handle> {
+    let rating = Rating {
+        faults: Switch::new(options.faults, options.seed),
+    };
+    server::spawn(Arc::new(rating), options.address, cancel).await
+}
+
+struct Rating {
+    faults: Switch<Faults>,
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    version: Box<str>,
+    answer: Box<str>,
+}
+
+impl Service for Rating {
+    async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
+        let (head, body) = call.into_parts();
+        let body = server::read(body).await?;
+        match (head.method, head.uri.path()) {
+            (Method::POST, "/faults") => Ok(server::changed(self.faults.merge(&body))),
+            (Method::POST, "/ratings") => Ok(self.rate(&body).await),
+            _ => Ok(server::error(StatusCode::NOT_FOUND, "unknown_path")),
+        }
+    }
+}
+
+impl Rating {
+    async fn rate(&self, body: &[u8]) -> Reply {
+        let faults = self.faults.get();
+        if faults.down {
+            return server::error(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let Ok(rated) = serde_json::from_slice::<Answer>(body) else {
+            return server::error(StatusCode::BAD_REQUEST, "invalid");
+        };
+        server::pause(faults.delay_ms).await;
+        let fixed = faults.bad.get(&rated.version).copied();
+        let quality = fixed.or_else(|| answer::quality(&rated.answer));
+        let noise = faults.noise * self.faults.deviation();
+        let score = (quality.unwrap_or(UNMARKED_SCORE) + noise).clamp(0.0, 1.0);
+        server::json(StatusCode::OK, &serde_json::json!({"score": score}))
+    }
+}
--- /dev/null
+++ b/standins/src/weights.rs
@@ -0,0 +1,108 @@
+//! The weight store.
+
+use crate::digest;
+use crate::fault::Switch;
+use crate::limiter::Limiter;
+use crate::server::{self, Call, Dropped, Handle, Reply, Service};
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Sizes of versions lie between this many bytes and twice as many.
+const LEAST_BYTES: u64 = 8 << 30;
+
+/// Fault switches.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Faults {
+    /// Every call is answered by 503.
+    pub down: bool,
+    /// Delay of each call, in milliseconds.
+    pub delay_ms: u64,
+    /// Calls a second beyond which the reply is 429; 0 is no limit.
+    pub rate_per_s: u32,
+}
+
+/// Settings of the store.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Seed of the random faults.
+    pub seed: u64,
+    /// Fault switches at the start.
+    pub faults: Faults,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            address: ([127, 0, 0, 1], 0).into(),
+            seed: 1,
+            faults: Faults {
+                rate_per_s: 10,
+                ..Faults::default()
+            },
+        }
+    }
+}
+
+/// Starts the store.
+///
+/// # Errors
+///
+/// Returns the error of binding the address.
+pub async fn spawn(options: Options, cancel: &CancellationToken) -> io::Result<Handle> {
+    let weights = Weights {
+        faults: Switch::new(options.faults, options.seed),
+        limiter: Mutex::new(Limiter::new(Instant::now())),
+    };
+    server::spawn(Arc::new(weights), options.address, cancel).await
+}
+
+struct Weights {
+    faults: Switch<Faults>,
+    limiter: Mutex<Limiter>,
+}
+
+impl Service for Weights {
+    async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
+        let (head, body) = call.into_parts();
+        if head.uri.path() == "/faults" && head.method == Method::POST {
+            return Ok(server::changed(
+                self.faults.merge(&server::read(body).await?),
+            ));
+        }
+        match head.uri.path().strip_prefix("/weights/") {
+            Some(version) if head.method == Method::GET => Ok(self.size(version).await),
+            _ => Ok(server::error(StatusCode::NOT_FOUND, "unknown_path")),
+        }
+    }
+}
+
+impl Weights {
+    async fn size(&self, version: &str) -> Reply {
+        let faults = self.faults.get();
+        if faults.down {
+            return server::error(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let taken = self
+            .limiter
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take(faults.rate_per_s, Instant::now());
+        if !taken {
+            return server::limited();
+        }
+        server::pause(faults.delay_ms).await;
+        let extra = (digest::fraction(version) * LEAST_BYTES as f64) as u64;
+        server::json(
+            StatusCode::OK,
+            &serde_json::json!({"bytes": LEAST_BYTES + extra}),
+        )
+    }
+}
