Fellow texts bear author and format; prefix hash as engines report it

Cause: a text learned from a fellow needs what the fold checks, and the engine's load report names prefixes by a published hash. Change: thrift Text, Digest, Assign; FNV-1a in the caller's parser.

--- a/crates/caller/src/parse.rs
+++ b/crates/caller/src/parse.rs
@@ -10,12 +10,15 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use serde_json::{Map, Value};
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Longest session id or idempotency key, in bytes.
 const MAX_KEY: usize = 255;
 /// Longest time that a caller may wait.
 const MAX_TIMEOUT: Span = Span::from_secs(3600);
+/// Where the 64-bit FNV-1a hash begins.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// What the 64-bit FNV-1a hash multiplies by.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
 /// Bytes of a prompt for one token, as an estimate.
 const BYTES_PER_TOKEN: u64 = 4;
 
@@ -220,11 +223,17 @@
     })
 }
 
+/// The 64-bit FNV-1a hash of a message's content, as engines report it in their load
+/// (<https://datatracker.ietf.org/doc/html/draft-eastlake-fnv>).
 fn prefix(message: &Value) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    message
-        .get("content")
-        .map(Value::to_string)
-        .hash(&mut hasher);
-    hasher.finish()
+    let content = match message.get("content") {
+        Some(Value::String(text)) => text.clone(),
+        Some(parts) => parts.to_string(),
+        None => String::new(),
+    };
+    let mut hash = FNV_OFFSET_BASIS;
+    for byte in content.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    }
+    hash
 }
--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -8,10 +8,10 @@
   2: required i64 age_us,
 }
 
-/** Requests that run on the cold slots of an upstream. */
+/** A request that runs on a slot of a cold upstream. */
 struct Running {
   1: required string upstream,
-  2: required i32 count,
+  2: required i32 slot,
 }
 
 /** What an instance tells a fellow every second or two. */
@@ -20,12 +20,15 @@
   2: required string zone,
   /** The generation in force at the sender. */
   3: required i64 generation,
-  /** Time since the last successful read of the log by anybody that the sender has heard of. */
-  4: required i64 log_age_ms,
+  /** Time since the last read of the configuration stream up to its end, by the sender or by
+      anybody that it has heard of; absent where there was none. */
+  4: optional i64 log_age_ms,
   /** The sender's hybrid clock. */
   5: required i64 clock,
   6: required list<Suspicion> suspicions,
-  7: required list<Running> running,
+  /** Whether the sender takes no slots of cold upstreams any more; `running` are its last ones. */
+  7: required bool ceased,
+  10: required list<Running> running,
   /** Verdict records, as they stand on the log. */
   8: required list<binary> verdicts,
   /** Summaries of ratings. */
@@ -40,7 +43,24 @@
 /** A text in force. */
 struct Text {
   1: required i64 generation,
-  2: required string text,
+  /** Format of the text; another release may read another one. */
+  2: required i32 format,
+  3: required string author,
+  4: required string text,
+}
+
+/** Asks the home of a session for the version that it begins on. */
+struct Assign {
+  1: required string session,
+  2: required string service_name,
+  3: required string organisation,
+  /** The version that the asker would take. */
+  4: required string version,
+}
+
+/** The version that a session is on. */
+struct Assigned {
+  1: required string version,
 }
 
 /** A usage record to hold until its owner has appended it. */
@@ -76,6 +96,8 @@
   5: Drop drop,
   6: Done done,
   7: Refusal refusal,
+  8: Assign assign,
+  9: Assigned assigned,
 }
 
 /** One message; an answer bears the number of its question. */
