--- a/crates/quality/tests/support/mod.rs
+++ b/crates/quality/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use config::model::{Config, Kind, Rollout, Service, Stage, Version};
 use entity::unit::{Cost, Share, Tokens};
 use entity::{Map, Moment, Span, id, id::Id, name};
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 use quality::{Class, Judge, Query, Rating};
 
 pub const SERVICE: &str = "advice";
@@ -92,3 +93,13 @@
         at,
     });
 }
+
+/// So many cases, the same in each run.
+pub fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
