--- /dev/null
+++ b/crates/quality/examples/cascade/main.rs
@@ -0,0 +1,2 @@
+//! To come.
+fn main() {}
--- a/crates/quality/src/evidence.rs
+++ b/crates/quality/src/evidence.rs
@@ -179,6 +179,11 @@
         &self.all
     }
 
+    /// When the latest rating or sum arrived.
+    pub fn latest(&self) -> Moment {
+        self.at
+    }
+
     /// Adds a rating that a source saw.
     pub fn add(&mut self, source: &str, score: f64, weight: f64, at: Moment) {
         let Some(index) = self.part(source, window(at)) else {
--- a/crates/quality/src/rollout.rs
+++ b/crates/quality/src/rollout.rs
@@ -1,8 +1,8 @@
 //! How the share of a roll-out grows, and when it is braked.
 
 use crate::evidence::Evidence;
-use entity::Moment;
 use entity::unit::Share;
+use entity::{Moment, Span};
 
 /// Ratings of the new version, over all instances, for which its share doubles.
 pub const DOUBLING_RATINGS: u32 = 40;
@@ -10,6 +10,9 @@
 /// Part of the limit, in logarithms, beyond which the share falls back to its beginning.
 const SUSPICION: f64 = 1.0 / 3.0;
 
+/// Time without any rating of the new version after which its share falls back to its beginning.
+pub const SILENCE: Span = Span::from_secs(60);
+
 /// The least rate of false alarms that is kept to.
 const MIN_FALSE_ALARM: f64 = 1e-6;
 
@@ -17,7 +20,8 @@
 ///
 /// It begins at `share` and doubles with every [`DOUBLING_RATINGS`] ratings up to `limit`, for as
 /// long as the lower bound of the mean rating meets the target, over all ratings and over the recent
-/// ones. Without ratings it doesn't grow, and a long outage of the rating service takes it back.
+/// ones. Evidence against the version takes it back before it suffices for a brake, and so does an
+/// outage of the rating service, during which a bad version can't be noticed.
 pub fn share(
     share: Share,
     limit: Share,
@@ -26,7 +30,8 @@
     now: Moment,
 ) -> Share {
     let start = share.min(limit);
-    if evidence.log_value() > log_limit * SUSPICION {
+    let silent = now.since(evidence.latest()) > SILENCE;
+    if silent || evidence.log_value() > log_limit * SUSPICION {
         return start;
     }
     let target = evidence.target();
