--- /dev/null
+++ b/crates/timeline/tests/metric.rs
@@ -0,0 +1,34 @@
+//! Metrics reach the address that is set.
+
+use entity::Span;
+use googletest::prelude::*;
+use std::net::UdpSocket;
+use std::time::Duration;
+use timeline::{Counter, Metric, Timer};
+
+#[gtest]
+fn counters_and_timers_are_sent_as_datagrams() {
+    let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+    server
+        .set_read_timeout(Some(Duration::from_secs(30)))
+        .unwrap();
+    let address = server.local_addr().unwrap();
+    let metric = Metric::open(&"entry-1".parse().unwrap(), Some(address)).unwrap();
+    metric.count(Counter::Decisions);
+    metric.time(Timer::Decision, Span::from_millis(3));
+    let mut buffer = [0; 256];
+    for expected in [
+        "citrontrack.entry-1.decisions:1|c",
+        "citrontrack.entry-1.decision:3|ms",
+    ] {
+        let size = server.recv(&mut buffer).unwrap();
+        expect_that!(std::str::from_utf8(&buffer[..size]), ok(eq(expected)));
+    }
+}
+
+#[gtest]
+fn without_an_address_metrics_go_nowhere() {
+    let metric = Metric::open(&"entry-1".parse().unwrap(), None).unwrap();
+    metric.count(Counter::Decisions);
+    metric.time(Timer::Decision, Span::ZERO);
+}
