--- a/crates/billing/src/custody.rs
+++ b/crates/billing/src/custody.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Notes that the number of other instances changed.
+    pub fn resize(&mut self, fellows: usize) {
+        self.needed = fellows.min(COPIES);
+    }
+
     /// Notes that a fellow was asked to hold the record: it may hold it even if it never answers.
     pub fn ask(&mut self, fellow: name::Instance) {
         insert(&mut self.asked, fellow);
--- a/crates/billing/src/held.rs
+++ b/crates/billing/src/held.rs
@@ -22,6 +22,8 @@
     owner: name::Instance,
     since: Moment,
     due: Moment,
+    /// Whether the record is on the log; such copies are removed together.
+    appended: bool,
 }
 
 /// The records held for fellows, sorted by request.
@@ -29,6 +31,8 @@
 pub struct Held {
     policy: Policy,
     copies: Vec<Copy>,
+    /// Copies that are not marked as appended.
+    count: usize,
 }
 
 /// The holder has no room for another record.
@@ -46,22 +50,24 @@
         Self {
             policy,
             copies: Vec::new(),
+            count: 0,
         }
     }
 
     /// How many records are held.
     pub fn len(&self) -> usize {
-        self.copies.len()
+        self.count
     }
 
     /// Whether no record is held.
     pub fn is_empty(&self) -> bool {
-        self.copies.is_empty()
+        self.count == 0
     }
 
     /// Whether the record of a request is held.
     pub fn contains(&self, request: request::Id) -> bool {
-        self.find(request).is_ok()
+        let found = self.find(request);
+        found.is_ok_and(|index| !self.copies[index].appended)
     }
 
     fn find(&self, request: request::Id) -> Result<usize, usize> {
@@ -78,12 +84,13 @@
     pub fn hold(&mut self, record: Record, owner: name::Instance, now: Moment) -> Result<(), Full> {
         let index = match self.find(record.request) {
             Ok(index) => {
+                // A message to hold that arrives after the one to drop changes nothing either.
                 self.copies[index].owner = owner;
                 return Ok(());
             }
             Err(index) => index,
         };
-        if self.copies.len() >= self.policy.capacity {
+        if self.count >= self.policy.capacity {
             return Err(Full);
         }
         let copy = Copy {
@@ -91,23 +98,44 @@
             owner,
             since: now,
             due: now + self.policy.patience,
+            appended: false,
         };
+        self.count += 1;
         self.copies.insert(index, copy);
         Ok(())
     }
 
     /// Drops a record that is on the log, by the word of its owner or of the log.
     pub fn appended(&mut self, request: request::Id) {
-        if let Ok(index) = self.find(request) {
-            self.copies.remove(index);
+        let Ok(index) = self.find(request) else {
+            return;
+        };
+        let copy = &mut self.copies[index];
+        if !copy.appended {
+            copy.appended = true;
+            self.count -= 1;
         }
     }
 
+    /// Removes what was dropped. Removal of many copies one by one would move all others each
+    /// time.
+    fn sweep(&mut self) {
+        self.copies.retain(|copy| !copy.appended);
+        debug_assert_eq!(
+            self.copies.len(),
+            self.count,
+            "the count is of what is held"
+        );
+    }
+
     /// Drops the records of an owner that is gone and returns them: the holder appends them and
     /// has them held as its own.
     pub fn adopt(&mut self, owner: &name::Instance) -> Vec<Record> {
+        self.sweep();
         let adopted = self.copies.extract_if(.., |copy| copy.owner == *owner);
-        adopted.map(|copy| copy.record).collect()
+        let adopted: Vec<Record> = adopted.map(|copy| copy.record).collect();
+        self.count -= adopted.len();
+        adopted
     }
 
     /// Makes all records of an owner due that says it will not append them.
@@ -122,6 +150,7 @@
     /// At most `limit` records to append now; each is due again after the patience, until
     /// [`appended`](Self::appended) is told of it.
     pub fn replay(&mut self, now: Moment, limit: usize) -> Vec<Record> {
+        self.sweep();
         let mut due = Vec::new();
         for copy in &mut self.copies {
             if due.len() == limit {
--- a/crates/billing/src/usage.rs
+++ b/crates/billing/src/usage.rs
@@ -112,6 +112,15 @@
     }
 }
 
+/// One entry as a JSON value, to be put into a batch, which is a JSON array.
+///
+/// # Panics
+///
+/// Never: entries consist of text and numbers, which JSON can always hold.
+pub fn encode_one(entry: &Entry) -> Vec<u8> {
+    serde_json::to_vec(entry).expect("an entry serialises to JSON")
+}
+
 /// The bytes of one log record that holds a batch.
 ///
 /// # Panics
--- a/crates/claims/src/holder.rs
+++ b/crates/claims/src/holder.rs
@@ -125,6 +125,11 @@
         open && at.offset >= fold.complete()
     }
 
+    /// What may be said of sendings up to this one if it is given up now.
+    pub fn unread(&self) -> Ran {
+        self.first_sending()
+    }
+
     /// Gives up before the claim was read.
     pub fn release(self) -> Released {
         Released(self)
--- a/crates/claims/src/record.rs
+++ b/crates/claims/src/record.rs
@@ -97,6 +97,15 @@
     }
 }
 
+/// One record as a JSON value, to be put into a batch, which is a JSON array.
+///
+/// # Panics
+///
+/// Never: records consist of text and numbers, which JSON can always hold.
+pub fn encode_one(record: &Record) -> Vec<u8> {
+    serde_json::to_vec(record).expect("a record serialises to JSON")
+}
+
 /// The bytes of one log record that holds a batch.
 ///
 /// # Panics
