Share options and fault switches among the stand-ins

Cause: each stand-in repeated its options and the handling of POST /faults. Change: one Options type, and the server answers POST /faults for all. Conclusion: less that stands twice, no change in behaviour.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -185,11 +185,13 @@
 }
 
 impl Service for Engine {
+    type Faults = Faults;
+
+    fn faults(&self) -> &Switch<Faults> {
+        &self.faults
+    }
+
     async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
-        if call.uri().path() == "/faults" && call.method() == Method::POST {
-            let patch = server::read(call.into_body()).await?;
-            return Ok(server::changed(self.faults.merge(&patch)));
-        }
         match (call.method(), call.uri().path()) {
             (&Method::GET, "/calls") => return Ok(self.calls()),
             (&Method::GET, "/falls") => {
@@ -203,11 +205,8 @@
         }
         match (call.method(), call.uri().path()) {
             (&Method::GET, "/load") => Ok(self.load()),
-            (&Method::POST, "/orders") => {
-                let body = server::read(call.into_body()).await?;
-                Ok(self.lock().orders.take(&body))
-            }
-            (&Method::POST, "/v1/chat/completions") => self.complete(call).await,
+            (&Method::POST, "/orders") => Ok(self.lock().orders.take(call.body())),
+            (&Method::POST, "/v1/chat/completions") => self.complete(&call).await,
             _ => Ok(server::error(StatusCode::NOT_FOUND, "unknown_path")),
         }
     }
@@ -242,13 +241,12 @@
         self.falls.send_modify(|falls| *falls += 1);
     }
 
-    async fn complete(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
-        let request: Box<str> = server::header(&call, REQUEST_ID).into();
-        let priority = server::header(&call, "x-priority")
+    async fn complete(self: Arc<Self>, call: &Call) -> Result<Reply, Dropped> {
+        let request: Box<str> = server::header(call, REQUEST_ID).into();
+        let priority = server::header(call, "x-priority")
             .parse()
             .unwrap_or(u8::MAX);
-        let body = server::read(call.into_body()).await?;
-        let Ok(prompt) = serde_json::from_slice::<chat::Prompt>(&body) else {
+        let Ok(prompt) = serde_json::from_slice::<chat::Prompt>(call.body()) else {
             return Ok(server::error(StatusCode::BAD_REQUEST, "invalid"));
         };
         let faults = self.faults.get();
--- a/standins/src/fault.rs
+++ b/standins/src/fault.rs
@@ -5,8 +5,30 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+/// Settings of a stand-in.
+#[derive(Clone, Debug)]
+pub struct Options<F> {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Seed of the random faults.
+    pub seed: u64,
+    /// Fault switches at the start.
+    pub faults: F,
+}
+
+impl<F: Default> Default for Options<F> {
+    fn default() -> Self {
+        Self {
+            address: ([127, 0, 0, 1], 0).into(),
+            seed: 1,
+            faults: F::default(),
+        }
+    }
+}
+
 /// The fault switches of one stand-in, with the seeded source of its random faults.
 #[derive(Debug)]
 pub struct Switch<F> {
--- a/standins/src/instances.rs
+++ b/standins/src/instances.rs
@@ -1,6 +1,6 @@
 //! The platform's instance list.
 
-use crate::fault::Switch;
+use crate::fault::{self, Switch};
 use crate::server::{self, Call, Dropped, Handle, Reply, Service};
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -25,25 +25,7 @@
 }
 
 /// Settings of the list.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Seed of the random faults.
-    pub seed: u64,
-    /// Fault switches at the start.
-    pub faults: Faults,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            address: ([127, 0, 0, 1], 0).into(),
-            seed: 1,
-            faults: Faults::default(),
-        }
-    }
-}
+pub type Options = fault::Options<Faults>;
 
 /// Whether an instance is to stay.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,14 +71,15 @@
 }
 
 impl Service for Instances {
+    type Faults = Faults;
+
+    fn faults(&self) -> &Switch<Faults> {
+        &self.faults
+    }
+
     async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
         let (head, body) = call.into_parts();
         let path = head.uri.path();
-        if path == "/faults" && head.method == Method::POST {
-            return Ok(server::changed(
-                self.faults.merge(&server::read(body).await?),
-            ));
-        }
         if path == "/instances" && head.method == Method::GET {
             return Ok(self.list().await);
         }
@@ -112,7 +95,7 @@
         if head.method != Method::PUT {
             return Ok(server::error(StatusCode::METHOD_NOT_ALLOWED, "method"));
         }
-        let put = serde_json::from_slice(&server::read(body).await?).map(|instance| {
+        let put = serde_json::from_slice(&body).map(|instance| {
             self.change(|list| {
                 list.insert(name.into(), instance);
             });
--- a/standins/src/log.rs
+++ b/standins/src/log.rs
@@ -2,7 +2,7 @@
 
 mod stream;
 
-use crate::fault::Switch;
+use crate::fault::{self, Switch};
 use crate::limiter::Limiter;
 use crate::server::{self, Call, Dropped, Handle, Reply, Service};
 use bytes::Bytes;
@@ -10,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stream::Stream;
@@ -44,34 +43,22 @@
     pub retention_ms: u64,
 }
 
-/// Settings of the log.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Seed of the random faults.
-    pub seed: u64,
-    /// Fault switches at the start.
-    pub faults: Faults,
-}
-
-impl Default for Options {
+impl Default for Faults {
     fn default() -> Self {
         Self {
-            address: ([127, 0, 0, 1], 0).into(),
-            seed: 1,
-            faults: Faults {
-                down: false,
-                delay_ms: 0,
-                lose_replies: 0.0,
-                drop_appends: 0.0,
-                rate_per_s: 500,
-                retention_ms: 0,
-            },
+            down: false,
+            delay_ms: 0,
+            lose_replies: 0.0,
+            drop_appends: 0.0,
+            rate_per_s: 500,
+            retention_ms: 0,
         }
     }
 }
 
+/// Settings of the log.
+pub type Options = fault::Options<Faults>;
+
 /// Starts the log.
 ///
 /// # Errors
@@ -122,14 +109,19 @@
 }
 
 impl Service for Log {
+    type Faults = Faults;
+
+    fn faults(&self) -> &Switch<Faults> {
+        &self.faults
+    }
+
+    fn switched(&self) {
+        self.changes.send_replace(());
+    }
+
     async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
         let (head, body) = call.into_parts();
         let path = head.uri.path();
-        if path == "/faults" && head.method == Method::POST {
-            let reply = server::changed(self.faults.merge(&server::read(body).await?));
-            self.changes.send_replace(());
-            return Ok(reply);
-        }
         let stream = path
             .strip_prefix("/streams/")
             .and_then(|rest| rest.strip_suffix("/records"))
@@ -138,8 +130,7 @@
             return Ok(server::error(StatusCode::NOT_FOUND, "unknown_path"));
         };
         if head.method == Method::POST {
-            let data = server::read(body).await?;
-            let append = Arc::clone(&self).append(stream.into(), data);
+            let append = Arc::clone(&self).append(stream.into(), body);
             // The append goes on when the caller's connection is gone.
             return tokio::spawn(append).await.unwrap_or(Err(Dropped));
         }
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -1,14 +1,13 @@
 //! A plain service.
 
 use crate::digest::digest;
-use crate::fault::Switch;
+use crate::fault::{self, Switch};
 use crate::server::{self, Call, Dropped, Handle, REQUEST_ID, Reply, Service};
 use bytes::Bytes;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio_util::sync::CancellationToken;
 
@@ -29,25 +28,7 @@
 }
 
 /// Settings of the service.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Seed of the random faults.
-    pub seed: u64,
-    /// Fault switches at the start.
-    pub faults: Faults,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            address: ([127, 0, 0, 1], 0).into(),
-            seed: 1,
-            faults: Faults::default(),
-        }
-    }
-}
+pub type Options = fault::Options<Faults>;
 
 /// A call that ran.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -91,11 +72,13 @@
 }
 
 impl Service for Plain {
+    type Faults = Faults;
+
+    fn faults(&self) -> &Switch<Faults> {
+        &self.faults
+    }
+
     async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
-        if call.uri().path() == "/faults" && call.method() == Method::POST {
-            let patch = server::read(call.into_body()).await?;
-            return Ok(server::changed(self.faults.merge(&patch)));
-        }
         if call.uri().path() == "/calls" {
             return Ok(self.calls());
         }
@@ -105,8 +88,7 @@
             organisation: server::header(&call, "x-organisation").into(),
             path: format!("{} {}", call.method(), call.uri().path()).into(),
         };
-        let body = server::read(call.into_body()).await?;
-        self.run(ran, &body).await
+        self.run(ran, call.body()).await
     }
 }
 
--- a/standins/src/rating.rs
+++ b/standins/src/rating.rs
@@ -1,13 +1,12 @@
 //! The answer-rating service.
 
 use crate::engine::answer;
-use crate::fault::Switch;
+use crate::fault::{self, Switch};
 use crate::server::{self, Call, Dropped, Handle, Reply, Service};
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
 
@@ -15,7 +14,7 @@
 const UNMARKED_SCORE: f64 = 0.5;
 
 /// Fault switches.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Faults {
     /// Every call is answered by 503.
@@ -28,31 +27,20 @@
     pub bad: BTreeMap<Box<str>, f64>,
 }
 
-/// Settings of the service.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Seed of the noise.
-    pub seed: u64,
-    /// Fault switches at the start.
-    pub faults: Faults,
-}
-
-impl Default for Options {
+impl Default for Faults {
     fn default() -> Self {
         Self {
-            address: ([127, 0, 0, 1], 0).into(),
-            seed: 1,
-            faults: Faults {
-                delay_ms: 20,
-                noise: 0.05,
-                ..Faults::default()
-            },
+            down: false,
+            delay_ms: 20,
+            noise: 0.05,
+            bad: BTreeMap::new(),
         }
     }
 }
 
+/// Settings of the service.
+pub type Options = fault::Options<Faults>;
+
 /// Starts the service.
 ///
 /// # Errors
@@ -76,14 +64,17 @@
 }
 
 impl Service for Rating {
+    type Faults = Faults;
+
+    fn faults(&self) -> &Switch<Faults> {
+        &self.faults
+    }
+
     async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
-        let (head, body) = call.into_parts();
-        let body = server::read(body).await?;
-        match (head.method, head.uri.path()) {
-            (Method::POST, "/faults") => Ok(server::changed(self.faults.merge(&body))),
-            (Method::POST, "/ratings") => Ok(self.rate(&body).await),
-            _ => Ok(server::error(StatusCode::NOT_FOUND, "unknown_path")),
+        if call.method() != Method::POST || call.uri().path() != "/ratings" {
+            return Ok(server::error(StatusCode::NOT_FOUND, "unknown_path"));
         }
+        Ok(self.rate(call.body()).await)
     }
 }
 
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server that all stand-ins share.
 
+use crate::fault::Switch;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -7,9 +8,10 @@
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,8 +29,8 @@
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 /// A reply.
 pub type Reply = Response<Body>;
-/// A call.
-pub type Call = Request<Incoming>;
+/// A call with its whole body.
+pub type Call = Request<Bytes>;
 
 /// The connection is closed without a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -37,6 +39,15 @@
 
 /// What a stand-in answers.
 pub trait Service: Send + Sync + 'static {
+    /// Its fault switches.
+    type Faults: Clone + Serialize + DeserializeOwned + Send;
+
+    /// Its fault switches, which `POST /faults` changes.
+    fn faults(&self) -> &Switch<Self::Faults>;
+
+    /// Is called after the fault switches changed.
+    fn switched(&self) {}
+
     /// Answers one call.
     fn call(self: Arc<Self>, call: Call) -> impl Future<Output = Result<Reply, Dropped>> + Send;
 }
@@ -111,13 +122,24 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let answer = service_fn(move |call| Arc::clone(&service).call(call));
+    let answer = service_fn(move |request| answer(Arc::clone(&service), request));
     // An error means that the peer went away or that a fault closed the connection.
     let _ = http1::Builder::new()
         .serve_connection(TokioIo::new(stream), answer)
         .await;
 }
 
+async fn answer<S: Service>(service: Arc<S>, request: Request<Incoming>) -> Result<Reply, Dropped> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Dropped)?.to_bytes();
+    if head.method != Method::POST || head.uri.path() != "/faults" {
+        return service.call(Request::from_parts(head, body)).await;
+    }
+    let merged = service.faults().merge(&body);
+    service.switched();
+    Ok(changed(merged))
+}
+
 /// A body of known bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     let body = Full::new(bytes.into());
@@ -174,7 +196,7 @@
     reply
 }
 
-/// The reply to a change of fault switches.
+/// The reply to a change that is given as JSON.
 pub fn changed(result: serde_json::Result<()>) -> Reply {
     match result {
         Ok(()) => json(StatusCode::OK, &serde_json::json!({})),
@@ -185,18 +207,6 @@
     }
 }
 
-/// The whole body of a call.
-///
-/// # Errors
-///
-/// Returns [`Dropped`] where the caller went away before the end.
-pub async fn read(body: Incoming) -> Result<Bytes, Dropped> {
-    body.collect()
-        .await
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|_| Dropped)
-}
-
 /// A header of a call as text, empty where it is missing.
 pub fn header<'a>(call: &'a Call, name: &str) -> &'a str {
     call.headers()
--- a/standins/src/weights.rs
+++ b/standins/src/weights.rs
@@ -1,13 +1,12 @@
 //! The weight store.
 
 use crate::digest;
-use crate::fault::Switch;
+use crate::fault::{self, Switch};
 use crate::limiter::Limiter;
 use crate::server::{self, Call, Dropped, Handle, Reply, Service};
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::io;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -16,7 +15,7 @@
 const LEAST_BYTES: u64 = 8 << 30;
 
 /// Fault switches.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Faults {
     /// Every call is answered by 503.
@@ -27,30 +26,19 @@
     pub rate_per_s: u32,
 }
 
-/// Settings of the store.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Seed of the random faults.
-    pub seed: u64,
-    /// Fault switches at the start.
-    pub faults: Faults,
-}
-
-impl Default for Options {
+impl Default for Faults {
     fn default() -> Self {
         Self {
-            address: ([127, 0, 0, 1], 0).into(),
-            seed: 1,
-            faults: Faults {
-                rate_per_s: 10,
-                ..Faults::default()
-            },
+            down: false,
+            delay_ms: 0,
+            rate_per_s: 10,
         }
     }
 }
 
+/// Settings of the store.
+pub type Options = fault::Options<Faults>;
+
 /// Starts the store.
 ///
 /// # Errors
@@ -70,15 +58,15 @@
 }
 
 impl Service for Weights {
+    type Faults = Faults;
+
+    fn faults(&self) -> &Switch<Faults> {
+        &self.faults
+    }
+
     async fn call(self: Arc<Self>, call: Call) -> Result<Reply, Dropped> {
-        let (head, body) = call.into_parts();
-        if head.uri.path() == "/faults" && head.method == Method::POST {
-            return Ok(server::changed(
-                self.faults.merge(&server::read(body).await?),
-            ));
-        }
-        match head.uri.path().strip_prefix("/weights/") {
-            Some(version) if head.method == Method::GET => Ok(self.size(version).await),
+        match call.uri().path().strip_prefix("/weights/") {
+            Some(version) if call.method() == Method::GET => Ok(self.size(version).await),
             _ => Ok(server::error(StatusCode::NOT_FOUND, "unknown_path")),
         }
     }
