--- a/crates/caller/src/parse.rs
+++ b/crates/caller/src/parse.rs
@@ -106,11 +106,14 @@
         return Ok(None);
     };
     let created = number(map, &headers::IDEMPOTENCY_CREATED)?;
-    let first = number(map, &headers::IDEMPOTENCY_ATTEMPT)? == Some(1);
+    let sending = number(map, &headers::IDEMPOTENCY_ATTEMPT)?.unwrap_or(0);
+    let Ok(sending) = u32::try_from(sending) else {
+        return Err(bad("bad-header", "idempotency-attempt is below 2^32"));
+    };
     Ok(Some(Idempotency {
         key: key.into(),
         created_ms: created.or_else(|| uuid_millis(key)),
-        first,
+        sending,
     }))
 }
 
--- a/crates/caller/src/reply.rs
+++ b/crates/caller/src/reply.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{self, Body};
 use crate::headers;
+use crate::request::Idempotency;
 use bytes::Bytes;
 use entity::Span;
 use entity::request::{self, Ran};
@@ -118,6 +119,15 @@
         }
     }
 
+    /// The same for a call that was refused before its idempotency key was looked up: unless the
+    /// caller states that it never sent the key before, an earlier sending may have run.
+    pub fn unclaimed(mut self, idempotency: Option<&Idempotency>) -> Self {
+        if idempotency.is_some_and(|idempotency| idempotency.sending != 1) {
+            self.ran = Ran::Maybe;
+        }
+        self
+    }
+
     /// The same with a time to come back.
     pub fn after(mut self, span: Span) -> Self {
         self.retry_after = Some(span);
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -48,8 +48,8 @@
     pub key: Box<str>,
     /// When the key was made, in milliseconds since the Unix epoch, if that is known.
     pub created_ms: Option<u64>,
-    /// Whether the caller says that it never sent this key before.
-    pub first: bool,
+    /// Which sending of the key this is, as the caller counts them from 1; 0 if it does not.
+    pub sending: u32,
 }
 
 /// What is asked.
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -9,6 +9,7 @@
 use entity::{Span, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
@@ -38,9 +39,9 @@
     fn ready(&self) -> Result<(), Box<str>>;
 
     /// A page of another kind, such as the state for operators; `None` where there is none.
-    fn page(&self, path: &str) -> Option<Bytes> {
+    fn page(&self, path: &str) -> impl Future<Output = Option<Bytes>> + Send {
         let _ = path;
-        None
+        std::future::ready(None)
     }
 }
 
@@ -160,7 +161,7 @@
     shared: &Arc<Shared<H>>,
     request: hyper::Request<Incoming>,
 ) -> Response<Body> {
-    if let Some(response) = probe(&shared.handler, &request) {
+    if let Some(response) = probe(&shared.handler, &request).await {
         return response;
     }
     let id = request::Id::random(SystemTime::now(), &mut rand::rng());
@@ -193,7 +194,10 @@
 }
 
 /// The answers that need no key: health, readiness and pages.
-fn probe(handler: &impl Handler, request: &hyper::Request<Incoming>) -> Option<Response<Body>> {
+async fn probe(
+    handler: &impl Handler,
+    request: &hyper::Request<Incoming>,
+) -> Option<Response<Body>> {
     let plain = |status: StatusCode, bytes: Bytes| {
         let mut response = Response::new(body::whole(bytes));
         *response.status_mut() = status;
@@ -208,7 +212,10 @@
                 format!("{reason}\n").into(),
             ),
         }),
-        path => handler.page(path).map(|page| plain(StatusCode::OK, page)),
+        path => handler
+            .page(path)
+            .await
+            .map(|page| plain(StatusCode::OK, page)),
     }
 }
 
@@ -220,7 +227,8 @@
     let arrival = Instant::now();
     let (parts, body) = request.into_parts();
     let head = parse::head(&parts.headers)?;
-    let target: Target = parse::target(&parts, collect(body, shared.limits).await?)?;
+    let target = target(shared, &parts, body).await;
+    let target = target.map_err(|refusal| refusal.unclaimed(head.idempotency.as_ref()))?;
     Ok(Request {
         id,
         arrival,
@@ -234,6 +242,15 @@
     })
 }
 
+async fn target<H: Handler>(
+    shared: &Shared<H>,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Target, Refusal> {
+    let body = collect(body, shared.limits).await?;
+    parse::target(parts, body)
+}
+
 async fn collect(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
     let size = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
     let collected = Limited::new(body, size).collect();
--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -29,10 +29,18 @@
   /** Whether the sender takes no slots of cold upstreams any more; `running` are its last ones. */
   7: required bool ceased,
   10: required list<Running> running,
-  /** Verdict records, as they stand on the log. */
-  8: required list<binary> verdicts,
-  /** Summaries of ratings. */
-  9: required list<binary> evidence,
+  /** Instances with equal hashes know the same verdicts on roll-outs. */
+  8: required i64 verdicts_hash,
+}
+
+/** Verdicts on roll-outs that the sender knows, as they stand on the log; the answer is the same. */
+struct Verdicts {
+  1: required list<binary> records,
+}
+
+/** Sums of the sender's ratings, for the instance that adds them up. */
+struct Evidence {
+  1: required list<binary> summaries,
 }
 
 /** Asks for the text in force where it is newer than a generation. */
@@ -56,6 +64,8 @@
   3: required string organisation,
   /** The version that the asker would take. */
   4: required string version,
+  /** A version that the session may no longer be on; empty if there is none. */
+  5: required string lost,
 }
 
 /** The version that a session is on. */
@@ -80,6 +90,11 @@
   2: required list<string> requests,
 }
 
+/** The owner leaves and will not append its records itself: their holders do. */
+struct Orphan {
+  1: required string owner,
+}
+
 struct Done {
   1: required i32 count,
 }
@@ -98,6 +113,9 @@
   7: Refusal refusal,
   8: Assign assign,
   9: Assigned assigned,
+  10: Verdicts verdicts,
+  11: Evidence evidence,
+  12: Orphan orphan,
 }
 
 /** One message; an answer bears the number of its question. */
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -183,15 +183,13 @@
   pub suspicions: Vec<Suspicion>,
   /// Whether the sender takes no slots of cold upstreams any more; `running` are its last ones.
   pub ceased: bool,
-  /// Verdict records, as they stand on the log.
-  pub verdicts: Vec<Vec<u8>>,
-  /// Summaries of ratings.
-  pub evidence: Vec<Vec<u8>>,
+  /// Instances with equal hashes know the same verdicts on roll-outs.
+  pub verdicts_hash: i64,
   pub running: Vec<Running>,
 }
 
 impl Digest {
-  pub fn new<F4>(instance: String, zone: String, generation: i64, log_age_ms: F4, clock: i64, suspicions: Vec<Suspicion>, ceased: bool, verdicts: Vec<Vec<u8>>, evidence: Vec<Vec<u8>>, running: Vec<Running>) -> Digest where F4: Into<Option<i64>> {
+  pub fn new<F4>(instance: String, zone: String, generation: i64, log_age_ms: F4, clock: i64, suspicions: Vec<Suspicion>, ceased: bool, verdicts_hash: i64, running: Vec<Running>) -> Digest where F4: Into<Option<i64>> {
     Digest {
       instance,
       zone,
@@ -200,8 +198,7 @@
       clock,
       suspicions,
       ceased,
-      verdicts,
-      evidence,
+      verdicts_hash,
       running,
     }
   }
@@ -217,8 +214,7 @@
     let mut f_5: Option<i64> = None;
     let mut f_6: Option<Vec<Suspicion>> = None;
     let mut f_7: Option<bool> = None;
-    let mut f_8: Option<Vec<Vec<u8>>> = None;
-    let mut f_9: Option<Vec<Vec<u8>>> = None;
+    let mut f_8: Option<i64> = None;
     let mut f_10: Option<Vec<Running>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
@@ -262,31 +258,15 @@
           f_7 = Some(val);
         },
         8 => {
-          let list_ident = i_prot.read_list_begin()?;
-          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
-          for _ in 0..list_ident.size {
-            let list_elem_1 = i_prot.read_bytes()?;
-            val.push(list_elem_1);
-          }
-          i_prot.read_list_end()?;
+          let val = i_prot.read_i64()?;
           f_8 = Some(val);
         },
-        9 => {
-          let list_ident = i_prot.read_list_begin()?;
-          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
-          for _ in 0..list_ident.size {
-            let list_elem_2 = i_prot.read_bytes()?;
-            val.push(list_elem_2);
-          }
-          i_prot.read_list_end()?;
-          f_9 = Some(val);
-        },
         10 => {
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Running> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_3 = Running::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_3);
+            let list_elem_1 = Running::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_1);
           }
           i_prot.read_list_end()?;
           f_10 = Some(val);
@@ -304,8 +284,7 @@
     verify_required_field_exists("Digest.clock", &f_5)?;
     verify_required_field_exists("Digest.suspicions", &f_6)?;
     verify_required_field_exists("Digest.ceased", &f_7)?;
-    verify_required_field_exists("Digest.verdicts", &f_8)?;
-    verify_required_field_exists("Digest.evidence", &f_9)?;
+    verify_required_field_exists("Digest.verdicts_hash", &f_8)?;
     verify_required_field_exists("Digest.running", &f_10)?;
     let ret = Digest {
       instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
@@ -315,8 +294,7 @@
       clock: f_5.expect("auto-generated code should have checked for presence of required fields"),
       suspicions: f_6.expect("auto-generated code should have checked for presence of required fields"),
       ceased: f_7.expect("auto-generated code should have checked for presence of required fields"),
-      verdicts: f_8.expect("auto-generated code should have checked for presence of required fields"),
-      evidence: f_9.expect("auto-generated code should have checked for presence of required fields"),
+      verdicts_hash: f_8.expect("auto-generated code should have checked for presence of required fields"),
       running: f_10.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
@@ -351,24 +329,147 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("ceased", TType::Bool, 7))?;
     o_prot.write_bool(self.ceased)?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("verdicts", TType::List, 8))?;
-    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.verdicts.len() as i32))?;
-    for e in &self.verdicts {
-      o_prot.write_bytes(e)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("verdicts_hash", TType::I64, 8))?;
+    o_prot.write_i64(self.verdicts_hash)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("running", TType::List, 10))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.running.len() as i32))?;
+    for e in &self.running {
+      e.write_to_out_protocol(o_prot)?;
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("evidence", TType::List, 9))?;
-    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.evidence.len() as i32))?;
-    for e in &self.evidence {
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Verdicts
+//
+
+/// Verdicts on roll-outs that the sender knows, as they stand on the log; the answer is the same.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Verdicts {
+  pub records: Vec<Vec<u8>>,
+}
+
+impl Verdicts {
+  pub fn new(records: Vec<Vec<u8>>) -> Verdicts {
+    Verdicts {
+      records,
+    }
+  }
+}
+
+impl TSerializable for Verdicts {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Verdicts> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<Vec<u8>>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_2 = i_prot.read_bytes()?;
+            val.push(list_elem_2);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Verdicts.records", &f_1)?;
+    let ret = Verdicts {
+      records: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Verdicts");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("records", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.records.len() as i32))?;
+    for e in &self.records {
       o_prot.write_bytes(e)?;
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("running", TType::List, 10))?;
-    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.running.len() as i32))?;
-    for e in &self.running {
-      e.write_to_out_protocol(o_prot)?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Evidence
+//
+
+/// Sums of the sender's ratings, for the instance that adds them up.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Evidence {
+  pub summaries: Vec<Vec<u8>>,
+}
+
+impl Evidence {
+  pub fn new(summaries: Vec<Vec<u8>>) -> Evidence {
+    Evidence {
+      summaries,
+    }
+  }
+}
+
+impl TSerializable for Evidence {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Evidence> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<Vec<u8>>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_3 = i_prot.read_bytes()?;
+            val.push(list_elem_3);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Evidence.summaries", &f_1)?;
+    let ret = Evidence {
+      summaries: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Evidence");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("summaries", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.summaries.len() as i32))?;
+    for e in &self.summaries {
+      o_prot.write_bytes(e)?;
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
@@ -540,15 +641,18 @@
   pub organisation: String,
   /// The version that the asker would take.
   pub version: String,
+  /// A version that the session may no longer be on; empty if there is none.
+  pub lost: String,
 }
 
 impl Assign {
-  pub fn new(session: String, service_name: String, organisation: String, version: String) -> Assign {
+  pub fn new(session: String, service_name: String, organisation: String, version: String, lost: String) -> Assign {
     Assign {
       session,
       service_name,
       organisation,
       version,
+      lost,
     }
   }
 }
@@ -560,6 +664,7 @@
     let mut f_2: Option<String> = None;
     let mut f_3: Option<String> = None;
     let mut f_4: Option<String> = None;
+    let mut f_5: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -583,6 +688,10 @@
           let val = i_prot.read_string()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_string()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -594,11 +703,13 @@
     verify_required_field_exists("Assign.service_name", &f_2)?;
     verify_required_field_exists("Assign.organisation", &f_3)?;
     verify_required_field_exists("Assign.version", &f_4)?;
+    verify_required_field_exists("Assign.lost", &f_5)?;
     let ret = Assign {
       session: f_1.expect("auto-generated code should have checked for presence of required fields"),
       service_name: f_2.expect("auto-generated code should have checked for presence of required fields"),
       organisation: f_3.expect("auto-generated code should have checked for presence of required fields"),
       version: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      lost: f_5.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -617,6 +728,9 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::String, 4))?;
     o_prot.write_string(&self.version)?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("lost", TType::String, 5))?;
+    o_prot.write_string(&self.lost)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -905,6 +1019,63 @@
   }
 }
 
+//
+// Orphan
+//
+
+/// The owner leaves and will not append its records itself: their holders do.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Orphan {
+  pub owner: String,
+}
+
+impl Orphan {
+  pub fn new(owner: String) -> Orphan {
+    Orphan {
+      owner,
+    }
+  }
+}
+
+impl TSerializable for Orphan {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Orphan> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Orphan.owner", &f_1)?;
+    let ret = Orphan {
+      owner: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Orphan");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("owner", TType::String, 1))?;
+    o_prot.write_string(&self.owner)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Done
 //
@@ -1032,6 +1203,9 @@
   Refusal(Refusal),
   Assign(Assign),
   Assigned(Assigned),
+  Verdicts(Verdicts),
+  Evidence(Evidence),
+  Orphan(Orphan),
 }
 
 impl TSerializable for Body {
@@ -1109,6 +1283,27 @@
           }
           received_field_count += 1;
         },
+        10 => {
+          let val = Verdicts::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::Verdicts(val));
+          }
+          received_field_count += 1;
+        },
+        11 => {
+          let val = Evidence::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::Evidence(val));
+          }
+          received_field_count += 1;
+        },
+        12 => {
+          let val = Orphan::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::Orphan(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1188,6 +1383,21 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Body::Verdicts(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("verdicts", TType::Struct, 10))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::Evidence(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("evidence", TType::Struct, 11))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::Orphan(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("orphan", TType::Struct, 12))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/fellow/src/lib.rs
+++ b/crates/fellow/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod frame;
 mod link;
 #[allow(missing_docs, clippy::all, clippy::too_many_lines, clippy::uninlined_format_args)]
+#[allow(clippy::semicolon_if_nothing_returned)]
 #[allow(unused_qualifications)]
 #[path = "gen/fellow.rs"]
 #[rustfmt::skip]
--- a/crates/fellow/src/server.rs
+++ b/crates/fellow/src/server.rs
@@ -18,8 +18,8 @@
 
 /// Answers the messages of fellows.
 pub trait Handler: Send + Sync + 'static {
-    /// The answer to one message; it must not block.
-    fn answer(&self, body: Body) -> Body;
+    /// The answer to one message; the next one on the same connection waits for it.
+    fn answer(&self, body: Body) -> impl Future<Output = Body> + Send;
 }
 
 /// A running server.
@@ -35,10 +35,10 @@
     /// # Errors
     ///
     /// The address can't be bound.
-    pub async fn bind(
+    pub async fn bind<H: Handler>(
         address: SocketAddr,
         secret: Secret,
-        handler: Arc<dyn Handler>,
+        handler: Arc<H>,
         cancel: CancellationToken,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
@@ -60,10 +60,10 @@
     }
 }
 
-async fn accept(
+async fn accept<H: Handler>(
     listener: TcpListener,
     secret: Secret,
-    handler: Arc<dyn Handler>,
+    handler: Arc<H>,
     cancel: CancellationToken,
     tasks: TaskTracker,
 ) {
@@ -87,12 +87,12 @@
 }
 
 /// Answers one connection until it fails, is closed or falls silent.
-async fn serve(mut stream: TcpStream, secret: &Secret, handler: &dyn Handler) {
+async fn serve(mut stream: TcpStream, secret: &Secret, handler: &impl Handler) {
     let _ = stream.set_nodelay(true);
     loop {
         let read = tokio::time::timeout(IDLE_LIMIT, frame::read(&mut stream, secret)).await;
         let Ok(Ok(question)) = read else { return };
-        let answer = Envelope::new(question.number, handler.answer(question.body));
+        let answer = Envelope::new(question.number, handler.answer(question.body).await);
         if frame::write(&mut stream, secret, &answer).await.is_err() {
             return;
         }
--- a/crates/fellow/tests/frames.rs
+++ b/crates/fellow/tests/frames.rs
@@ -24,7 +24,7 @@
 struct Echo;
 
 impl Handler for Echo {
-    fn answer(&self, body: Body) -> Body {
+    async fn answer(&self, body: Body) -> Body {
         match body {
             Body::Pull(pull) => text(pull.newer_than + 1),
             other => other,
--- /dev/null
+++ b/crates/server/src/context.rs
@@ -0,0 +1,133 @@
+//! What all parts of an instance share.
+
+use crate::clock::Clock;
+use crate::configuration;
+use crate::contact::Tracker;
+use crate::decider;
+use crate::digest::{self, Heard};
+use crate::links::Links;
+use crate::members::Reading;
+use adoption::Snapshot;
+use arc_swap::ArcSwap;
+use entity::Generation;
+use fellow::message;
+use journal::{claimer, usage};
+use quality::Verdict;
+use routing::Bounds;
+use session::Signer;
+use settings::Settings;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use timeline::{Metric, Recorder};
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+use upstream::Pool;
+
+/// What is told to fellows, kept ready so that their questions are answered without a wait.
+#[derive(Debug)]
+pub struct Told {
+    /// The digest, without the age of the log.
+    pub digest: message::Digest,
+    /// Verdicts on roll-outs that are known.
+    pub verdicts: Vec<Verdict>,
+}
+
+/// What all parts of an instance share.
+pub struct Context {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Whom it has heard from.
+    pub contact: Arc<Tracker>,
+    /// The configuration in force.
+    pub configuration: configuration::Handle,
+    /// Decisions on versions and upstreams.
+    pub decider: decider::Handle,
+    /// The instance list.
+    pub members: watch::Receiver<Reading>,
+    /// Links to fellows.
+    pub links: Arc<Links>,
+    /// Claims of requests that must not be repeated.
+    pub claims: claimer::Handle<logs::Client>,
+    /// Usage records, its own and those held for fellows.
+    pub usage: usage::Handle,
+    /// Streams that are passed on to callers.
+    pub streams: TaskTracker,
+    /// Bounds of the slot protocol of cold upstreams.
+    pub bounds: Bounds,
+    /// Ratings of answers, where there is a rating service.
+    pub rating: Option<rating::Client>,
+    /// Takes scores of answers rated in the background.
+    pub scores: tokio::sync::mpsc::Sender<rating::Score>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Signs session tokens.
+    pub signer: Signer,
+    /// Events of the time line.
+    pub recorder: Recorder,
+    /// Counters and timers.
+    pub metric: Metric,
+    /// Set when the instance is being shut down.
+    pub draining: AtomicBool,
+    /// Set once load reports were asked for: before that, all engines count as cold.
+    pub loads_asked: Arc<AtomicBool>,
+    /// What is told to fellows.
+    pub told: ArcSwap<Told>,
+}
+
+impl Context {
+    /// What is in force; none until the log or a fellow told.
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.configuration.in_force.borrow().clone()
+    }
+
+    /// The generation in force; 0 where none is.
+    pub fn generation(&self) -> Generation {
+        self.snapshot()
+            .map_or(Generation(0), |snapshot| snapshot.generation)
+    }
+
+    /// The digest to tell a fellow now.
+    pub fn digest(&self) -> message::Digest {
+        let mut digest = self.told.load().digest.clone();
+        digest.generation = self.generation().0 as i64;
+        digest.log_age_ms = self
+            .contact
+            .log_age()
+            .map(|age| (age.as_micros() / 1000) as i64);
+        digest.clock = self.recorder.timestamp().to_bits() as i64;
+        digest
+    }
+
+    /// Verdicts that are known.
+    pub fn verdicts(&self) -> Vec<Verdict> {
+        self.told.load().verdicts.clone()
+    }
+
+    /// Makes the digest anew from what is known.
+    pub async fn refresh_digest(&self) {
+        let Ok(known) = self.decider.knowledge().await else {
+            return;
+        };
+        let own = &self.settings.instance;
+        let digest = digest::write(&own.name, &own.zone, self.generation(), &known, self.clock);
+        self.told.store(Arc::new(Told {
+            digest,
+            verdicts: known.verdicts,
+        }));
+    }
+
+    /// Takes in a digest of a fellow, but for what has to be asked for.
+    pub async fn take(&self, heard: Heard) {
+        if let Some(read) = heard.log {
+            self.contact.heard_log(read);
+        }
+        self.decider.news(heard.news).await;
+    }
+
+    /// Whether the instance is being shut down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/server/src/decider.rs
@@ -0,0 +1,508 @@
+//! The task that owns the decisions on versions and upstreams.
+//!
+//! Requests ask by message, so that each decision is made on one state, and nothing is locked.
+
+use crate::clock::Clock;
+use adoption::Snapshot;
+use entity::unit::{Share, Tokens};
+use entity::{Generation, Moment, Span, id, name};
+use quality::{Judge, Plan, Rating, Summary, Verdict};
+use routing::slots::Ceased;
+use routing::{Balancer, Bounds, Choice, Load, Members, Outcome, Priority, Suspicion};
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+/// Messages that may wait.
+const QUEUE: usize = 4096;
+
+/// What a version is wanted for.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    /// The configuration that issued the ids.
+    pub generation: Generation,
+    /// The service.
+    pub service: id::Service,
+    /// Versions that are allowed and active.
+    pub candidates: Vec<id::Version>,
+    /// How soon the answer is needed.
+    pub class: quality::Class,
+    /// Whether it is streamed.
+    pub streamed: bool,
+    /// Estimated length of the prompt.
+    pub prompt: Tokens,
+    /// Time that is left.
+    pub budget: Span,
+    /// Where the session falls in the split of a roll-out.
+    pub position: Share,
+}
+
+/// What an upstream is wanted for.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// The configuration that issued the ids.
+    pub generation: Generation,
+    /// The service.
+    pub service: id::Service,
+    /// The version; none for a plain service.
+    pub version: Option<id::Version>,
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// Hash of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// How urgent it is.
+    pub priority: Priority,
+    /// Upstreams that were tried before.
+    pub excluded: Vec<name::Upstream>,
+    /// When the whole answer is due.
+    pub deadline: Moment,
+}
+
+/// What a rating said of an answer.
+#[derive(Clone, Debug)]
+pub struct Rated {
+    /// The service.
+    pub service: name::Service,
+    /// The version that gave it.
+    pub version: name::Version,
+    /// Whether the request had been escalated to it.
+    pub escalated: bool,
+    /// From 0 to 1.
+    pub score: f64,
+}
+
+/// What goes into a digest.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// Upstreams that are believed to be cold.
+    pub suspicions: Vec<Suspicion>,
+    /// Verdicts on roll-outs.
+    pub verdicts: Vec<Verdict>,
+    /// This instance's sums of ratings.
+    pub summaries: Vec<Summary>,
+    /// What a leaving instance says of its slots.
+    pub word: Option<Ceased>,
+}
+
+/// What a digest of a fellow says.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    /// Upstreams that are believed to be cold.
+    pub suspicions: Vec<Suspicion>,
+    /// Verdicts on roll-outs.
+    pub verdicts: Vec<Verdict>,
+    /// Sums of ratings.
+    pub summaries: Vec<Summary>,
+    /// What a leaving instance says of its slots.
+    pub word: Option<Ceased>,
+}
+
+enum Message {
+    Configure(Arc<Snapshot>),
+    Members(Members, Moment, Moment),
+    Load(name::Upstream, Load),
+    Plan(Wish, oneshot::Sender<Option<Plan>>),
+    Usable(id::Service, id::Version, Generation, oneshot::Sender<bool>),
+    Choose(Box<Want>, oneshot::Sender<Result<Choice, routing::Refusal>>),
+    Recheck(Choice, oneshot::Sender<Result<Choice, routing::Refusal>>),
+    Finish(Choice, Outcome),
+    Retry(u32, Moment, oneshot::Sender<Option<Span>>),
+    Rated(Rated),
+    Measured(name::Service, name::Version, Span, Tokens),
+    Sampling(id::Service, id::Version, Generation, oneshot::Sender<Share>),
+    News(Box<News>),
+    Knowledge(oneshot::Sender<Knowledge>),
+    Watched(oneshot::Sender<Vec<name::Upstream>>),
+    Leave,
+}
+
+/// Asks the task.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    messages: mpsc::Sender<Message>,
+}
+
+/// The task has ended, because the instance is being shut down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the instance is closing")]
+pub struct Closed;
+
+impl Handle {
+    async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Result<T, Closed> {
+        let (reply, answer) = oneshot::channel();
+        self.messages
+            .send(message(reply))
+            .await
+            .map_err(|_| Closed)?;
+        answer.await.map_err(|_| Closed)
+    }
+
+    async fn tell(&self, message: Message) {
+        // The task ends only with the instance; then nobody needs what it would do.
+        let _ = self.messages.send(message).await;
+    }
+
+    /// Puts a configuration in force.
+    pub async fn configure(&self, snapshot: Arc<Snapshot>) {
+        self.tell(Message::Configure(snapshot)).await;
+    }
+
+    /// Takes in the instance list.
+    pub async fn members(&self, members: Members, begun: Moment, ended: Moment) {
+        self.tell(Message::Members(members, begun, ended)).await;
+    }
+
+    /// Takes in a load report.
+    pub async fn load(&self, upstream: name::Upstream, load: Load) {
+        self.tell(Message::Load(upstream, load)).await;
+    }
+
+    /// The versions that serve a request; none if no candidate may.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn plan(&self, wish: Wish) -> Result<Option<Plan>, Closed> {
+        self.ask(|reply| Message::Plan(wish, reply)).await
+    }
+
+    /// Whether a version is not braked for a service.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn usable(
+        &self,
+        service: id::Service,
+        version: id::Version,
+        generation: Generation,
+    ) -> Result<bool, Closed> {
+        self.ask(|reply| Message::Usable(service, version, generation, reply))
+            .await
+    }
+
+    /// Chooses an upstream; the choice must be given back to [`Handle::finish`].
+    ///
+    /// # Errors
+    ///
+    /// The outer one: the instance is closing. The inner one: no upstream can take it now.
+    pub async fn choose(&self, want: Want) -> Result<Result<Choice, routing::Refusal>, Closed> {
+        self.ask(|reply| Message::Choose(Box::new(want), reply))
+            .await
+    }
+
+    /// Applies every filter to a choice again. A choice that is refused has been given back.
+    ///
+    /// # Errors
+    ///
+    /// The outer one: the instance is closing. The inner one: the choice no longer holds.
+    pub async fn recheck(
+        &self,
+        choice: Choice,
+    ) -> Result<Result<Choice, routing::Refusal>, Closed> {
+        self.ask(|reply| Message::Recheck(choice, reply)).await
+    }
+
+    /// Gives a choice back.
+    pub async fn finish(&self, choice: Choice, outcome: Outcome) {
+        self.tell(Message::Finish(choice, outcome)).await;
+    }
+
+    /// The delay before a retry; none if it may not be retried.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn retry(&self, retry: u32, deadline: Moment) -> Result<Option<Span>, Closed> {
+        self.ask(|reply| Message::Retry(retry, deadline, reply))
+            .await
+    }
+
+    /// Takes in a rating.
+    pub async fn rated(&self, rated: Rated) {
+        self.tell(Message::Rated(rated)).await;
+    }
+
+    /// Takes in how long a whole answer took.
+    pub async fn measured(
+        &self,
+        service: name::Service,
+        version: name::Version,
+        latency: Span,
+        output: Tokens,
+    ) {
+        self.tell(Message::Measured(service, version, latency, output))
+            .await;
+    }
+
+    /// The share of a version's answers to rate.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn sampling(
+        &self,
+        service: id::Service,
+        version: id::Version,
+        generation: Generation,
+    ) -> Result<Share, Closed> {
+        self.ask(|reply| Message::Sampling(service, version, generation, reply))
+            .await
+    }
+
+    /// Takes in what a fellow or the log told.
+    pub async fn news(&self, news: News) {
+        self.tell(Message::News(Box::new(news))).await;
+    }
+
+    /// What to tell fellows.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn knowledge(&self) -> Result<Knowledge, Closed> {
+        self.ask(Message::Knowledge).await
+    }
+
+    /// Upstreams whose load reports are needed.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn watched(&self) -> Result<Vec<name::Upstream>, Closed> {
+        self.ask(Message::Watched).await
+    }
+
+    /// Gives up all slots of cold upstreams, at the begin of a shutdown.
+    pub async fn leave(&self) {
+        self.tell(Message::Leave).await;
+    }
+}
+
+/// Who this instance is, and the bounds that all instances agree on.
+pub struct Parts {
+    /// Its name.
+    pub own: name::Instance,
+    /// Its zone.
+    pub zone: name::Zone,
+    /// Names this life of it.
+    pub life: Box<str>,
+    /// Bounds of the slot protocol.
+    pub bounds: Bounds,
+    /// Seed of its random choices.
+    pub seed: u64,
+    /// The clock.
+    pub clock: Clock,
+    /// Takes verdicts that were reached here.
+    pub verdicts: mpsc::UnboundedSender<Verdict>,
+}
+
+/// Starts the task.
+pub fn spawn(parts: Parts, cancel: CancellationToken) -> Handle {
+    let (messages, queue) = mpsc::channel(QUEUE);
+    let task = Task {
+        balancer: Balancer::new(parts.own, parts.zone, parts.bounds, parts.seed),
+        judge: Judge::new(parts.seed, &parts.life),
+        snapshot: None,
+        clock: parts.clock,
+        verdicts: parts.verdicts,
+    };
+    tokio::spawn(async move {
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = task.run(queue) => {}
+        }
+    });
+    Handle { messages }
+}
+
+struct Task {
+    balancer: Balancer,
+    judge: Judge,
+    snapshot: Option<Arc<Snapshot>>,
+    clock: Clock,
+    verdicts: mpsc::UnboundedSender<Verdict>,
+}
+
+impl Task {
+    async fn run(mut self, mut queue: mpsc::Receiver<Message>) {
+        while let Some(message) = queue.recv().await {
+            self.take(message);
+            for verdict in self.judge.take_verdicts() {
+                let _ = self.verdicts.send(verdict);
+            }
+        }
+    }
+
+    fn generation(&self) -> Generation {
+        self.snapshot
+            .as_ref()
+            .map_or(Generation(0), |snapshot| snapshot.generation)
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = self.clock.now();
+        match message {
+            Message::Configure(snapshot) => self.configure(snapshot, now),
+            Message::Members(members, begun, ended) => self.members(members, begun, ended),
+            Message::Load(upstream, load) => self.balancer.load(&upstream, load, now),
+            Message::Plan(wish, reply) => {
+                let _ = reply.send(self.plan(&wish, now));
+            }
+            Message::Usable(service, version, generation, reply) => {
+                let current = generation == self.generation();
+                let _ = reply.send(current && !self.judge.braked(service, version));
+            }
+            Message::Choose(want, reply) => self.choose(&want, now, reply),
+            Message::Recheck(choice, reply) => self.recheck(choice, now, reply),
+            Message::Finish(choice, outcome) => {
+                self.balancer.finish(choice, outcome, now);
+            }
+            Message::Retry(retry, deadline, reply) => {
+                let _ = reply.send(self.balancer.retry(retry, deadline, now));
+            }
+            Message::Rated(rated) => self.rated(&rated, now),
+            Message::Measured(service, version, latency, output) => {
+                self.judge.measure(&service, &version, latency, output);
+            }
+            Message::Sampling(service, version, generation, reply) => {
+                let current = generation == self.generation();
+                let share = if current {
+                    self.judge.sampling(service, version)
+                } else {
+                    Share::NONE
+                };
+                let _ = reply.send(share);
+            }
+            Message::News(news) => self.news(&news, now),
+            Message::Knowledge(reply) => {
+                let _ = reply.send(self.knowledge(now));
+            }
+            Message::Watched(reply) => {
+                let _ = reply.send(self.watched());
+            }
+            Message::Leave => self.balancer.leave(now),
+        }
+    }
+
+    fn configure(&mut self, snapshot: Arc<Snapshot>, now: Moment) {
+        self.balancer
+            .configure(&snapshot.config, snapshot.generation, now);
+        self.judge.configure(&snapshot.config, snapshot.generation);
+        self.snapshot = Some(snapshot);
+    }
+
+    fn members(&mut self, members: Members, begun: Moment, ended: Moment) {
+        let live = u32::try_from(members.live.len()).unwrap_or(u32::MAX).max(1);
+        self.judge
+            .set_viewers(live.max(quality::judge::DEFAULT_VIEWERS));
+        self.balancer.members(members, begun, ended);
+    }
+
+    fn plan(&mut self, wish: &Wish, now: Moment) -> Option<Plan> {
+        if wish.generation != self.generation() {
+            return None;
+        }
+        self.judge.plan(&quality::Query {
+            service: wish.service,
+            candidates: &wish.candidates,
+            class: wish.class,
+            streamed: wish.streamed,
+            prompt: wish.prompt,
+            budget: wish.budget,
+            position: wish.position,
+            now,
+        })
+    }
+
+    fn choose(
+        &mut self,
+        want: &Want,
+        now: Moment,
+        reply: oneshot::Sender<Result<Choice, routing::Refusal>>,
+    ) {
+        if want.excluded.is_empty() {
+            self.balancer.request(now);
+        }
+        let query = routing::Query {
+            generation: want.generation,
+            service: want.service,
+            version: want.version,
+            organisation: want.organisation,
+            prefix: want.prefix,
+            priority: want.priority,
+            excluded: &want.excluded,
+            deadline: want.deadline,
+        };
+        let chosen = self.balancer.choose(&query, now);
+        // An asker that has gone can't give its choice back.
+        if let Err(Ok(choice)) = reply.send(chosen) {
+            self.balancer.finish(choice, Outcome::Cancelled, now);
+        }
+    }
+
+    fn recheck(
+        &mut self,
+        choice: Choice,
+        now: Moment,
+        reply: oneshot::Sender<Result<Choice, routing::Refusal>>,
+    ) {
+        if let Err(refusal) = self.balancer.recheck(&choice, now) {
+            self.balancer.finish(choice, Outcome::Cancelled, now);
+            let _ = reply.send(Err(refusal));
+            return;
+        }
+        if let Err(Ok(choice)) = reply.send(Ok(choice)) {
+            self.balancer.finish(choice, Outcome::Cancelled, now);
+        }
+    }
+
+    fn rated(&mut self, rated: &Rated, now: Moment) {
+        self.judge.rate(&Rating {
+            service: &rated.service,
+            version: &rated.version,
+            escalated: rated.escalated,
+            score: rated.score,
+            weight: 1.0,
+            at: now,
+        });
+    }
+
+    fn news(&mut self, news: &News, now: Moment) {
+        for suspicion in &news.suspicions {
+            self.balancer.suspect(suspicion);
+        }
+        for verdict in &news.verdicts {
+            self.judge.apply(verdict);
+        }
+        for summary in &news.summaries {
+            self.judge.merge(summary, now);
+        }
+        if let Some(word) = &news.word {
+            self.balancer.ceased(word.clone(), now);
+        }
+    }
+
+    fn knowledge(&self, now: Moment) -> Knowledge {
+        Knowledge {
+            suspicions: self.balancer.suspicions(),
+            verdicts: self.judge.verdicts(),
+            summaries: self.judge.summaries(now),
+            word: self.balancer.word(),
+        }
+    }
+
+    fn watched(&self) -> Vec<name::Upstream> {
+        let Some(snapshot) = &self.snapshot else {
+            return Vec::new();
+        };
+        let watched = self.balancer.watched();
+        watched
+            .into_iter()
+            .map(|id| snapshot.config.upstreams[id].name.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/server/src/digest.rs
@@ -0,0 +1,99 @@
+//! Digests: between the messages of fellows and what this instance knows.
+
+use crate::clock::Clock;
+use crate::decider::{Knowledge, News};
+use entity::{Generation, Moment, Span, name};
+use fellow::message;
+use quality::Verdict;
+use routing::Suspicion;
+use routing::slots::Ceased;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// What a digest of a fellow says, read.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    /// The fellow.
+    pub instance: name::Instance,
+    /// The generation in force there.
+    pub generation: Generation,
+    /// When the log was last read by anybody that the fellow has heard of.
+    pub log: Option<Moment>,
+    /// Whether it knows the same verdicts.
+    pub verdicts_hash: i64,
+    /// What it says about upstreams.
+    pub news: News,
+}
+
+/// The hash by which instances compare the verdicts that they know.
+pub fn verdicts_hash(verdicts: &[Verdict]) -> i64 {
+    let mut hasher = DefaultHasher::new();
+    for verdict in verdicts {
+        verdict.to_record().hash(&mut hasher);
+    }
+    hasher.finish() as i64
+}
+
+/// The digest of an instance, without the age of the log, which is filled in when it is sent.
+pub fn write(
+    own: &name::Instance,
+    zone: &name::Zone,
+    generation: Generation,
+    known: &Knowledge,
+    clock: Clock,
+) -> message::Digest {
+    let now = clock.now();
+    let suspicions = known.suspicions.iter().map(|suspicion| {
+        let age = now.since(suspicion.since).as_micros() as i64;
+        message::Suspicion::new(suspicion.upstream.to_string(), age)
+    });
+    let running = known.word.iter().flat_map(|word| &word.running);
+    let running = running.map(|(name, slot)| message::Running::new(name.to_string(), *slot as i32));
+    message::Digest {
+        instance: own.to_string(),
+        zone: zone.to_string(),
+        generation: generation.0 as i64,
+        log_age_ms: None,
+        clock: now.0 as i64,
+        suspicions: suspicions.collect(),
+        ceased: known.word.is_some(),
+        running: running.collect(),
+        verdicts_hash: verdicts_hash(&known.verdicts),
+    }
+}
+
+/// Reads a digest that arrived at `now`; none if its sender's name is not a name.
+pub fn read(digest: &message::Digest, now: Moment) -> Option<Heard> {
+    let instance: name::Instance = digest.instance.parse().ok()?;
+    let mut news = News::default();
+    for suspicion in &digest.suspicions {
+        let Ok(upstream) = suspicion.upstream.parse() else {
+            continue;
+        };
+        let age = Span::from_micros(suspicion.age_us.max(0) as u64);
+        news.suspicions.push(Suspicion {
+            upstream,
+            since: now - age,
+        });
+    }
+    if digest.ceased {
+        let mut running = Vec::new();
+        for slot in &digest.running {
+            // An upstream that can't be read may not be left out: the slot would seem free.
+            running.push((slot.upstream.parse().ok()?, slot.slot as u32));
+        }
+        news.word = Some(Ceased {
+            instance: instance.clone(),
+            running,
+        });
+    }
+    let age = digest
+        .log_age_ms
+        .map(|age| Span::from_millis(age.max(0) as u64));
+    Some(Heard {
+        instance,
+        generation: Generation(digest.generation.max(0) as u64),
+        log: age.map(|age| now - age),
+        verdicts_hash: digest.verdicts_hash,
+        news,
+    })
+}
--- /dev/null
+++ b/crates/server/src/front.rs
@@ -0,0 +1,301 @@
+//! Takes requests of callers: who asks, what for, and until when.
+
+use crate::auth::Authenticator;
+use crate::context::Context;
+use crate::tries::{GivenUp, closing};
+use crate::{chat, plain, status};
+use adoption::{Snapshot, Verdict};
+use bytes::Bytes;
+use caller::{Handler, Refusal, Reply, Request, Target, Whole};
+use config::Kind;
+use entity::request::Ran;
+use entity::{Moment, Span, id, name};
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use serde::Serialize;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use timeline::{Counter, Timer};
+
+/// How often a request is looked at anew because the configuration changed under it.
+const MAX_GENERATIONS: u32 = 5;
+/// When to come back to an instance that can't serve yet.
+const WAIT: Span = Span::from_secs(2);
+
+/// Answers callers.
+pub struct Front {
+    context: Arc<Context>,
+    authenticator: Authenticator,
+}
+
+#[derive(Serialize)]
+struct Model<'a> {
+    id: &'a name::Service,
+    object: &'a str,
+    owned_by: &'a str,
+}
+
+#[derive(Serialize)]
+struct Models<'a> {
+    object: &'a str,
+    data: Vec<Model<'a>>,
+}
+
+impl Front {
+    /// Answers with what the context shares.
+    pub fn new(context: Arc<Context>) -> Self {
+        Self {
+            context,
+            authenticator: Authenticator::default(),
+        }
+    }
+
+    /// What is in force, if this instance may serve by it.
+    fn serving(&self) -> Result<Arc<Snapshot>, Refusal> {
+        let refuse = |code, message: &'static str| {
+            Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message).after(WAIT)
+        };
+        let Some(snapshot) = self.context.snapshot() else {
+            return Err(refuse(
+                "no-configuration",
+                "no configuration is known here yet",
+            ));
+        };
+        if self.context.contact.verdict() == Verdict::Refuse {
+            let message = "this instance hears from neither the log nor enough other instances";
+            return Err(refuse("isolated", message));
+        }
+        Ok(snapshot)
+    }
+
+    async fn answer(&self, request: &Request) -> Result<Reply, Refusal> {
+        for _ in 0..MAX_GENERATIONS {
+            let unclaimed = |refusal: Refusal| refusal.unclaimed(request.idempotency.as_ref());
+            let snapshot = self.serving().map_err(unclaimed)?;
+            match self.attempt(request, snapshot.clone()).await {
+                Ok(reply) => return Ok(reply),
+                Err(GivenUp::Refused(refusal)) => return Err(refusal),
+                Err(GivenUp::Stale) => self.settle(&snapshot).await,
+            }
+        }
+        let message = "the configuration changes too fast";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let refusal = Refusal::not_run(status, "configuration-changed", message).after(WAIT);
+        Err(refusal.unclaimed(request.idempotency.as_ref()))
+    }
+
+    /// Waits until the decider has the configuration in force too, or for a moment.
+    async fn settle(&self, snapshot: &Snapshot) {
+        let mut in_force = self.context.configuration.in_force.clone();
+        let newer = in_force.wait_for(|now| {
+            now.as_ref()
+                .is_some_and(|now| now.generation > snapshot.generation)
+        });
+        let _ = tokio::time::timeout(std::time::Duration::from_millis(5), newer).await;
+    }
+
+    async fn attempt(&self, request: &Request, snapshot: Arc<Snapshot>) -> Result<Reply, GivenUp> {
+        let refused =
+            |refusal: Refusal| GivenUp::Refused(refusal.unclaimed(request.idempotency.as_ref()));
+        let organisation = self.organisation(request, &snapshot).map_err(refused)?;
+        match &request.target {
+            Target::Models => Ok(models(&snapshot, organisation)),
+            Target::Chat(body) => {
+                let service = service(&snapshot, organisation, &body.service, Kind::Chat);
+                let service = service.map_err(refused)?;
+                let deadline = self.deadline(request, &snapshot, service);
+                let context = &self.context;
+                let run = chat::Run {
+                    context,
+                    snapshot,
+                    organisation,
+                    service,
+                    request,
+                    chat: body,
+                    deadline,
+                };
+                run.run().await
+            }
+            Target::Plain(body) => {
+                let service = service(&snapshot, organisation, &body.service, Kind::Plain);
+                let service = service.map_err(refused)?;
+                let deadline = self.deadline(request, &snapshot, service);
+                let context = &self.context;
+                let run = plain::Run {
+                    context,
+                    snapshot,
+                    organisation,
+                    service,
+                    request,
+                    plain: body,
+                    deadline,
+                };
+                run.run().await
+            }
+        }
+    }
+
+    fn organisation(
+        &self,
+        request: &Request,
+        snapshot: &Snapshot,
+    ) -> Result<id::Organisation, Refusal> {
+        let refuse =
+            |message: &'static str| Refusal::not_run(StatusCode::UNAUTHORIZED, "bad-key", message);
+        let bearer = request.bearer.as_deref();
+        let bearer = bearer.ok_or_else(|| refuse("Authorization: Bearer KEY is missing"))?;
+        let found = self.authenticator.find(bearer, snapshot);
+        found.ok_or_else(|| refuse("no organisation has this key"))
+    }
+
+    /// When the answer is due: by the caller's word, else by the service's deadline.
+    fn deadline(&self, request: &Request, snapshot: &Snapshot, service: id::Service) -> Moment {
+        let own = snapshot.config.services[service].deadline;
+        let arrival = self.context.clock.moment(request.arrival);
+        arrival + request.timeout.unwrap_or(own)
+    }
+}
+
+/// The service of a name, if it is of the kind and the organisation may use it.
+fn service(
+    snapshot: &Snapshot,
+    organisation: id::Organisation,
+    name: &name::Service,
+    kind: Kind,
+) -> Result<id::Service, Refusal> {
+    let config = &snapshot.config;
+    let found = config.service(name.as_str());
+    let found = found.filter(|service| config.services[*service].kind == kind);
+    let code = if kind == Kind::Chat {
+        "unknown-model"
+    } else {
+        "unknown-service"
+    };
+    let unknown = || Refusal::not_run(StatusCode::NOT_FOUND, code, format!("there is no {name}"));
+    let service = found.ok_or_else(unknown)?;
+    if config.organisations[organisation]
+        .services
+        .binary_search(&service)
+        .is_err()
+    {
+        let message = format!("the organisation may not use {name}");
+        return Err(Refusal::not_run(
+            StatusCode::FORBIDDEN,
+            "not-allowed",
+            message,
+        ));
+    }
+    Ok(service)
+}
+
+fn models(snapshot: &Snapshot, organisation: id::Organisation) -> Reply {
+    let config = &snapshot.config;
+    let mut data = Vec::new();
+    for service in &config.organisations[organisation].services {
+        let service = &config.services[*service];
+        if service.kind == Kind::Chat {
+            data.push(Model {
+                id: &service.name,
+                object: "model",
+                owned_by: "citrontrack",
+            });
+        }
+    }
+    let models = Models {
+        object: "list",
+        data,
+    };
+    Reply::Whole(Whole {
+        status: StatusCode::OK,
+        content_type: Some(HeaderValue::from_static("application/json")),
+        headers: Vec::new(),
+        body: serde_json::to_vec(&models).unwrap_or_default().into(),
+    })
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request) -> Reply {
+        let context = &self.context;
+        context.metric.count(Counter::Requests);
+        context
+            .recorder
+            .event(timeline::Kind::Arrived)
+            .request(request.id)
+            .record();
+        let answer = self.answer(&request).await;
+        let draft = match &answer {
+            Ok(Reply::Streamed(_)) => return answer.unwrap_or_else(Reply::Refused),
+            Ok(_) => {
+                context.metric.count(Counter::Answers);
+                context.recorder.event(timeline::Kind::Answered)
+            }
+            Err(refusal) => {
+                let not_run = refusal.ran == Ran::No;
+                let counter = if not_run {
+                    Counter::NotRun
+                } else {
+                    Counter::MayHaveRun
+                };
+                context.metric.count(counter);
+                let draft = context.recorder.event(timeline::Kind::Refused);
+                draft.text("code", refusal.code).text("run", refusal.ran)
+            }
+        };
+        draft.request(request.id).record();
+        context
+            .metric
+            .time(Timer::Answer, Span::from(request.arrival.elapsed()));
+        answer.unwrap_or_else(Reply::Refused)
+    }
+
+    fn ready(&self) -> Result<(), Box<str>> {
+        if self.context.is_draining() {
+            return Err(closing(Ran::No).message.into());
+        }
+        let snapshot = self
+            .serving()
+            .map_err(|refusal| Box::<str>::from(refusal.message))?;
+        let upstreams = snapshot.config.upstreams.values();
+        let engines = upstreams
+            .iter()
+            .any(|upstream| !upstream.versions.is_empty());
+        if engines && !self.context.loads_asked.load(Ordering::Relaxed) {
+            return Err("the load of engines is not known yet".into());
+        }
+        Ok(())
+    }
+}
+
+/// Answers operators.
+pub struct Desk {
+    context: Arc<Context>,
+}
+
+impl Desk {
+    /// Answers with what the context shares.
+    pub fn new(context: Arc<Context>) -> Self {
+        Self { context }
+    }
+}
+
+impl Handler for Desk {
+    async fn handle(&self, _: Request) -> Reply {
+        let message = "operators ask GET /status";
+        Reply::Refused(Refusal::not_run(
+            StatusCode::NOT_FOUND,
+            "unknown-path",
+            message,
+        ))
+    }
+
+    fn ready(&self) -> Result<(), Box<str>> {
+        Ok(())
+    }
+
+    async fn page(&self, path: &str) -> Option<Bytes> {
+        if path != "/status" {
+            return None;
+        }
+        Some(status::page(&self.context).await)
+    }
+}
--- /dev/null
+++ b/crates/server/src/gossip.rs
@@ -0,0 +1,182 @@
+//! The task that exchanges digests with a few fellows, drawn at random, every second or two.
+//!
+//! What one instance knows reaches `n` others in about `log n` rounds (Demers et al., "Epidemic
+//! algorithms for replicated database maintenance", 1987), also while the log is out. The cost of an
+//! instance does not depend on how many there are.
+
+use crate::context::Context;
+use crate::decider::News;
+use crate::digest;
+use adoption::{Checkpoint, FORMAT};
+use entity::{Generation, Offset, name};
+use fellow::message::{Body, Evidence, Pull, Verdicts};
+use instances::{Instance, List, State};
+use quality::Verdict;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Shortest and longest time between two rounds.
+const PERIOD: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(2000));
+/// Fellows in one round.
+const FANOUT: usize = 2;
+/// Instances that add up the ratings of one roll-out.
+const JUDGES: usize = 2;
+
+/// Starts the task. A message on `wake` begins a round at once; one with a name asks that fellow.
+pub fn spawn(
+    context: Arc<Context>,
+    wake: mpsc::Receiver<Option<name::Instance>>,
+    cancel: CancellationToken,
+) {
+    tokio::spawn(async move {
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = run(context, wake) => {}
+        }
+    });
+}
+
+async fn run(context: Arc<Context>, mut wake: mpsc::Receiver<Option<name::Instance>>) {
+    loop {
+        let period = rand::rng().random_range(PERIOD.0..PERIOD.1);
+        let woken = tokio::time::timeout(period, wake.recv()).await;
+        context.refresh_digest().await;
+        let list = context.members.borrow().list.clone();
+        match woken {
+            Ok(Some(Some(name))) => {
+                if let Some(fellow) = list.get(&name) {
+                    exchange(&context, fellow).await;
+                }
+            }
+            Ok(None) => return,
+            Ok(Some(None)) | Err(_) => round(&context, &list).await,
+        }
+    }
+}
+
+async fn round(context: &Arc<Context>, list: &List) {
+    let own = &context.settings.instance.name;
+    let fellows: Vec<&Instance> = list
+        .instances
+        .iter()
+        .filter(|instance| instance.name != *own)
+        .collect();
+    let addresses: Vec<_> = list
+        .instances
+        .iter()
+        .map(|instance| instance.address)
+        .collect();
+    context.links.retain(&addresses);
+    let chosen: Vec<Instance> = fellows
+        .sample(&mut rand::rng(), FANOUT)
+        .map(|fellow| (*fellow).clone())
+        .collect();
+    let mut exchanges = tokio::task::JoinSet::new();
+    for fellow in chosen {
+        let context = context.clone();
+        exchanges.spawn(async move { exchange(&context, &fellow).await });
+    }
+    while exchanges.join_next().await.is_some() {}
+    send_evidence(context, list).await;
+}
+
+/// Offers the own digest to a fellow and takes its in return, then what is newer there.
+async fn exchange(context: &Context, fellow: &Instance) {
+    let link = context.links.get(fellow.address);
+    let answer = link.ask(Body::Digest(context.digest())).await;
+    let Ok(Body::Digest(digest)) = answer else {
+        context.contact.offered(false);
+        return;
+    };
+    context.contact.offered(true);
+    let Some(heard) = digest::read(&digest, context.clock.now()) else {
+        return;
+    };
+    let newer = heard.generation > context.generation();
+    let other_verdicts = heard.verdicts_hash != context.digest().verdicts_hash;
+    context.take(heard).await;
+    if newer && let Ok(Body::Text(text)) = link.ask(pull(context.generation())).await {
+        learn(context, text).await;
+    }
+    if !other_verdicts {
+        return;
+    }
+    let Ok(known) = context.decider.knowledge().await else {
+        return;
+    };
+    let records = known.verdicts.iter().map(Verdict::to_record).collect();
+    if let Ok(Body::Verdicts(told)) = link.ask(Body::Verdicts(Verdicts::new(records))).await {
+        context.decider.news(read_verdicts(&told)).await;
+    }
+}
+
+fn pull(generation: Generation) -> Body {
+    Body::Pull(Pull::new(generation.0 as i64))
+}
+
+/// The verdicts that a fellow told; records that can't be read are left out.
+pub fn read_verdicts(told: &Verdicts) -> News {
+    let verdicts = told
+        .records
+        .iter()
+        .filter_map(|record| Verdict::from_record(record).ok());
+    News {
+        verdicts: verdicts.collect(),
+        ..News::default()
+    }
+}
+
+async fn learn(context: &Context, text: fellow::message::Text) {
+    let checkpoint = Checkpoint {
+        format: u32::try_from(text.format).unwrap_or(FORMAT + 1),
+        generation: Generation(text.generation.max(0) as u64),
+        read_through: Offset(text.generation.max(0) as u64),
+        author: text.author.into(),
+        text: text.text.into(),
+    };
+    let _ = context.configuration.learned.send(checkpoint).await;
+}
+
+/// Sends this instance's sums of ratings to the instances that add up those of each roll-out.
+async fn send_evidence(context: &Context, list: &List) {
+    let Ok(known) = context.decider.knowledge().await else {
+        return;
+    };
+    for judge in 0..JUDGES {
+        for summary in &known.summaries {
+            let Some(home) = home(list, summary.rollout.service.as_str(), judge) else {
+                continue;
+            };
+            if home.name == context.settings.instance.name {
+                continue;
+            }
+            let Ok(record) = serde_json::to_vec(summary) else {
+                continue;
+            };
+            let body = Body::Evidence(Evidence::new(vec![record]));
+            let _ = context.links.get(home.address).ask(body).await;
+        }
+    }
+}
+
+/// The live instance of a rank in the rendezvous order of a text (Thaler and Ravishankar, "Using
+/// name-based mappings to increase hit rates", 1998).
+pub fn home<'a>(list: &'a List, text: &str, rank: usize) -> Option<&'a Instance> {
+    let key = routing::hash::text(text);
+    let live = list
+        .instances
+        .iter()
+        .filter(|instance| instance.state == State::Live);
+    let mut weighted: Vec<_> = live
+        .map(|instance| {
+            let node = routing::hash::text(instance.name.as_str());
+            (routing::hash::weight(key, node), instance)
+        })
+        .collect();
+    weighted.sort_by_key(|(weight, instance)| (std::cmp::Reverse(*weight), &instance.name));
+    weighted.get(rank).map(|(_, instance)| *instance)
+}
--- /dev/null
+++ b/crates/server/src/lib.rs
@@ -0,0 +1,31 @@
+//! One entry instance, put together from its packages.
+//!
+//! [`Instance::open`] starts the tasks of an instance; none of them keeps anything that has to
+//! outlive the process.
+
+mod answers;
+mod assignments;
+mod auth;
+mod bill;
+mod chat;
+mod clock;
+mod configuration;
+mod contact;
+mod context;
+mod decider;
+mod digest;
+mod front;
+mod gossip;
+mod instance;
+mod links;
+mod loads;
+mod members;
+mod once;
+mod plain;
+mod replica;
+pub mod status;
+mod tries;
+mod verdicts;
+mod version;
+
+pub use instance::Instance;
--- /dev/null
+++ b/crates/server/src/links.rs
@@ -0,0 +1,54 @@
+//! Links to fellows, one for each address, opened when they are first needed.
+
+use entity::Span;
+use fellow::{Link, Secret};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for an answer of a fellow.
+const TIMEOUT: Span = Span::from_millis(800);
+
+/// Links to fellows.
+#[derive(Debug)]
+pub struct Links {
+    secret: Secret,
+    cancel: CancellationToken,
+    /// Sorted by address.
+    links: Mutex<Vec<Link>>,
+}
+
+impl Links {
+    /// No link yet.
+    pub fn new(secret: Secret, cancel: CancellationToken) -> Self {
+        Self {
+            secret,
+            cancel,
+            links: Mutex::default(),
+        }
+    }
+
+    /// The link to an address.
+    pub fn get(&self, address: SocketAddr) -> Link {
+        let mut links = self.links.lock().expect("no holder of this lock panics");
+        match links.binary_search_by_key(&address, Link::address) {
+            Ok(index) => links[index].clone(),
+            Err(index) => {
+                let link = Link::open(
+                    address,
+                    self.secret.clone(),
+                    TIMEOUT,
+                    self.cancel.child_token(),
+                );
+                links.insert(index, link.clone());
+                link
+            }
+        }
+    }
+
+    /// Closes the links to addresses that are not listed any more.
+    pub fn retain(&self, listed: &[SocketAddr]) {
+        let mut links = self.links.lock().expect("no holder of this lock panics");
+        links.retain(|link| listed.contains(&link.address()));
+    }
+}
--- /dev/null
+++ b/crates/server/src/plain.rs
@@ -0,0 +1,219 @@
+//! Calls of plain services: those that may be repeated, and those that run at most once.
+
+use crate::context::Context;
+use crate::once;
+use crate::tries::{self, Dispatch, GivenUp, Job, Taken};
+use adoption::Snapshot;
+use billing::usage;
+use caller::{Plain, Refusal, Reply, Request, Whole};
+use config::{Repeat, Route};
+use entity::request::Ran;
+use entity::{Moment, Span, id, name};
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use routing::{Outcome, Priority};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::time::Instant;
+use upstream::{Failure, Reply as Answer};
+
+/// One call on its way.
+pub struct Run<'a> {
+    /// What the instance shares.
+    pub context: &'a Arc<Context>,
+    /// The configuration that the ids belong to.
+    pub snapshot: Arc<Snapshot>,
+    /// Who asks.
+    pub organisation: id::Organisation,
+    /// What is asked for.
+    pub service: id::Service,
+    /// The request.
+    pub request: &'a Request,
+    /// What of it is about the call.
+    pub plain: &'a Plain,
+    /// When the whole answer is due.
+    pub deadline: Moment,
+}
+
+/// The route of a call.
+pub fn route<'a>(
+    snapshot: &'a Snapshot,
+    service: id::Service,
+    plain: &Plain,
+) -> Result<&'a Route, Refusal> {
+    let path = plain.path.split('?').next().unwrap_or_default();
+    let mut method_differs = false;
+    for route in &snapshot.config.routes {
+        if route.service != service || !matches(&route.path, path) {
+            continue;
+        }
+        if *route.method == *plain.method.as_str() {
+            return Ok(route);
+        }
+        method_differs = true;
+    }
+    let (status, code) = if method_differs {
+        (StatusCode::METHOD_NOT_ALLOWED, "bad-method")
+    } else {
+        (StatusCode::NOT_FOUND, "unknown-route")
+    };
+    let message = format!("the service has no route {} {path}", plain.method);
+    Err(Refusal::not_run(status, code, message))
+}
+
+fn matches(pattern: &str, path: &str) -> bool {
+    match pattern.strip_suffix('*') {
+        Some(prefix) => path.starts_with(prefix),
+        None => pattern == path,
+    }
+}
+
+impl Run<'_> {
+    /// Runs the call.
+    ///
+    /// # Errors
+    ///
+    /// It was given up.
+    pub async fn run(&self) -> Result<Reply, GivenUp> {
+        let route = route(&self.snapshot, self.service, self.plain).map_err(|refusal| {
+            GivenUp::Refused(refusal.unclaimed(self.request.idempotency.as_ref()))
+        })?;
+        match route.repeat {
+            Repeat::Safe => self.repeatable(route).await,
+            Repeat::Never => self.once(route).await,
+        }
+    }
+
+    /// The job of this call.
+    pub fn job(&self, repeatable: bool) -> Job {
+        Job {
+            id: self.request.id,
+            snapshot: self.snapshot.clone(),
+            service: self.service,
+            version: None,
+            organisation: self.organisation,
+            prefix: None,
+            priority: Priority(u8::from(!self.request.live)),
+            deadline: self.deadline,
+            repeatable,
+        }
+    }
+
+    /// Dispatches a job until an upstream takes it.
+    ///
+    /// # Errors
+    ///
+    /// It was given up.
+    pub async fn dispatch(&self, job: &Job) -> Result<Called, GivenUp> {
+        let taken = tries::run(self.context, job, self).await?;
+        let Taken {
+            value,
+            choice,
+            sent,
+        } = taken;
+        let upstream = choice.upstream.clone();
+        let first_token = Span::from(sent.elapsed());
+        self.context
+            .decider
+            .finish(choice, Outcome::Done { first_token })
+            .await;
+        Ok(Called {
+            answer: value,
+            upstream,
+        })
+    }
+
+    fn call(&self, end: Instant) -> upstream::Plain {
+        let organisations = &self.snapshot.config.organisations;
+        upstream::Plain {
+            id: self.request.id,
+            organisation: organisations[self.organisation].name.clone(),
+            key: self
+                .request
+                .idempotency
+                .as_ref()
+                .map(|idempotency| idempotency.key.clone()),
+            method: self.plain.method.clone(),
+            path: self.plain.path.clone(),
+            content_type: self.plain.content_type.clone(),
+            body: self.plain.body.clone(),
+            deadline: end,
+        }
+    }
+
+    async fn repeatable(&self, route: &Route) -> Result<Reply, GivenUp> {
+        let called = self.dispatch(&self.job(true)).await?;
+        self.bill(route, &called.upstream)
+            .await
+            .map_err(GivenUp::Refused)?;
+        Ok(reply(called.answer))
+    }
+
+    /// Makes the one usage record of the call safe.
+    ///
+    /// # Errors
+    ///
+    /// Neither the log nor fellows took it in time.
+    pub async fn bill(&self, route: &Route, upstream: &name::Upstream) -> Result<(), Refusal> {
+        let config = &self.snapshot.config;
+        let target = once::target(route);
+        let step = usage::Step {
+            target: target.clone(),
+            upstream: upstream.clone(),
+            tokens_in: entity::unit::Tokens(0),
+            tokens_out: entity::unit::Tokens(0),
+            cost: route.price,
+        };
+        let record = usage::Record {
+            request: self.request.id,
+            organisation: config.organisations[self.organisation].name.clone(),
+            service: config.services[self.service].name.clone(),
+            target,
+            steps: vec![step],
+            lender: None,
+        };
+        crate::bill::commit(self.context, record).await
+    }
+}
+
+impl Dispatch for Run<'_> {
+    type Value = Answer;
+
+    async fn dispatch(&self, address: SocketAddr, end: Instant) -> Result<Answer, Failure> {
+        self.context.pool.call(address, &self.call(end)).await
+    }
+}
+
+/// A call that an upstream answered.
+#[derive(Debug)]
+pub struct Called {
+    /// The answer.
+    pub answer: Answer,
+    /// Who gave it.
+    pub upstream: name::Upstream,
+}
+
+/// The reply that passes an answer on.
+pub fn reply(answer: Answer) -> Reply {
+    Reply::Whole(Whole {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY),
+        content_type: answer.content_type,
+        headers: Vec::new(),
+        body: answer.body,
+    })
+}
+
+/// A media type as text, empty if there is none.
+pub fn media_type(value: Option<&HeaderValue>) -> &str {
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
+
+/// Whether a job that was given up can have run.
+pub fn ran(given_up: &GivenUp) -> Ran {
+    match given_up {
+        GivenUp::Stale => Ran::No,
+        GivenUp::Refused(refusal) => refusal.ran,
+    }
+}
--- /dev/null
+++ b/crates/server/src/replica.rs
@@ -0,0 +1,85 @@
+//! Fellows as holders of usage records.
+
+use crate::links::Links;
+use crate::members::Reading;
+use billing::custody::Fellow;
+use billing::usage::Record;
+use entity::{name, request};
+use fellow::Link;
+use fellow::message::{self, Body, Held, Hold};
+use instances::State;
+use journal::usage::{Call, Replica, Unheld};
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Reaches fellows by the instance list.
+pub struct Fellows {
+    /// This instance.
+    pub own: name::Instance,
+    /// The instance list.
+    pub members: watch::Receiver<Reading>,
+    /// Links to fellows.
+    pub links: Arc<Links>,
+}
+
+impl Fellows {
+    fn link(&self, name: &name::Instance) -> Option<Link> {
+        let list = self.members.borrow().list.clone();
+        list.get(name)
+            .map(|instance| self.links.get(instance.address))
+    }
+
+    async fn ask(&self, name: &name::Instance, body: Body) -> Result<(), Unheld> {
+        let link = self.link(name).ok_or(Unheld)?;
+        match link.ask(body).await {
+            Ok(Body::Done(_)) => Ok(()),
+            _ => Err(Unheld),
+        }
+    }
+
+    /// Tells all fellows that this instance leaves without having appended its records.
+    pub async fn orphan(&self) {
+        for fellow in self.fellows() {
+            let orphan = message::Orphan::new(self.own.to_string());
+            let _ = self.ask(&fellow.name, Body::Orphan(orphan)).await;
+        }
+    }
+}
+
+impl Replica for Fellows {
+    fn fellows(&self) -> Vec<Fellow> {
+        let list = self.members.borrow().list.clone();
+        let mut fellows = Vec::new();
+        for instance in &list.instances {
+            if instance.name == self.own || instance.state != State::Live {
+                continue;
+            }
+            fellows.push(Fellow {
+                name: instance.name.clone(),
+                zone: instance.zone.clone(),
+            });
+        }
+        fellows
+    }
+
+    fn hold<'a>(&'a self, fellow: &'a name::Instance, records: &'a [Record]) -> Call<'a> {
+        Box::pin(async move {
+            let mut held = Vec::with_capacity(records.len());
+            for record in records {
+                let data = serde_json::to_vec(record).map_err(|_| Unheld)?;
+                held.push(Held::new(
+                    self.own.to_string(),
+                    record.request.to_string(),
+                    data,
+                ));
+            }
+            self.ask(fellow, Body::Hold(Hold::new(held))).await
+        })
+    }
+
+    fn forget<'a>(&'a self, fellow: &'a name::Instance, requests: &'a [request::Id]) -> Call<'a> {
+        let requests = requests.iter().map(ToString::to_string).collect();
+        let body = Body::Drop(message::Drop::new(self.own.to_string(), requests));
+        Box::pin(self.ask(fellow, body))
+    }
+}
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -42,6 +42,8 @@
     pub caller_address: SocketAddr,
     /// `fellow-address`: where it listens for other instances; port 0 takes any free port.
     pub fellow_address: SocketAddr,
+    /// `operator-address`: where it answers operators; without it there is no such listener.
+    pub operator_address: Option<SocketAddr>,
     /// `secret`: signs session tokens and frames between instances; the same at all instances.
     pub secret: Secret,
 }
@@ -55,6 +57,8 @@
     pub timeout: Span,
     /// `poll`: how long a read at the end of a stream waits there for a record.
     pub poll: Span,
+    /// `retention`: how long the log keeps a record, at least; the same at all instances.
+    pub retention: Span,
 }
 
 /// `[instances]`.
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -18,6 +18,7 @@
 
 const LOG_TIMEOUT: Span = Span::from_secs(2);
 const LOG_POLL: Span = Span::from_secs(5);
+const LOG_RETENTION: Span = Span::from_secs(7 * 24 * 3600);
 const INSTANCES_POLL: Span = Span::from_secs(1);
 const INSTANCES_LAG: Span = Span::from_secs(5);
 const BODY: Bytes = Bytes(8 << 20);
@@ -140,6 +141,7 @@
     let region = reader.required("region", NAME);
     let caller_address = reader.required("caller-address", ADDRESS);
     let fellow_address = reader.required("fellow-address", ADDRESS);
+    let operator_address = reader.optional("operator-address", ADDRESS);
     let secret = reader.confidential("secret", SECRET);
     let (caller_address, fellow_address): (SocketAddr, SocketAddr) =
         (caller_address?, fellow_address?);
@@ -161,6 +163,7 @@
         region: region?,
         caller_address,
         fellow_address,
+        operator_address,
         secret: secret?,
     })
 }
@@ -169,10 +172,12 @@
     let address = address(reader);
     let timeout = span(reader, "timeout", LOG_TIMEOUT);
     let poll = span(reader, "poll", LOG_POLL);
+    let retention = span(reader, "retention", LOG_RETENTION);
     Some(Log {
         address: address?,
         timeout,
         poll,
+        retention,
     })
 }
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -27,7 +27,11 @@
 #[gtest]
 fn the_example_gives_every_key_its_default() -> Result<()> {
     let example: Settings = settings::parse(EXAMPLE)?;
-    let smallest = settings::parse(SMALLEST)?;
+    let mut smallest = settings::parse(SMALLEST)?;
+    // A listener that is optional has no default, as the addresses below.
+    expect_that!(example.instance.operator_address, some(anything()));
+    expect_that!(smallest.instance.operator_address, none());
+    smallest.instance.operator_address = example.instance.operator_address;
     expect_that!(example.limits, eq(smallest.limits));
     expect_that!(example.log, eq(smallest.log));
     expect_that!(example.instances, eq(smallest.instances));
--- /dev/null
+++ b/harness/src/lib.rs
@@ -0,0 +1,9 @@
+//! Starts a whole system as processes on this machine, for the demo and for failure tests.
+
+mod http;
+mod process;
+mod system;
+
+pub use http::{Http, Response};
+pub use process::{Process, Signal};
+pub use system::{Binaries, Instance, System, key};
--- /dev/null
+++ b/harness/src/system.rs
@@ -0,0 +1,416 @@
+//! The stand-ins and instances of the demo configuration, on free ports.
+
+use crate::process::Process;
+use anyhow::{Context, Result, ensure};
+use serde_json::{Value, json};
+use standins::client::Client;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::process::Command;
+
+/// Longest wait for something that takes seconds.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const PAUSE: Duration = Duration::from_millis(100);
+/// The secret that the instances share.
+const SECRET: &str = "a secret of the demo, shared by its instances";
+/// Lag that instances assume of the instance list.
+const LIST_LAG: &str = "500ms";
+
+/// Quality of answers of small versions, from 0 to 1.
+const SMALL_SKILL: f64 = 0.8;
+/// Quality of answers of large versions, from 0 to 1.
+const LARGE_SKILL: f64 = 0.97;
+
+/// The programs to start.
+#[derive(Clone, Debug)]
+pub struct Binaries {
+    /// `citrontrack`.
+    pub citrontrack: PathBuf,
+    /// `standin`.
+    pub standin: PathBuf,
+}
+
+impl Binaries {
+    /// Those in the folder of a built program.
+    pub fn beside(program: &Path) -> Self {
+        let folder = program.parent().unwrap_or(Path::new("."));
+        Self {
+            citrontrack: folder.join("citrontrack"),
+            standin: folder.join("standin"),
+        }
+    }
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// Its process.
+    pub process: Process,
+    /// Where it listens for callers.
+    pub caller: SocketAddr,
+    /// Where it answers operators.
+    pub operator: SocketAddr,
+    /// Its event log.
+    pub events: PathBuf,
+}
+
+/// Everything that runs.
+#[derive(Debug)]
+pub struct System {
+    binaries: Binaries,
+    folder: PathBuf,
+    client: Client,
+    /// The stand-in of the platform's log.
+    pub log: Process,
+    /// The stand-in of the instance list.
+    pub list: Process,
+    /// The stand-in of the rating service.
+    pub rating: Process,
+    /// The stand-ins of upstreams, in the order of their ports in the demo configuration.
+    pub upstreams: Vec<Process>,
+    /// The instances.
+    pub instances: Vec<Instance>,
+    /// The configuration text as it was last published.
+    pub text: String,
+    generation: u64,
+    zones: Vec<(&'static str, &'static str)>,
+    started: usize,
+}
+
+/// The bearer key of an organisation of the demo configuration.
+pub fn key(organisation: &str) -> String {
+    format!("demo-key-{organisation}")
+}
+
+async fn standin(binaries: &Binaries, name: &str, arguments: &[&str]) -> Result<Process> {
+    Process::spawn(name, &binaries.standin, arguments).await
+}
+
+async fn start_upstreams(binaries: &Binaries, text: &str) -> Result<Vec<Process>> {
+    let mut upstreams = Vec::new();
+    for section in text
+        .split("\n[")
+        .filter(|section| section.starts_with("upstream "))
+    {
+        let name = section.split(']').next().unwrap_or_default();
+        let versions = section
+            .lines()
+            .find_map(|line| line.strip_prefix("versions = "));
+        let upstream = match versions {
+            None => standin(binaries, name, &["plain"]).await?,
+            Some(versions) => {
+                let mut arguments = vec!["engine".to_owned()];
+                for version in versions.split(", ") {
+                    let skill = if version.contains("-small/") {
+                        SMALL_SKILL
+                    } else {
+                        LARGE_SKILL
+                    };
+                    arguments.push("--version".to_owned());
+                    arguments.push(format!("{version}={skill}"));
+                }
+                let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+                standin(binaries, name, &arguments).await?
+            }
+        };
+        upstreams.push(upstream);
+    }
+    Ok(upstreams)
+}
+
+/// Puts the addresses of the stand-ins into the text, in the order of its upstreams.
+fn place(text: &str, upstreams: &[Process]) -> Result<String> {
+    let mut placed = String::new();
+    let mut next = upstreams.iter();
+    for line in text.lines() {
+        if line.starts_with("address = ") {
+            let upstream = next.next().context("fewer stand-ins than upstreams")?;
+            placed.push_str(&format!("address = {}\n", upstream.address("listening")?));
+            continue;
+        }
+        placed.push_str(line);
+        placed.push('\n');
+    }
+    Ok(placed)
+}
+
+impl System {
+    /// Starts the stand-ins of a configuration text; no instance runs yet.
+    ///
+    /// # Errors
+    ///
+    /// One of them did not start.
+    pub async fn start(binaries: Binaries, text: &str, folder: &Path) -> Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let log = standin(&binaries, "log", &["log"]).await?;
+        let list = standin(&binaries, "instances", &["instances"]).await?;
+        let rating = standin(&binaries, "rating", &["rating"]).await?;
+        let upstreams = start_upstreams(&binaries, text).await?;
+        let text = place(text, &upstreams)?;
+        Ok(Self {
+            binaries,
+            folder: folder.to_owned(),
+            client: Client::default(),
+            log,
+            list,
+            rating,
+            upstreams,
+            instances: Vec::new(),
+            text,
+            generation: 0,
+            zones: vec![
+                ("amman-a", "amman"),
+                ("amman-b", "amman"),
+                ("be-central-a", "be-central"),
+            ],
+            started: 0,
+        })
+    }
+
+    /// The settings of an instance.
+    fn settings(&self, name: &str, zone: (&str, &str), events: &Path) -> Result<String> {
+        let (zone, region) = zone;
+        Ok(format!(
+            "[instance]\nname = {name}\nzone = {zone}\nregion = {region}\n\
+             caller-address = 127.0.0.1:0\nfellow-address = 127.0.0.1:0\n\
+             operator-address = 127.0.0.1:0\nsecret = {SECRET}\n\
+             [log]\naddress = {}\ntimeout = 1s\npoll = 2s\nretention = 1h\n\
+             [instances]\naddress = {}\npoll = 200ms\nlag = {LIST_LAG}\n\
+             [rating]\naddress = {}\n\
+             [timeline]\npath = {}\n\
+             [limits]\nisolation = 4s\ndrain = 20s\n",
+            self.log.address("listening")?,
+            self.list.address("listening")?,
+            self.rating.address("listening")?,
+            events.display(),
+        ))
+    }
+
+    /// Starts an instance in the next zone and puts it on the list. Returns its index.
+    ///
+    /// # Errors
+    ///
+    /// It did not start.
+    pub async fn start_instance(&mut self) -> Result<usize> {
+        let zone = self.zones[self.started % self.zones.len()];
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
+        let events = self.folder.join(format!("{name}.jsonl"));
+        let settings = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&settings, self.settings(&name, zone, &events)?)?;
+        let path = settings.to_str().context("a path in UTF-8")?;
+        let program = &self.binaries.citrontrack;
+        let process = Process::spawn(&name, program, &["serve", "--settings", path]).await?;
+        let entry = json!({
+            "zone": zone.0,
+            "region": zone.1,
+            "address": process.address("fellow")?,
+            "state": "live",
+        });
+        self.put_on_list(&name, &entry).await?;
+        let (caller, operator) = (process.address("caller")?, process.address("operator")?);
+        self.instances.push(Instance {
+            process,
+            caller,
+            operator,
+            events,
+        });
+        Ok(self.instances.len() - 1)
+    }
+
+    /// Changes what the list says about an instance.
+    ///
+    /// # Errors
+    ///
+    /// The list can't be reached.
+    pub async fn put_on_list(&self, name: &str, entry: &Value) -> Result<()> {
+        let list = self.list.address("listening")?;
+        let path = format!("/instances/{name}");
+        let (status, _) = self
+            .client
+            .call(hyper::Method::PUT, list, &path, entry)
+            .await?;
+        ensure!(status == 200, "the list answered {status}");
+        Ok(())
+    }
+
+    /// Takes an instance off the list.
+    ///
+    /// # Errors
+    ///
+    /// The list can't be reached.
+    pub async fn take_off_list(&self, name: &str) -> Result<()> {
+        let list = self.list.address("listening")?;
+        let path = format!("/instances/{name}");
+        self.client
+            .call(hyper::Method::DELETE, list, &path, &Value::Null)
+            .await?;
+        Ok(())
+    }
+
+    /// Sets fault switches of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// It can't be reached, or does not know a switch.
+    pub async fn fault(&self, standin: &Process, faults: &Value) -> Result<()> {
+        let address = standin.address("listening")?;
+        let (status, body) = self.client.post(address, "/faults", faults).await?;
+        ensure!(status == 200, "{} answered {status} {body}", standin.name());
+        Ok(())
+    }
+
+    /// Reads JSON of a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// It can't be reached.
+    pub async fn read(&self, standin: &Process, path: &str) -> Result<Value> {
+        let (_, body) = self.client.get(standin.address("listening")?, path).await?;
+        Ok(body)
+    }
+
+    /// The state that an instance tells operators.
+    ///
+    /// # Errors
+    ///
+    /// It can't be reached.
+    pub async fn status(&self, instance: usize) -> Result<Value> {
+        let (_, body) = self
+            .client
+            .get(self.instances[instance].operator, "/status")
+            .await?;
+        Ok(body)
+    }
+
+    /// Runs a command of `citrontrack` and returns its exit code and output.
+    ///
+    /// # Errors
+    ///
+    /// It did not start.
+    pub async fn command(&self, arguments: &[&str], input: &str) -> Result<(i32, String)> {
+        let mut child = Command::new(&self.binaries.citrontrack)
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let mut stdin = child.stdin.take().context("its input is piped")?;
+        stdin.write_all(input.as_bytes()).await?;
+        drop(stdin);
+        let output = child.wait_with_output().await?;
+        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.push_str(&String::from_utf8_lossy(&output.stderr));
+        Ok((output.status.code().unwrap_or(-1), text))
+    }
+
+    /// Publishes a text, and waits until it is in force at all instances.
+    ///
+    /// # Errors
+    ///
+    /// It was rejected, or not in force everywhere in time.
+    pub async fn publish(&mut self, text: &str) -> Result<u64> {
+        let base = self.generation;
+        let record = json!({
+            "record": "publication",
+            "format": 1,
+            "id": format!("{:032x}", base + 1),
+            "base": base,
+            "author": "harness",
+            "text": text,
+        });
+        let log = self.log.address("listening")?;
+        let (status, body) = self
+            .client
+            .post(log, "/streams/config/records", &record)
+            .await?;
+        ensure!(status == 200, "the log answered {status}");
+        let generation = body["offset"].as_u64().context("the log gives an offset")?;
+        self.generation = generation;
+        self.text = text.to_owned();
+        self.wait_in_force(generation).await?;
+        Ok(generation)
+    }
+
+    /// Waits until a generation, or a later one, is in force at all instances.
+    ///
+    /// # Errors
+    ///
+    /// It was not in time.
+    pub async fn wait_in_force(&self, generation: u64) -> Result<()> {
+        for instance in 0..self.instances.len() {
+            self.wait_for(instance, "the generation to be in force", |status| {
+                status["generation"].as_u64() >= Some(generation) && status["serving"] == true
+            })
+            .await?;
+            self.wait_ready(instance).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until an instance tells the balancer that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// It was not in time.
+    pub async fn wait_ready(&self, instance: usize) -> Result<()> {
+        let end = Instant::now() + LIMIT;
+        let caller = self.instances[instance].caller;
+        while self
+            .client
+            .get(caller, "/readyz")
+            .await
+            .map_or(0, |(status, _)| status)
+            != 200
+        {
+            ensure!(Instant::now() < end, "waited for readiness in vain");
+            tokio::time::sleep(PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until the state of an instance is as wanted.
+    ///
+    /// # Errors
+    ///
+    /// It was not in time.
+    pub async fn wait_for(
+        &self,
+        instance: usize,
+        what: &str,
+        wanted: impl Fn(&Value) -> bool,
+    ) -> Result<Value> {
+        let end = Instant::now() + LIMIT;
+        loop {
+            let status = self.status(instance).await.unwrap_or_default();
+            if wanted(&status) {
+                return Ok(status);
+            }
+            ensure!(Instant::now() < end, "waited for {what} in vain: {status}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Ends everything, the instances gracefully.
+    ///
+    /// # Errors
+    ///
+    /// One of them did not end, or not with code 0.
+    pub async fn stop(self) -> Result<()> {
+        for instance in self.instances {
+            instance.process.stop().await?;
+        }
+        for standin in self
+            .upstreams
+            .into_iter()
+            .chain([self.log, self.list, self.rating])
+        {
+            standin.stop().await?;
+        }
+        Ok(())
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,16 @@
-//! citrontrack: a model-aware router for versions and cascades.
-fn main() {}
+//! The command line of citrontrack.
+
+mod command;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: command::Citrontrack = argh::from_env();
+    match arguments.run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("citrontrack: {error:#}");
+            ExitCode::from(command::FAILED)
+        }
+    }
+}
