--- a/crates/config/src/key.rs
+++ b/crates/config/src/key.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether two keys were hashed from one bearer key with one salt, whatever their names are.
+    pub fn same_hash(&self, other: &Self) -> bool {
+        self.salt == other.salt && self.hash == other.hash
+    }
+
     /// Whether `bearer` is the key that was hashed; takes the same time for any text.
     pub fn matches(&self, bearer: &str) -> bool {
         digest(&self.salt, bearer).ct_eq(&self.hash).into()
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -248,6 +248,11 @@
     if reader.text("versions") == Some(ALL) {
         return (0..outline.versions.len()).map(id::Version::new).collect();
     }
+    if reader.list("versions").contains(&ALL) {
+        let problem = "* stands for all versions and has others beside it";
+        reader.add("versions", problem, "write * alone, or list the versions");
+        return Vec::new();
+    }
     reader.references("versions", "version", |name| find(&outline.versions, name))
 }
 
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -32,7 +32,9 @@
 
     /// The text of a key, if it is there.
     pub fn text(&mut self, key: &'static str) -> Option<&'a str> {
-        self.known.push(key);
+        if !self.known.contains(&key) {
+            self.known.push(key);
+        }
         self.section.entry(key).map(|entry| entry.value)
     }
 
--- a/crates/config/src/verify.rs
+++ b/crates/config/src/verify.rs
@@ -3,11 +3,12 @@
 //! A check looks only at sections that were read without a finding, so that one mistake is reported
 //! once and not again as its consequences.
 
+use crate::key::Key;
 use crate::model::{Config, Kind, Stage};
 use crate::outline::Outline;
 use crate::parse::{Clean, section};
-use entity::Findings;
 use entity::id;
+use entity::{Findings, name};
 
 /// A configuration whose sections have been read but not checked against each other.
 #[derive(Debug, Default)]
@@ -25,6 +26,7 @@
     routes(draft, findings);
     cycles(draft, findings);
     organisations(draft, findings);
+    keys(draft, findings);
 }
 
 fn rollouts(draft: &Draft<'_>, findings: &mut Findings) {
@@ -52,6 +54,15 @@
         if !draft.clean.services[rollout.service] {
             continue;
         }
+        if service.kind == Kind::Plain {
+            let problem = format!("{} is a plain service", service.name);
+            findings.add(
+                section.place(""),
+                problem,
+                "only chat services have roll-outs",
+            );
+            continue;
+        }
         for (key, version) in [("from", rollout.from), ("to", rollout.to)] {
             if service.versions.contains(&version) {
                 continue;
@@ -69,9 +80,6 @@
         .iter()
         .map(|version| config.versions[*version].name.as_str())
         .collect();
-    if names.is_empty() {
-        return "none, since it has no versions".into();
-    }
     names.join(", ")
 }
 
@@ -233,6 +241,23 @@
     }
 }
 
+/// A bearer key of two organisations could not be billed to the right one.
+fn keys(draft: &Draft<'_>, findings: &mut Findings) {
+    let mut seen: Vec<(&Key, &name::Organisation)> = Vec::new();
+    for (id, organisation) in draft.config.organisations.iter() {
+        for key in &organisation.keys {
+            let mut earlier = seen.iter();
+            let Some((_, owner)) = earlier.find(|(other, _)| key.same_hash(other)) else {
+                seen.push((key, &organisation.name));
+                continue;
+            };
+            let place = section(&draft.outline.organisations, id).place("keys");
+            let problem = format!("{owner} has the same key");
+            findings.add(place, problem, "a key for each organisation");
+        }
+    }
+}
+
 fn dependencies(
     draft: &Draft<'_>,
     organisation: id::Organisation,
