--- /dev/null
+++ b/crates/fellow/fellow.thrift
@@ -0,0 +1,107 @@
+// Messages between instances. `src/gen/fellow.rs` is generated from this file by
+// `thrift -out src/gen --gen rs fellow.thrift` (compiler 0.17) and committed.
+
+/** An upstream that an instance believes to be in cold start. */
+struct Suspicion {
+  1: required string upstream,
+  /** How long ago the belief was formed, in microseconds. */
+  2: required i64 age_us,
+}
+
+/** A request that runs on a slot of a cold upstream. */
+struct Running {
+  1: required string upstream,
+  2: required i32 slot,
+}
+
+/** What an instance tells a fellow every second or two. */
+struct Digest {
+  1: required string instance,
+  2: required string zone,
+  /** The generation in force at the sender. */
+  3: required i64 generation,
+  /** Time since the last read of the configuration stream up to its end, by the sender or by
+      anybody that it has heard of; absent where there was none. */
+  4: optional i64 log_age_ms,
+  /** The sender's hybrid clock. */
+  5: required i64 clock,
+  6: required list<Suspicion> suspicions,
+  /** Whether the sender takes no slots of cold upstreams any more; `running` are its last ones. */
+  7: required bool ceased,
+  10: required list<Running> running,
+  /** Verdict records, as they stand on the log. */
+  8: required list<binary> verdicts,
+  /** Summaries of ratings. */
+  9: required list<binary> evidence,
+}
+
+/** Asks for the text in force where it is newer than a generation. */
+struct Pull {
+  1: required i64 newer_than,
+}
+
+/** A text in force. */
+struct Text {
+  1: required i64 generation,
+  /** Format of the text; another release may read another one. */
+  2: required i32 format,
+  3: required string author,
+  4: required string text,
+}
+
+/** Asks the home of a session for the version that it begins on. */
+struct Assign {
+  1: required string session,
+  2: required string service_name,
+  3: required string organisation,
+  /** The version that the asker would take. */
+  4: required string version,
+}
+
+/** The version that a session is on. */
+struct Assigned {
+  1: required string version,
+}
+
+/** A usage record to hold until its owner has appended it. */
+struct Held {
+  1: required string owner,
+  2: required string request,
+  3: required binary record,
+}
+
+struct Hold {
+  1: required list<Held> records,
+}
+
+/** Records that are safe on the log and need no longer be held. */
+struct Drop {
+  1: required string owner,
+  2: required list<string> requests,
+}
+
+struct Done {
+  1: required i32 count,
+}
+
+struct Refusal {
+  1: required string reason,
+}
+
+union Body {
+  1: Digest digest,
+  2: Pull pull,
+  3: Text text,
+  4: Hold hold,
+  5: Drop drop,
+  6: Done done,
+  7: Refusal refusal,
+  8: Assign assign,
+  9: Assigned assigned,
+}
+
+/** One message; an answer bears the number of its question. */
+struct Envelope {
+  1: required i64 number,
+  2: required Body body,
+}
