Refuse a log that lost records, and know its retention

Cause: a fold that follows a log which began anew would see offsets go back; and when a checkpoint is due follows from the retention, which no setting gave. Change: Error::Rewound, and [log] retention with a default of 1h. Result: cargo test -p adoption -p settings passes. Conclusion: such a log is reported, and what is in force stays.

--- a/crates/adoption/src/fold.rs
+++ b/crates/adoption/src/fold.rs
@@ -104,6 +104,16 @@
         /// The offset that was given.
         offset: Offset,
     },
+    /// The log ends before records that this reader has folded.
+    #[error(
+        "the log ends before offset {next}, and offset {wanted} was wanted: it has lost records"
+    )]
+    Rewound {
+        /// The offset that was wanted.
+        wanted: Offset,
+        /// The offset that the next append will get.
+        next: Offset,
+    },
     /// A fellow's text has a format of another release.
     #[error("generation {generation} has format {format}; this release reads {FORMAT}")]
     Learned {
@@ -223,7 +233,15 @@
     ///
     /// [`Error::Format`] at a record of another release, before which the fold stays: its verdict is
     /// unknown here, and with it everything after. [`Error::Gap`] if the page is not consecutive.
+    /// [`Error::Rewound`] if the log has lost records: whatever it gives in their place is not folded,
+    /// since generations would go back.
     pub fn read(&mut self, page: &Page<'_>, steps: &mut Vec<Step>) -> Result<(), Error> {
+        if page.next < self.wanted() {
+            return Err(Error::Rewound {
+                wanted: self.wanted(),
+                next: page.next,
+            });
+        }
         self.check_gap(page.first, steps);
         self.begin(page.first);
         for (offset, data) in &page.records {
--- a/crates/adoption/tests/fold.rs
+++ b/crates/adoption/tests/fold.rs
@@ -139,6 +139,20 @@
     expect_that!(error, err(eq(expected)));
 }
 
+#[gtest]
+fn a_log_that_lost_records_is_not_followed() -> Result<()> {
+    let mut fold = Fold::new();
+    read(&mut fold, 1, &[published(1, 0), published(2, 1)])?;
+    let error = read(&mut fold, 1, &[published(3, 0)]);
+    let expected = Error::Rewound {
+        wanted: Offset(3),
+        next: Offset(2),
+    };
+    expect_that!(error, err(eq(&expected)));
+    expect_that!(fold.generation(), eq(Generation(2)));
+    Ok(())
+}
+
 #[gtest]
 fn a_fresh_reader_replays_what_follows_the_prefix_of_a_checkpoint() -> Result<()> {
     // A checkpoint of the prefix through 6 lands at 9, after the publications at 7 and 8.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -55,6 +55,8 @@
     pub timeout: Span,
     /// `poll`: how long a read at the end of a stream waits there for a record.
     pub poll: Span,
+    /// `retention`: for how long the log certainly keeps a record.
+    pub retention: Span,
 }
 
 /// `[instances]`.
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -18,6 +18,7 @@
 
 const LOG_TIMEOUT: Span = Span::from_secs(2);
 const LOG_POLL: Span = Span::from_secs(5);
+const LOG_RETENTION: Span = Span::from_secs(3600);
 const INSTANCES_POLL: Span = Span::from_secs(1);
 const INSTANCES_LAG: Span = Span::from_secs(5);
 const BODY: Bytes = Bytes(8 << 20);
@@ -169,10 +170,12 @@
     let address = address(reader);
     let timeout = span(reader, "timeout", LOG_TIMEOUT);
     let poll = span(reader, "poll", LOG_POLL);
+    let retention = span(reader, "retention", LOG_RETENTION);
     Some(Log {
         address: address?,
         timeout,
         poll,
+        retention,
     })
 }
 
