--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -57,7 +57,7 @@
     pub timeout: Span,
     /// `poll`: how long a read at the end of a stream waits there for a record.
     pub poll: Span,
-    /// `retention`: how long the log keeps a record, at least; the same at all instances.
+    /// `retention`: for how long the log certainly keeps a record.
     pub retention: Span,
 }
 
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -18,7 +18,7 @@
 
 const LOG_TIMEOUT: Span = Span::from_secs(2);
 const LOG_POLL: Span = Span::from_secs(5);
-const LOG_RETENTION: Span = Span::from_secs(7 * 24 * 3600);
+const LOG_RETENTION: Span = Span::from_secs(3600);
 const INSTANCES_POLL: Span = Span::from_secs(1);
 const INSTANCES_LAG: Span = Span::from_secs(5);
 const BODY: Bytes = Bytes(8 << 20);
