--- /dev/null
+++ b/crates/journal/tests/committer.rs
@@ -0,0 +1,179 @@
+//! Group commit: batches, retries, the rate, and what an outage does to it.
+
+mod fake;
+
+use bytes::Bytes;
+use entity::unit::Rate;
+use fake::{FakeLog, Faults};
+use googletest::prelude::*;
+use journal::committer::{self, Handle, Health, Policy};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+fn spawn(log: &FakeLog, policy: Policy) -> Handle {
+    committer::spawn(log.clone(), policy, CancellationToken::new())
+}
+
+fn append(tasks: &mut JoinSet<()>, committer: &Handle, number: usize) {
+    let committer = committer.clone();
+    tasks.spawn(async move {
+        let data = Bytes::from(number.to_string());
+        committer.append("usage", data).await.expect("it runs");
+    });
+}
+
+/// All numbers on the stream, with copies.
+fn numbers(log: &FakeLog) -> Vec<usize> {
+    let records = log.records("usage");
+    let batches = records.iter().map(|(_, data)| {
+        let batch: Vec<usize> = serde_json::from_slice(data).expect("an array of numbers");
+        batch
+    });
+    batches.flatten().collect()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn records_that_come_together_share_an_append() {
+    let log = FakeLog::open(1);
+    let committer = spawn(&log, Policy::default());
+    let mut tasks = JoinSet::new();
+    for number in 0..100 {
+        append(&mut tasks, &committer, number);
+    }
+    tasks.join_all().await;
+    expect_that!(log.calls().len(), eq(1));
+    expect_that!(numbers(&log), len(eq(100)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn batches_are_bounded_in_size() {
+    let log = FakeLog::open(1);
+    let policy = Policy {
+        batch_bytes: 64,
+        ..Policy::default()
+    };
+    let committer = spawn(&log, policy);
+    let mut tasks = JoinSet::new();
+    for number in 1000..1100 {
+        append(&mut tasks, &committer, number);
+    }
+    tasks.join_all().await;
+    for (_, data) in log.records("usage") {
+        expect_that!(data.len(), le(64));
+    }
+    expect_that!(numbers(&log), len(eq(100)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn all_streams_together_keep_to_the_rate() {
+    let log = FakeLog::open(1);
+    let policy = Policy {
+        rate: Rate(10),
+        ..Policy::default()
+    };
+    let committer = spawn(&log, policy);
+    let end = Instant::now() + Duration::from_secs(20);
+    let mut tasks = JoinSet::new();
+    for stream in 0..16 {
+        let committer = committer.clone();
+        tasks.spawn(async move {
+            while Instant::now() < end {
+                let stream = format!("claims-{stream}");
+                committer
+                    .append(&stream, "1".into())
+                    .await
+                    .expect("it runs");
+            }
+        });
+    }
+    tasks.join_all().await;
+    expect_that!(log.calls().len(), all!(ge(190), le(220)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn lost_replies_and_late_appends_lose_no_record() {
+    for seed in 0..20 {
+        let log = FakeLog::open(seed);
+        log.set(Faults {
+            lose_replies: 20,
+            late: 20,
+            ..Faults::default()
+        });
+        let committer = spawn(&log, Policy::default());
+        let mut tasks = JoinSet::new();
+        for number in 0..200 {
+            append(&mut tasks, &committer, number);
+            sleep(Duration::from_millis(5)).await;
+        }
+        tasks.join_all().await;
+        let mut appended = numbers(&log);
+        appended.sort_unstable();
+        appended.dedup();
+        expect_that!(appended, len(eq(200)), "seed {seed}");
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn outage_of_minutes_is_probed_slowly_whatever_waits() {
+    let log = FakeLog::open(1);
+    let committer = spawn(&log, Policy::default());
+    log.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let mut tasks = JoinSet::new();
+    for number in 0..20_000 {
+        append(&mut tasks, &committer, number);
+    }
+    sleep(Duration::from_secs(300)).await;
+    let calls = log.calls().len();
+    println!("20000 records waited through 300 s of outage: {calls} appends");
+    expect_that!(calls, all!(ge(100), le(310)));
+    expect_that!(*committer.health().borrow(), eq(Health::Down));
+    log.set(Faults::default());
+    tasks.join_all().await;
+    expect_that!(numbers(&log), len(eq(20_000)));
+    expect_that!(*committer.health().borrow(), eq(Health::Up));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn abandoned_record_is_not_tried_again() {
+    let log = FakeLog::open(1);
+    let committer = spawn(&log, Policy::default());
+    log.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let waited = timeout(
+        Duration::from_secs(5),
+        committer.append("usage", "1".into()),
+    )
+    .await;
+    expect_true!(waited.is_err());
+    log.set(Faults::default());
+    sleep(Duration::from_secs(5)).await;
+    expect_that!(numbers(&log), is_empty());
+    expect_that!(*committer.health().borrow(), eq(Health::Up));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn cancelled_committer_appends_what_waits() {
+    let (log, cancel) = (FakeLog::open(1), CancellationToken::new());
+    let committer = committer::spawn(log.clone(), Policy::default(), cancel.clone());
+    let mut tasks = JoinSet::new();
+    append(&mut tasks, &committer, 7);
+    sleep(Duration::from_millis(1)).await;
+    cancel.cancel();
+    tasks.join_all().await;
+    expect_that!(numbers(&log), elements_are![eq(&7)]);
+    expect_true!(committer.append("usage", "8".into()).await.is_err());
+}
