--- /dev/null
+++ b/crates/journal/tests/claimer.rs
@@ -0,0 +1,322 @@
+//! Claims over a log with faults: one dispatch for each key, and true refusals.
+
+mod fake;
+
+use claims::digest::Digest;
+use claims::holder::Ran;
+use claims::key::{Created, Key, Sending};
+use claims::record::Answer;
+use claims::window::Window;
+use entity::{Span, request};
+use fake::{FakeLog, Faults, epoch_ms};
+use googletest::prelude::*;
+use journal::claimer::{self, Attempt, Handle, Permit, Policy, Verdict};
+use journal::committer;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+fn policy() -> Policy {
+    Policy {
+        window: Window::new(
+            Span::from_secs(24 * 3600),
+            Span::from_secs(600),
+            Span::from_secs(60),
+        ),
+        patience: Span::from_secs(3),
+        retry_after: Span::from_secs(1),
+    }
+}
+
+fn open(log: &FakeLog, instance: &str) -> Handle<FakeLog> {
+    let cancel = CancellationToken::new();
+    let committer = committer::spawn(log.clone(), committer::Policy::default(), cancel.clone());
+    let instance = instance.parse().expect("a name");
+    claimer::open(log.clone(), committer, instance, policy(), cancel)
+}
+
+fn attempt(key: &str, sending: u32, request: u128) -> Attempt {
+    Attempt {
+        organisation: "water".parse().expect("a name"),
+        key: key.into(),
+        created: Created(epoch_ms()),
+        sending: Sending::new(sending),
+        request: request::Id(request),
+        fingerprint: Digest::of(&[b"body"]),
+    }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+async fn win(claimer: &Handle<FakeLog>, attempt: Attempt) -> Permit {
+    match claimer.claim(attempt, soon()).await {
+        Verdict::Won(permit) => permit,
+        other => panic!("expected to win, got {other:?}"),
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn repeat_at_another_instance_is_given_the_answer() {
+    let log = FakeLog::open(1);
+    let (first, second) = (open(&log, "entry-1"), open(&log, "entry-2"));
+    let attempt = attempt("notice-1", 1, 1);
+    let run = win(&first, attempt.clone()).await.dispatch();
+    let repeat = Attempt {
+        sending: Sending::new(2),
+        request: request::Id(2),
+        ..attempt
+    };
+    let early = second.claim(repeat.clone(), soon()).await;
+    expect_that!(early, matches_pattern!(Verdict::InProgress));
+    let answer = Answer::new(201, "application/json", b"{}");
+    run.settle(answer.clone()).await.expect("it is appended");
+    sleep(Duration::from_millis(100)).await;
+    let late = second.claim(repeat.clone(), soon()).await;
+    expect_that!(late, matches_pattern!(Verdict::Done(eq(&answer))));
+    let other = Attempt {
+        fingerprint: Digest::of(&[b"other"]),
+        ..repeat
+    };
+    let other = second.claim(other, soon()).await;
+    expect_that!(other, matches_pattern!(Verdict::Mismatch));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn claims_are_refused_at_once_while_the_log_is_out() {
+    let log = FakeLog::open(1);
+    let claimer = open(&log, "entry-1");
+    claimer.warm();
+    sleep(Duration::from_secs(1)).await;
+    log.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    sleep(Duration::from_secs(1)).await;
+    let calls = log.calls().len();
+    for number in 0..1000 {
+        let began = Instant::now();
+        let sending = if number % 2 == 0 { 1 } else { 2 };
+        let key = format!("notice-{number}");
+        let verdict = claimer.claim(attempt(&key, sending, number), soon()).await;
+        let Verdict::Refused { ran, .. } = verdict else {
+            panic!("the log is out, got {verdict:?}");
+        };
+        let expected = if sending == 1 {
+            Ran::NotRun
+        } else {
+            Ran::MayHaveRun
+        };
+        expect_that!(ran, eq(expected));
+        expect_that!(began.elapsed(), eq(Duration::ZERO));
+    }
+    expect_that!(log.calls().len(), eq(calls));
+    log.set(Faults::default());
+    sleep(Duration::from_secs(5)).await;
+    win(&claimer, attempt("notice-0", 2, 5000)).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn log_that_only_refuses_appends_is_noticed_too() {
+    let log = FakeLog::open(1);
+    let claimer = open(&log, "entry-1");
+    claimer.warm();
+    sleep(Duration::from_secs(1)).await;
+    log.set(Faults {
+        read_only: true,
+        ..Faults::default()
+    });
+    let began = Instant::now();
+    let verdict = claimer.claim(attempt("notice-1", 2, 1), soon()).await;
+    expect_that!(
+        verdict,
+        matches_pattern!(Verdict::Refused {
+            ran: eq(&Ran::MayHaveRun),
+            ..
+        })
+    );
+    expect_that!(began.elapsed(), lt(Duration::from_millis(500)));
+    log.set(Faults::default());
+    sleep(Duration::from_secs(10)).await;
+    win(&claimer, attempt("notice-1", 3, 2)).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn released_key_was_not_run_and_can_be_sent_again() {
+    let log = FakeLog::open(1);
+    let claimer = open(&log, "entry-1");
+    let attempt = attempt("notice-1", 2, 1);
+    let permit = win(&claimer, attempt.clone()).await;
+    let ran = permit.dispatch().not_run().release(soon()).await;
+    expect_that!(ran, eq(Ran::NotRun));
+    let again = Attempt {
+        sending: Sending::new(3),
+        request: request::Id(2),
+        ..attempt
+    };
+    win(&claimer, again).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn dropped_permit_releases_and_dropped_run_does_not() {
+    let log = FakeLog::open(1);
+    let claimer = open(&log, "entry-1");
+    let first = attempt("notice-1", 0, 1);
+    drop(win(&claimer, first.clone()).await);
+    sleep(Duration::from_millis(500)).await;
+    let second = Attempt {
+        request: request::Id(2),
+        ..first.clone()
+    };
+    drop(win(&claimer, second).await.dispatch());
+    sleep(Duration::from_secs(60)).await;
+    let third = Attempt {
+        request: request::Id(3),
+        ..first
+    };
+    let verdict = claimer.claim(third, soon()).await;
+    expect_that!(verdict, matches_pattern!(Verdict::InProgress));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn caller_that_left_while_its_claim_was_read_holds_no_key() {
+    let log = FakeLog::open(1);
+    let claimer = open(&log, "entry-1");
+    let first = attempt("notice-1", 0, 1);
+    let left = timeout(
+        Duration::from_millis(7),
+        claimer.claim(first.clone(), soon()),
+    )
+    .await;
+    expect_true!(left.is_err());
+    sleep(Duration::from_secs(1)).await;
+    let second = Attempt {
+        request: request::Id(2),
+        ..first
+    };
+    win(&claimer, second).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn old_and_future_keys_are_refused_without_a_claim() {
+    let log = FakeLog::open(1);
+    let claimer = open(&log, "entry-1");
+    for created in [epoch_ms() - 24 * 3_600_000, epoch_ms() + 120_000] {
+        let attempt = Attempt {
+            created: Created(created),
+            ..attempt("notice-1", 1, 1)
+        };
+        let verdict = claimer.claim(attempt, soon()).await;
+        expect_that!(verdict, matches_pattern!(Verdict::Expired));
+    }
+    expect_that!(log.calls(), is_empty());
+}
+
+/// What became of the attempts of one key.
+#[derive(Default)]
+struct Outcomes {
+    dispatched: Vec<u32>,
+    not_run: Vec<u32>,
+    answered: usize,
+}
+
+async fn send(claimer: Handle<FakeLog>, attempt: Attempt, seed: u64) -> (u32, Option<Ran>, bool) {
+    let sending = (attempt.request.0 % 10) as u32;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    sleep(Duration::from_millis(rng.random_range(0..1500))).await;
+    let release = rng.random_range(0..4) == 0;
+    let deadline = Instant::now() + Duration::from_millis(rng.random_range(5..3000));
+    match claimer.claim(attempt, deadline).await {
+        Verdict::Won(permit) if release => {
+            let ran = permit.release(deadline).await;
+            (sending, Some(ran), false)
+        }
+        Verdict::Won(permit) => {
+            let run = permit.dispatch();
+            sleep(Duration::from_millis(50)).await;
+            let answer = Answer::new(200, "", b"done");
+            let _ = timeout(Duration::from_secs(5), run.settle(answer)).await;
+            (sending, None, true)
+        }
+        Verdict::Refused { ran, .. } => (sending, Some(ran), false),
+        Verdict::Done(_) => (sending, None, false),
+        Verdict::InProgress | Verdict::Mismatch | Verdict::Expired => (sending, None, false),
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn random_attempts_dispatch_once_and_refuse_truly() {
+    let (mut dispatches, mut refusals) = (0, 0);
+    for seed in 0..200 {
+        let log = FakeLog::open(seed);
+        log.set(Faults {
+            lose_replies: 20,
+            late: 20,
+            ..Faults::default()
+        });
+        let claimers = [open(&log, "entry-1"), open(&log, "entry-2")];
+        let mut tasks = JoinSet::new();
+        let base = attempt("notice-1", 1, 0);
+        for sending in 1..=5_u32 {
+            let attempt = Attempt {
+                sending: Sending::new(sending),
+                request: request::Id(u128::from(sending)),
+                ..base.clone()
+            };
+            let claimer = claimers[sending as usize % 2].clone();
+            tasks.spawn(send(claimer, attempt, seed * 10 + u64::from(sending)));
+        }
+        sleep(Duration::from_millis(700)).await;
+        let down = seed % 3 == 0;
+        log.set(Faults {
+            down,
+            lose_replies: 20,
+            late: 20,
+            read_only: false,
+        });
+        sleep(Duration::from_millis(500)).await;
+        log.set(Faults::default());
+        let mut outcomes = Outcomes::default();
+        for (sending, ran, dispatched) in tasks.join_all().await {
+            if dispatched {
+                outcomes.dispatched.push(sending);
+            }
+            if ran == Some(Ran::NotRun) {
+                outcomes.not_run.push(sending);
+            }
+            outcomes.answered += 1;
+        }
+        assert_that!(outcomes.dispatched.len(), le(1), "seed {seed}");
+        for not_run in &outcomes.not_run {
+            for dispatched in &outcomes.dispatched {
+                assert_that!(dispatched, gt(not_run), "seed {seed}");
+            }
+        }
+        assert_that!(outcomes.answered, eq(5));
+        dispatches += outcomes.dispatched.len();
+        refusals += outcomes.not_run.len();
+    }
+    println!("200 runs of 5 attempts: {dispatches} dispatches, {refusals} refusals as not run");
+    expect_that!(dispatches, gt(0));
+    expect_that!(refusals, gt(0));
+}
+
+#[gtest]
+fn partition_of_a_key_is_stable() {
+    let organisation = "water".parse().expect("a name");
+    let key = Key::new(&organisation, "notice-1", Created(1));
+    expect_that!(key.partition().index(), lt(16));
+    expect_that!(key, eq(Key::new(&organisation, "notice-1", Created(1))));
+}
--- /dev/null
+++ b/crates/journal/tests/usage.rs
@@ -0,0 +1,269 @@
+//! Usage records through outages and deaths of instances.
+
+mod fake;
+
+use billing::custody::Fellow;
+use billing::held::Policy as Holding;
+use billing::ledger::{Checkpoint, Horizon, Ledger};
+use billing::usage::{self as entries, Record, Target};
+use entity::{Offset, Span, name, request};
+use fake::{FakeLog, Faults, epoch_ms};
+use googletest::prelude::*;
+use journal::committer;
+use journal::usage::{self, Call, Error, Handle, Policy, Replica, Unheld};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// Time of a call to a fellow.
+const CALL: Duration = Duration::from_millis(1);
+
+/// A listed instance, with its task once that runs.
+type Member = (Fellow, Option<Handle>);
+
+/// Instances that reach each other in memory.
+#[derive(Clone, Default)]
+struct Cluster {
+    members: Arc<Mutex<Vec<Member>>>,
+}
+
+/// What one instance sees of the cluster.
+struct View {
+    cluster: Cluster,
+    own: name::Instance,
+}
+
+impl Cluster {
+    fn open(log: &FakeLog, zones: &[&str]) -> (Self, Vec<(Handle, CancellationToken)>) {
+        let cluster = Self::default();
+        for (index, zone) in zones.iter().enumerate() {
+            let fellow = Fellow {
+                name: format!("entry-{index}").parse().expect("a name"),
+                zone: zone.parse().expect("a name"),
+            };
+            cluster.lock().push((fellow, None));
+        }
+        let running = (0..zones.len()).map(|index| cluster.start(log, index));
+        let running = running.collect();
+        (cluster, running)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Member>> {
+        self.members.lock().expect("not poisoned")
+    }
+
+    fn start(&self, log: &FakeLog, index: usize) -> (Handle, CancellationToken) {
+        let cancel = CancellationToken::new();
+        let policy = committer::Policy {
+            drain: Span::ZERO,
+            ..committer::Policy::default()
+        };
+        let committer = committer::spawn(log.clone(), policy, cancel.clone());
+        let own = self.lock()[index].0.clone();
+        let view = View {
+            cluster: self.clone(),
+            own: own.name.clone(),
+        };
+        let handle = usage::open(
+            committer,
+            Arc::new(view),
+            own.zone,
+            policy_of(),
+            cancel.clone(),
+        );
+        self.lock()[index].1 = Some(handle.clone());
+        (handle, cancel)
+    }
+
+    /// Takes an instance from the list.
+    fn unlist(&self, name: &str) {
+        self.lock()
+            .retain(|(fellow, _)| fellow.name.as_str() != name);
+    }
+
+    fn handle(&self, name: &name::Instance) -> Option<Handle> {
+        let members = self.lock();
+        let found = members.iter().find(|(fellow, _)| fellow.name == *name);
+        found.and_then(|(_, handle)| handle.clone())
+    }
+}
+
+impl Replica for View {
+    fn fellows(&self) -> Vec<Fellow> {
+        let members = self.cluster.lock();
+        let names = members.iter().map(|(fellow, _)| fellow.clone());
+        names.filter(|fellow| fellow.name != self.own).collect()
+    }
+
+    fn hold<'a>(&'a self, fellow: &'a name::Instance, records: &'a [Record]) -> Call<'a> {
+        Box::pin(async move {
+            sleep(CALL).await;
+            let handle = self.cluster.handle(fellow).ok_or(Unheld)?;
+            let held = handle.hold(self.own.clone(), records.to_vec()).await;
+            held.map_err(|_| Unheld)
+        })
+    }
+
+    fn forget<'a>(&'a self, fellow: &'a name::Instance, requests: &'a [request::Id]) -> Call<'a> {
+        Box::pin(async move {
+            sleep(CALL).await;
+            let handle = self.cluster.handle(fellow).ok_or(Unheld)?;
+            let dropped = handle.drop_held(requests.to_vec()).await;
+            dropped.map_err(|_| Unheld)
+        })
+    }
+}
+
+fn policy_of() -> Policy {
+    Policy {
+        capacity: 5000,
+        holding: Holding {
+            patience: Span::from_secs(60),
+            hold: Span::from_secs(3600),
+            capacity: 20_000,
+        },
+        ..Policy::default()
+    }
+}
+
+fn record(number: u128) -> Record {
+    Record {
+        request: request::Id(u128::from(epoch_ms()) << 80 | number),
+        organisation: "water".parse().expect("a name"),
+        service: "notices".parse().expect("a name"),
+        target: Target::Route("POST /notices".into()),
+        steps: Vec::new(),
+        lender: None,
+    }
+}
+
+fn down() -> Faults {
+    Faults {
+        down: true,
+        ..Faults::default()
+    }
+}
+
+/// Requests billed after all that is on the log, and copies of them.
+fn billed(log: &FakeLog) -> (u64, usize) {
+    let horizon = Horizon(Span::from_secs(7200));
+    let mut ledger = Ledger::open(horizon, Checkpoint::default(), Offset(1));
+    let mut copies = 0;
+    for (index, (time_ms, data)) in log.records("usage").iter().enumerate() {
+        let batch = entries::decode(data).expect("a batch");
+        copies += batch.len();
+        ledger.apply(Offset(index as u64 + 1), *time_ms, &batch);
+    }
+    let accounts = &ledger.checkpoint().accounts;
+    (
+        accounts.iter().map(|account| account.requests).sum(),
+        copies,
+    )
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn record_is_safe_once_appended() {
+    let log = FakeLog::open(1);
+    let (_cluster, running) = Cluster::open(&log, &["a", "b", "c"]);
+    running[0].0.commit(record(1)).await.expect("it is safe");
+    expect_that!(billed(&log), eq((1, 1)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn outage_of_minutes_holds_back_no_answer_and_bills_each_once() {
+    let log = FakeLog::open(1);
+    let (_cluster, running) = Cluster::open(&log, &["a", "b", "c"]);
+    log.set(down());
+    let (mut slowest, mut tasks) = (Duration::ZERO, JoinSet::new());
+    for number in 0..3000 {
+        let handle = running[number as usize % 3].0.clone();
+        tasks.spawn(async move {
+            let began = Instant::now();
+            handle.commit(record(number)).await.expect("it is safe");
+            began.elapsed()
+        });
+        sleep(Duration::from_millis(60)).await;
+    }
+    while let Some(took) = tasks.join_next().await {
+        slowest = slowest.max(took.expect("no panic"));
+    }
+    let calls = log.calls().len();
+    log.set(Faults::default());
+    sleep(Duration::from_secs(30)).await;
+    let (requests, copies) = billed(&log);
+    println!(
+        "180 s of outage, 3 instances: {calls} appends tried, slowest answer {slowest:?}, \
+         {requests} of 3000 billed once, {copies} copies"
+    );
+    expect_that!(calls, le(3 * 200));
+    expect_that!(slowest, lt(Duration::from_secs(1)));
+    expect_that!(requests, eq(3000));
+    for (handle, _) in &running {
+        let stats = handle.stats().await.expect("it runs");
+        expect_that!((stats.open, stats.held), eq((0, 0)));
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn records_of_an_instance_that_died_are_billed_once() {
+    let log = FakeLog::open(1);
+    let (cluster, running) = Cluster::open(&log, &["a", "b", "c", "a"]);
+    log.set(down());
+    let mut tasks = JoinSet::new();
+    for number in 0..200 {
+        let handle = running[0].0.clone();
+        tasks.spawn(async move { handle.commit(record(number)).await });
+    }
+    for committed in tasks.join_all().await {
+        committed.expect("it is safe");
+    }
+    running[0].1.cancel();
+    sleep(Duration::from_secs(5)).await;
+    cluster.unlist("entry-0");
+    // The holders have the adopted records held anew, so one of them may die as well.
+    sleep(Duration::from_secs(5)).await;
+    running[1].1.cancel();
+    cluster.unlist("entry-1");
+    sleep(Duration::from_secs(5)).await;
+    log.set(Faults::default());
+    sleep(Duration::from_secs(30)).await;
+    let (requests, copies) = billed(&log);
+    println!("owner and a holder died: {requests} of 200 billed once, {copies} copies");
+    expect_that!(requests, eq(200));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn lone_instance_waits_for_the_log() {
+    let log = FakeLog::open(1);
+    let (_cluster, running) = Cluster::open(&log, &["a"]);
+    log.set(down());
+    let handle = running[0].0.clone();
+    let waiting = tokio::spawn(async move { handle.commit(record(1)).await });
+    sleep(Duration::from_secs(60)).await;
+    expect_false!(waiting.is_finished());
+    log.set(Faults::default());
+    let committed = timeout(Duration::from_secs(5), waiting).await;
+    expect_that!(committed.expect("in time").expect("no panic"), ok(()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn records_beyond_the_capacity_are_refused() {
+    let log = FakeLog::open(1);
+    let (_cluster, running) = Cluster::open(&log, &["a", "b", "c"]);
+    log.set(down());
+    let mut tasks = JoinSet::new();
+    for number in 0..5100 {
+        let handle = running[0].0.clone();
+        tasks.spawn(async move { handle.commit(record(number)).await });
+    }
+    let results = tasks.join_all().await;
+    let refused = results.iter().filter(|result| **result == Err(Error::Full));
+    expect_that!(refused.count(), eq(100));
+}
