Add the load tool

Cause: the serving path has to be loaded and its answers checked. The binary moves into its own directory. Tokens of an engine are paced by due times, since the timer rounded each wait up. Conclusion: it was run against an engine in the place of an instance only, not yet against an instance.

--- a/standins/src/main.rs
+++ b/standins/src/bin/standin/serve.rs
@@ -1,4 +1,4 @@
-//! The command line of the stand-ins.
+//! Commands that serve a stand-in until they are told to end.
 
 use anyhow::{Context, Result};
 use argh::FromArgs;
@@ -10,16 +10,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
-/// Small fakes of the platform and the upstreams.
-#[derive(FromArgs)]
-struct Standin {
-    #[argh(subcommand)]
-    command: Command,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum Command {
+/// A stand-in to serve.
+pub(crate) enum Serve {
     Log(Log),
     Instances(Instances),
     Engine(Engine),
@@ -33,7 +25,7 @@
         $(#[$doc])*
         #[derive(FromArgs)]
         #[argh(subcommand, name = $name)]
-        struct $type {
+        pub(crate) struct $type {
             /// where it listens; port 0 stands for any free port
             #[argh(option, default = "any_port()")]
             address: SocketAddr,
@@ -71,7 +63,7 @@
 /// Serves a model engine.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "engine")]
-struct Engine {
+pub(crate) struct Engine {
     /// where it listens; port 0 stands for any free port
     #[argh(option, default = "any_port()")]
     address: SocketAddr,
@@ -144,21 +136,20 @@
     }};
 }
 
-async fn spawn(command: Command, cancel: &CancellationToken) -> Result<Handle> {
+async fn spawn(command: Serve, cancel: &CancellationToken) -> Result<Handle> {
     let handle = match command {
-        Command::Log(command) => spawn!(log, command, cancel),
-        Command::Instances(command) => spawn!(instances, command, cancel),
-        Command::Plain(command) => spawn!(plain, command, cancel),
-        Command::Rating(command) => spawn!(rating, command, cancel),
-        Command::Weights(command) => spawn!(weights, command, cancel),
-        Command::Engine(command) => engine::spawn(engine_options(command)?, cancel).await?,
+        Serve::Log(command) => spawn!(log, command, cancel),
+        Serve::Instances(command) => spawn!(instances, command, cancel),
+        Serve::Plain(command) => spawn!(plain, command, cancel),
+        Serve::Rating(command) => spawn!(rating, command, cancel),
+        Serve::Weights(command) => spawn!(weights, command, cancel),
+        Serve::Engine(command) => engine::spawn(engine_options(command)?, cancel).await?,
     };
     Ok(handle)
 }
 
-#[tokio::main]
-async fn main() -> Result<()> {
-    let command = argh::from_env::<Standin>().command;
+/// Serves until a signal asks to end.
+pub(crate) async fn run(command: Serve) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let cancel = CancellationToken::new();
     let handle = spawn(command, &cancel).await?;
--- a/standins/src/engine/job.rs
+++ b/standins/src/engine/job.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
 /// Time to read a byte of prompt that is not cached.
@@ -36,6 +37,8 @@
     /// Words after which the answer is cut off.
     cut: Option<usize>,
     prefill: Duration,
+    /// When the present step ends; steps follow without the timer's rounding between them.
+    pace: Instant,
     usage: Usage,
     _permit: Permit,
 }
@@ -85,6 +88,7 @@
             request: if crossed { other(&request) } else { request },
             stream: prompt.stream,
             cut,
+            pace: Instant::now(),
             prefill: PREFILL_PER_BYTE * read as u32,
             usage: Usage {
                 prompt: prompt.tokens(),
@@ -118,10 +122,10 @@
             slowdown *= COLD_SLOWDOWN;
         }
         if alone > Duration::ZERO {
-            let time = alone.mul_f64(slowdown);
+            self.pace += alone.mul_f64(slowdown);
             tokio::select! {
                 _ = self.falls.changed() => return Err(Dropped),
-                () = tokio::time::sleep(time) => {}
+                () = tokio::time::sleep_until(self.pace) => {}
             }
         }
         if self.falls.has_changed().unwrap_or(true) || self.engine.faults.get().down {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fault;
 pub mod instances;
 pub mod limiter;
+pub mod load;
 pub mod log;
 pub mod plain;
 pub mod rating;
--- /dev/null
+++ b/standins/src/load/report.rs
@@ -0,0 +1,316 @@
+//! What came of a run: counts, percentiles and the history of each request.
+
+use super::attempt::{Answer, Outcome};
+use super::workload::{Arrival, Class};
+use super::{Options, body_digest};
+use crate::engine::answer;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// Largest time that a histogram tells from larger ones, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+/// Decimal digits of the times in histograms.
+const DIGITS: u8 = 3;
+
+/// One request and what came of its sendings.
+#[derive(Clone, Debug, Serialize)]
+pub struct Exchange {
+    /// The name of its class.
+    pub class: Box<str>,
+    /// The organisation that asked.
+    pub organisation: Box<str>,
+    /// The service that was asked.
+    pub service: Box<str>,
+    /// Its idempotency key.
+    pub key: Option<Box<str>>,
+    /// Its session.
+    pub session: Option<usize>,
+    /// The hash of its body or question, by which upstreams tell what ran.
+    pub digest: Box<str>,
+    /// What came of each sending.
+    pub attempts: Vec<Outcome>,
+}
+
+impl Exchange {
+    pub(super) fn new(class: &Class, arrival: &Arrival, key: Option<Box<str>>, body: &str) -> Self {
+        let digest = match class.path {
+            Some(_) => body_digest(body),
+            None => answer::mark(&arrival.question()),
+        };
+        Self {
+            class: class.name.clone(),
+            organisation: arrival.organisation.clone(),
+            service: class.service.clone(),
+            key,
+            session: arrival.session,
+            digest,
+            attempts: Vec::new(),
+        }
+    }
+
+    pub(super) fn push(&mut self, outcome: Outcome) {
+        self.attempts.push(outcome);
+    }
+}
+
+/// Times of one kind.
+#[derive(Debug)]
+pub(super) struct Times(Histogram<u64>);
+
+impl Default for Times {
+    fn default() -> Self {
+        Self(Histogram::new_with_max(MAX_MICROS, DIGITS).expect("the bounds are valid"))
+    }
+}
+
+/// Percentiles of times, in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Percentiles {
+    /// How many times there were.
+    pub count: u64,
+    /// Half of them were at most this.
+    pub p50: f64,
+    /// 95 in 100 were at most this.
+    pub p95: f64,
+    /// 99 in 100 were at most this.
+    pub p99: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+impl Times {
+    pub(super) fn add(&mut self, time: Duration) {
+        self.0.saturating_record(time.as_micros() as u64);
+    }
+
+    pub(super) fn percentiles(&self) -> Percentiles {
+        let millis = |quantile| self.0.value_at_quantile(quantile) as f64 / 1000.0;
+        Percentiles {
+            count: self.0.len(),
+            p50: millis(0.5),
+            p95: millis(0.95),
+            p99: millis(0.99),
+            max: self.0.max() as f64 / 1000.0,
+        }
+    }
+}
+
+/// What came of the requests of one class.
+#[derive(Debug, Default)]
+struct Tally {
+    sent: u64,
+    answered: u64,
+    retried: u64,
+    quality: f64,
+    rated: u64,
+    /// Sendings that had no answer, by their kind and reason.
+    failures: BTreeMap<Box<str>, u64>,
+    first: Times,
+    whole: Times,
+    gaps: Times,
+}
+
+impl Tally {
+    fn add(&mut self, exchange: &Exchange) {
+        self.sent += 1;
+        self.retried += u64::from(exchange.attempts.len() > 1);
+        for attempt in &exchange.attempts {
+            match attempt {
+                Outcome::Answered(answer) => self.answer(answer),
+                Outcome::Refused { code, run, .. } => self.fail(&format!("{run} {code}")),
+                Outcome::Lost { reason, .. } => self.fail(&format!("lost: {reason}")),
+                Outcome::Wrong { reason, .. } => self.fail(&format!("WRONG: {reason}")),
+            }
+        }
+    }
+
+    fn answer(&mut self, answer: &Answer) {
+        self.answered += 1;
+        self.whole.add(answer.whole);
+        if let Some(first) = answer.first {
+            self.first.add(first);
+        }
+        for gap in &answer.gaps {
+            self.gaps.add(*gap);
+        }
+        if let Some(quality) = answer.quality {
+            self.quality += quality;
+            self.rated += 1;
+        }
+    }
+
+    fn fail(&mut self, reason: &str) {
+        *self.failures.entry(reason.into()).or_default() += 1;
+    }
+
+    fn summary(&self) -> Summary {
+        Summary {
+            sent: self.sent,
+            answered: self.answered,
+            retried: self.retried,
+            quality: (self.rated > 0).then(|| self.quality / self.rated as f64),
+            failures: self.failures.clone(),
+            first_ms: self.first.percentiles(),
+            gap_ms: self.gaps.percentiles(),
+            whole_ms: self.whole.percentiles(),
+        }
+    }
+}
+
+/// The summary of one class.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    /// Requests.
+    pub sent: u64,
+    /// Requests that got their whole answer.
+    pub answered: u64,
+    /// Requests that were sent more than once.
+    pub retried: u64,
+    /// Mean quality of the chat answers.
+    pub quality: Option<f64>,
+    /// Sendings without an answer, by kind and reason.
+    pub failures: BTreeMap<Box<str>, u64>,
+    /// From due to the first token of streams, in milliseconds.
+    pub first_ms: Percentiles,
+    /// Between tokens of streams, in milliseconds.
+    pub gap_ms: Percentiles,
+    /// From due to the end of the answer, in milliseconds.
+    pub whole_ms: Percentiles,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Report {
+    seed: u64,
+    seconds: f64,
+    classes: BTreeMap<Box<str>, Tally>,
+    exchanges: Vec<Exchange>,
+}
+
+#[derive(Serialize)]
+struct Json<'a> {
+    seed: u64,
+    seconds: f64,
+    classes: BTreeMap<&'a str, Summary>,
+    session_moves: usize,
+    requests: &'a [Exchange],
+}
+
+impl Report {
+    pub(super) fn new(options: &Options) -> Self {
+        Self {
+            seed: options.seed,
+            seconds: options.time.as_secs_f64(),
+            classes: BTreeMap::new(),
+            exchanges: Vec::new(),
+        }
+    }
+
+    pub(super) fn add(&mut self, exchange: Exchange) {
+        let class = self.classes.entry(exchange.class.clone()).or_default();
+        class.add(&exchange);
+        self.exchanges.push(exchange);
+    }
+
+    /// All requests.
+    pub fn exchanges(&self) -> &[Exchange] {
+        &self.exchanges
+    }
+
+    /// The summary of each class, by name.
+    pub fn summaries(&self) -> BTreeMap<&str, Summary> {
+        let mut summaries = BTreeMap::new();
+        for (name, tally) in &self.classes {
+            summaries.insert(&**name, tally.summary());
+        }
+        summaries
+    }
+
+    /// Sendings whose reply was no answer to them and no refusal either.
+    pub fn wrong(&self) -> usize {
+        let attempts = self
+            .exchanges
+            .iter()
+            .flat_map(|exchange| &exchange.attempts);
+        attempts
+            .filter(|attempt| matches!(attempt, Outcome::Wrong { .. }))
+            .count()
+    }
+
+    /// Sessions that got answers of more than one version.
+    pub fn session_moves(&self) -> usize {
+        let mut versions: Vec<(usize, &str)> = Vec::new();
+        for exchange in &self.exchanges {
+            for attempt in &exchange.attempts {
+                if let (Some(session), Outcome::Answered(answer)) = (exchange.session, attempt) {
+                    versions.push((session, &*answer.version));
+                }
+            }
+        }
+        versions.sort_unstable();
+        versions.dedup();
+        let answered = versions.len();
+        versions.dedup_by_key(|(session, _)| *session);
+        answered - versions.len()
+    }
+
+    /// The whole report as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the writer.
+    pub fn write_json(&self, writer: impl std::io::Write) -> serde_json::Result<()> {
+        let json = Json {
+            seed: self.seed,
+            seconds: self.seconds,
+            classes: self.summaries(),
+            session_moves: self.session_moves(),
+            requests: &self.exchanges,
+        };
+        serde_json::to_writer(writer, &json)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "seed {}, {} s, times in ms", self.seed, self.seconds)?;
+        writeln!(
+            f,
+            "{:<12} {:>6} {:>8} {:>7} {:>7} {:>19} {:>19} {:>19}",
+            "class",
+            "sent",
+            "answered",
+            "retried",
+            "quality",
+            "first p50/p95",
+            "gap p50/p95",
+            "whole p50/p95"
+        )?;
+        for (name, summary) in self.summaries() {
+            let quality = summary
+                .quality
+                .map_or("-".into(), |mean| format!("{mean:.3}"));
+            let Summary {
+                sent,
+                answered,
+                retried,
+                ..
+            } = summary;
+            write!(
+                f,
+                "{name:<12} {sent:>6} {answered:>8} {retried:>7} {quality:>7}"
+            )?;
+            for times in [summary.first_ms, summary.gap_ms, summary.whole_ms] {
+                write!(f, " {:>9.1}/{:>9.1}", times.p50, times.p95)?;
+            }
+            writeln!(f)?;
+            for (reason, count) in &summary.failures {
+                writeln!(f, "  {count:>6} {reason}")?;
+            }
+        }
+        write!(f, "sessions that changed version: {}", self.session_moves())
+    }
+}
