Check the history of a load against what ran and what was billed

Cause: answers alone don't show that a request ran at most once, that a refusal as not-run was true, or that each request was billed once. Change: standin check compares the load tool's report with the calls of the upstreams and the usage stream. Reads of the load tool have no body and a path that no other request has. Conclusion: each rule is shown to find its violation in a made-up history; it was not yet run on a history of the system itself.

--- a/standins/src/bin/standin/main.rs
+++ b/standins/src/bin/standin/main.rs
@@ -24,12 +24,14 @@
     Rating(serve::Rating),
     Weights(serve::Weights),
     Load(measure::Load),
+    Check(measure::Check),
 }
 
 #[tokio::main]
 async fn main() -> Result<()> {
     let command = match argh::from_env::<Standin>().command {
-        Command::Load(command) => return measure::run(command).await,
+        Command::Load(command) => return measure::load(command).await,
+        Command::Check(command) => return measure::check(command).await,
         Command::Log(command) => Serve::Log(command),
         Command::Instances(command) => Serve::Instances(command),
         Command::Engine(command) => Serve::Engine(command),
--- a/standins/src/bin/standin/measure.rs
+++ b/standins/src/bin/standin/measure.rs
@@ -2,8 +2,9 @@
 
 use anyhow::{Context, Result, ensure};
 use argh::FromArgs;
+use standins::check;
 use standins::load::workload::Workload;
-use standins::load::{self, pair};
+use standins::load::{Options, pair, run};
 use std::fs::File;
 use std::io::BufWriter;
 use std::net::SocketAddr;
@@ -58,13 +59,52 @@
     pairs: u32,
 }
 
+/// Checks the history of a load: what callers were told, what ran and what was billed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct Check {
+    /// file that load wrote by --json
+    #[argh(option)]
+    report: PathBuf,
+    /// an engine or plain service; may be given several times
+    #[argh(option)]
+    upstream: Vec<SocketAddr>,
+    /// the log
+    #[argh(option)]
+    log: SocketAddr,
+}
+
+/// Prints all violations as JSON lines and fails where there are any.
+pub(crate) async fn check(command: Check) -> Result<()> {
+    let path = command.report;
+    let report = std::fs::read(&path).with_context(|| format!("reading {}", path.display()))?;
+    let sources = check::Sources {
+        upstreams: command.upstream,
+        log: command.log,
+    };
+    let history = check::gather(&report, &sources).await?;
+    let violations = check::violations(&history);
+    for violation in &violations {
+        println!("{}", serde_json::to_string(violation)?);
+    }
+    println!(
+        "{} requests, {} calls, {} usage records, {} violations",
+        history.exchanges.len(),
+        history.calls.len(),
+        history.usage.len(),
+        violations.len()
+    );
+    ensure!(violations.is_empty(), "the history has violations");
+    Ok(())
+}
+
 /// Runs the load and fails where a reply was wrong.
-pub(crate) async fn run(command: Load) -> Result<()> {
+pub(crate) async fn load(command: Load) -> Result<()> {
     ensure!(!command.instance.is_empty(), "--instance is missing");
     if let Some(engine) = command.direct {
         return compare(command, engine).await;
     }
-    let options = load::Options {
+    let options = Options {
         workload: workload(&command.workload)?,
         instances: command.instance,
         seed: command.seed,
@@ -76,7 +116,7 @@
             _ => 0.5,
         },
     };
-    let report = load::run(options).await;
+    let report = run(options).await;
     println!("{report}");
     if let Some(path) = command.json {
         report.write_json(create(&path)?)?;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each fake speaks the protocol of `docs/PROTOCOLS.md`, keeps its state in memory and is started
 //! by `spawn` of its module, which returns a running [`server::Handle`].
 
+pub mod check;
 pub mod client;
 pub mod digest;
 pub mod engine;
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -13,6 +13,7 @@
 use crate::digest::digest;
 use crate::server;
 use attempt::{Attempt, Outcome};
+use hyper::Method;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use report::{Exchange, Report};
@@ -169,8 +170,11 @@
     parts.join("-").into()
 }
 
-/// The body of a request; the question alone where it is no chat.
+/// The body of a request; reads have none.
 fn body(class: &Class, arrival: &Arrival) -> Box<str> {
+    if class.method() == Method::GET {
+        return "".into();
+    }
     let question = arrival.question();
     if class.path.is_some() {
         return serde_json::json!({"order": question}).to_string().into();
--- a/standins/src/load/attempt.rs
+++ b/standins/src/load/attempt.rs
@@ -10,8 +10,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
-use hyper::{HeaderMap, Method, Request, Response};
-use serde::Serialize;
+use hyper::{HeaderMap, Request, Response};
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -39,7 +39,7 @@
 }
 
 /// What came of a sending.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "kebab-case")]
 pub enum Outcome {
     /// The whole answer to this request.
@@ -64,22 +64,24 @@
         /// The id that the instance gave the request, empty where no headers came.
         request: Box<str>,
         /// What came instead.
-        reason: &'static str,
+        reason: Box<str>,
     },
     /// A whole reply that is no answer to this request.
     Wrong {
         /// The id that the instance gave the request.
         request: Box<str>,
         /// What is wrong with it.
-        reason: &'static str,
+        reason: Box<str>,
     },
 }
 
 /// A whole answer.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Answer {
     /// The id that the instance gave the request.
     pub request: Box<str>,
+    /// The request that ran, which is another one where an earlier sending had run.
+    pub ran: Box<str>,
     /// The version that the answer names.
     pub version: Box<str>,
     /// The quality that the answer bears.
@@ -109,18 +111,13 @@
     }
 
     fn request(&self) -> Request<Full<Bytes>> {
-        let mut path = "/v1/chat/completions".to_owned();
-        let mut method = Method::POST;
-        if let Some(below) = &self.class.path {
-            path = format!("/services/{}{below}", self.class.service);
-            if below.ends_with('/') {
-                path.push_str(&self.arrival.number.to_string());
-                method = Method::GET;
-            }
-        }
+        let path = match self.class.below(self.arrival) {
+            Some(below) => format!("/services/{}{below}", self.class.service),
+            None => "/v1/chat/completions".to_owned(),
+        };
         let live = if self.class.live { "live" } else { "draft" };
         let mut request = Request::builder()
-            .method(method)
+            .method(self.class.method())
             .uri(format!("http://{}{path}", self.address))
             .header("content-type", "application/json")
             .header(
@@ -155,6 +152,7 @@
         }
         let token = reply.headers().get("x-session-token");
         let mut answer = Answer {
+            ran: id.clone(),
             request: id,
             token: token.and_then(|token| Some(token.to_str().ok()?.into())),
             ..Answer::default()
@@ -175,7 +173,7 @@
         self.check_chat(&body, answer)
     }
 
-    fn check_plain(&self, body: &Value, answer: Answer) -> Outcome {
+    fn check_plain(&self, body: &Value, mut answer: Answer) -> Outcome {
         let Ok(told) = serde_json::from_value::<plain::Answer>(body.clone()) else {
             return wrong(&answer.request, "the answer is no plain service's");
         };
@@ -189,9 +187,14 @@
         if self.key.is_none() && told.ran.request != answer.request {
             return wrong(&answer.request, "the answer names another request");
         }
+        let below = self.class.below(self.arrival).unwrap_or_default();
+        if *told.ran.path != format!("{} {below}", self.class.method()) {
+            return wrong(&answer.request, "the answer names another path");
+        }
         if told.digest != body_digest(self.body) {
             return wrong(&answer.request, "the answer is to another body");
         }
+        answer.ran = told.ran.request;
         Outcome::Answered(answer)
     }
 
@@ -218,14 +221,14 @@
 pub(super) fn lost(request: &str, reason: &'static str) -> Outcome {
     Outcome::Lost {
         request: request.into(),
-        reason,
+        reason: reason.into(),
     }
 }
 
 pub(super) fn wrong(request: &str, reason: &'static str) -> Outcome {
     Outcome::Wrong {
         request: request.into(),
-        reason,
+        reason: reason.into(),
     }
 }
 
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -5,7 +5,7 @@
 use super::{Options, body_digest};
 use crate::engine::answer;
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 const DIGITS: u8 = 3;
 
 /// One request and what came of its sendings.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Exchange {
     /// The name of its class.
     pub class: Box<str>,
@@ -28,6 +28,8 @@
     pub key: Option<Box<str>>,
     /// Its session.
     pub session: Option<usize>,
+    /// The path below its plain service, with the method; none for chat.
+    pub path: Option<Box<str>>,
     /// The hash of its body or question, by which upstreams tell what ran.
     pub digest: Box<str>,
     /// What came of each sending.
@@ -46,6 +48,9 @@
             service: class.service.clone(),
             key,
             session: arrival.session,
+            path: class
+                .below(arrival)
+                .map(|below| format!("{} {below}", class.method()).into()),
             digest,
             attempts: Vec::new(),
         }
--- a/standins/src/load/workload.rs
+++ b/standins/src/load/workload.rs
@@ -1,6 +1,7 @@
 //! What is asked, by whom and when.
 
 use super::Options;
+use hyper::Method;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
@@ -40,7 +41,8 @@
     pub name: Box<str>,
     /// The service that is asked.
     pub service: Box<str>,
-    /// The path below a plain service; a number is added after a trailing `/`. None is for chat.
+    /// The path below a plain service, none for chat. One that ends in `/` is for reads, which
+    /// have no body and get digits added that no other one has.
     pub path: Option<Box<str>>,
     /// Organisations that ask, each as often as the others.
     pub organisations: Vec<Box<str>>,
@@ -104,6 +106,25 @@
     }
 }
 
+impl Class {
+    /// The method of its requests.
+    pub fn method(&self) -> Method {
+        match &self.path {
+            Some(path) if path.ends_with('/') => Method::GET,
+            _ => Method::POST,
+        }
+    }
+
+    /// The path of a request below a plain service; none for chat.
+    pub fn below(&self, arrival: &Arrival) -> Option<Box<str>> {
+        let path = self.path.as_ref()?;
+        if path.ends_with('/') {
+            return Some(format!("{path}{:016x}", arrival.seed).into());
+        }
+        Some(path.clone())
+    }
+}
+
 impl Workload {
     /// Reads a workload.
     ///
