--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -125,7 +125,7 @@
         }
         let mut running = Vec::new();
         for state in &self.states {
-            let held = state.held.iter();
+            let held = state.slots.held.iter();
             running.extend(held.map(|held| (state.name.clone(), held.number)));
         }
         Some(Ceased {
@@ -424,13 +424,13 @@
         self.pools = Pools::new(&self.own, &config, &slotted);
         self.keep_states(now);
         for state in &mut self.states {
-            state.claims.clear();
+            state.slots.claims.clear();
         }
         for (id, owned) in claims {
             let Some(place) = self.places[id] else {
                 continue;
             };
-            self.states[place as usize].claims = owned;
+            self.states[place as usize].slots.claims = owned;
         }
     }
 
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -179,27 +179,12 @@
     }
 
     /// Whether a slot of a cold upstream is free, or the one that the ticket holds is still good.
-    ///
-    /// All requests of this instance there count, those from before it turned cold too.
     fn slot(&self, work: &Work, state: &State, ticket: Option<u64>) -> Result<Grant, Reason> {
-        if !self.views.fresh(self.now) {
-            return Err(Reason::Cold);
-        }
         if work.deadline.since(self.now) > self.views.bounds().run {
             return Err(Reason::Cold);
         }
-        let usable = |from: Moment| self.now >= from;
-        let owned = state.claims.iter().filter(|claim| usable(claim.from));
         let others = state.running - u32::from(ticket.is_some());
-        if others as usize >= owned.clone().count() {
-            return Err(Reason::Cold);
-        }
-        for claim in owned {
-            let holder = state.held.iter().find(|held| held.number == claim.number);
-            if holder.map(|held| held.ticket) == ticket {
-                return Ok(Grant::Cold { slot: claim.number });
-            }
-        }
-        Err(Reason::Cold)
+        let slot = state.slots.usable(self.views, others, ticket, self.now);
+        slot.map(|slot| Grant::Cold { slot }).ok_or(Reason::Cold)
     }
 }
--- a/crates/routing/src/slots.rs
+++ b/crates/routing/src/slots.rs
@@ -22,6 +22,7 @@
 use entity::Moment;
 use entity::name;
 use entity::time::Span;
+use std::sync::Arc;
 
 /// Times that all instances agree on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -69,19 +70,29 @@
 }
 
 /// The live instances, as one read of the instance list gave them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Members {
     /// The list's version; a list with a smaller one than seen before is ignored.
     pub version: u64,
-    /// Instances that are live and not leaving.
-    pub live: Vec<name::Instance>,
+    /// Instances that are live and not leaving, by name.
+    pub live: Arc<[name::Instance]>,
+}
+
+impl Members {
+    /// The members of a list in any order.
+    pub fn new(version: u64, mut live: Vec<name::Instance>) -> Self {
+        live.sort_unstable();
+        live.dedup();
+        let live = live.into();
+        Self { version, live }
+    }
 }
 
 /// One list, and from when to when an instance went by it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct View {
     begun: Moment,
-    live: Vec<name::Instance>,
+    live: Arc<[name::Instance]>,
 }
 
 /// What an instance that takes no slots any more says about its requests on slots.
@@ -93,6 +104,15 @@
     pub running: Vec<(name::Upstream, u32)>,
 }
 
+/// A slot in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Held {
+    /// The slot.
+    pub number: u32,
+    /// The choice that uses it.
+    pub ticket: u64,
+}
+
 /// An instance's claim to a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Claim {
@@ -150,7 +170,7 @@
 
     /// Takes in a list whose read began at `begun` and ended at `now`. Returns whether claims may
     /// have changed.
-    pub fn read(&mut self, mut members: Members, begun: Moment, now: Moment) -> bool {
+    pub fn read(&mut self, members: Members, begun: Moment, now: Moment) -> bool {
         debug_assert!(begun <= now);
         if members.version < self.version || self.read.is_some_and(|read| begun < read) {
             return false;
@@ -158,14 +178,12 @@
         // After a longer gap than agreed, lists that came and went in between are unknown.
         let gap = self
             .read
-            .is_none_or(|read| begun.since(read) > self.bounds.fresh);
+            .is_none_or(|read| now.since(read) > self.bounds.fresh);
         self.version = members.version;
         self.read = Some(begun);
-        members.live.sort_unstable();
-        members.live.dedup();
         if gap {
             self.views.clear();
-        } else if self.live() == members.live {
+        } else if self.live() == &*members.live {
             return false;
         }
         self.views.push(View {
@@ -241,7 +259,9 @@
             .map_or(0, |index| index + 1);
         let gained = self.views.get(first)?.begun;
         let earlier = &self.views[..first];
-        if self.vacated(key, earlier, upstream, number) {
+        // Requests of owners before the first of these views have ended by themselves.
+        let known = |view: &View| view.begun + self.bounds.run <= gained;
+        if earlier.first().is_some_and(known) && self.vacated(key, earlier, upstream, number) {
             return Some(gained + self.bounds.settled());
         }
         Some(gained + self.bounds.cleared())
@@ -250,17 +270,14 @@
     /// Whether all instances that could have a request on a slot have said that they have none.
     ///
     /// While this instance was on the list, only instances of higher weight can have owned the
-    /// slot. A view in which it was not on the list, or no earlier view at all, proves nothing.
+    /// slot. A view in which it was not on the list proves nothing.
     fn vacated(&self, key: u64, earlier: &[View], upstream: &name::Upstream, number: u32) -> bool {
-        if earlier.is_empty() {
-            return false;
-        }
         let own = hash::weight(key, hash::text(self.own.as_str()));
         for view in earlier {
             if view.live.binary_search(&self.own).is_err() {
                 return false;
             }
-            for instance in &view.live {
+            for instance in view.live.iter() {
                 if hash::weight(key, hash::text(instance.as_str())) <= own {
                     continue;
                 }
@@ -286,6 +303,56 @@
     }
 }
 
+/// An instance's slots of one upstream: its claims, and what runs there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Ledger {
+    /// Claims to slots, by number.
+    pub claims: Vec<Claim>,
+    /// Slots that requests of this instance run on, whether it has a claim to them still or not.
+    pub held: Vec<Held>,
+}
+
+impl Ledger {
+    /// A slot that a request may use now: a free one, or for a request with a ticket the one that
+    /// it holds.
+    ///
+    /// `others` counts all other requests of this instance on the upstream. Those from before it
+    /// turned cold hold no slot, but use up what it bears all the same.
+    pub fn usable(
+        &self,
+        views: &Views,
+        others: u32,
+        ticket: Option<u64>,
+        now: Moment,
+    ) -> Option<u32> {
+        if !views.fresh(now) {
+            return None;
+        }
+        let owned = self.claims.iter().filter(|claim| now >= claim.from);
+        if others as usize >= owned.clone().count() {
+            return None;
+        }
+        for claim in owned {
+            let holder = self.held.iter().find(|held| held.number == claim.number);
+            if holder.map(|held| held.ticket) == ticket {
+                return Some(claim.number);
+            }
+        }
+        None
+    }
+
+    /// Notes that a request uses a slot.
+    pub fn take(&mut self, number: u32, ticket: u64) {
+        assert!(self.held.iter().all(|held| held.number != number));
+        self.held.push(Held { number, ticket });
+    }
+
+    /// Notes that a request has ended.
+    pub fn free(&mut self, ticket: u64) {
+        self.held.retain(|held| held.ticket != ticket);
+    }
+}
+
 /// The owner of a key among live instances: the highest weight, the larger name on a tie.
 fn owner(key: u64, live: &[name::Instance]) -> Option<&name::Instance> {
     live.iter().max_by_key(|instance| {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -4,7 +4,7 @@
 use crate::filter::Grant;
 use crate::load::Load;
 use crate::query::Outcome;
-use crate::slots::Claim;
+use crate::slots::Ledger;
 use entity::Moment;
 use entity::name;
 use entity::time::Span;
@@ -44,15 +44,6 @@
     },
 }
 
-/// A slot in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Held {
-    /// The slot.
-    pub number: u32,
-    /// The choice that uses it.
-    pub ticket: u64,
-}
-
 /// What an instance knows about one upstream.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -60,10 +51,8 @@
     pub name: name::Upstream,
     /// Choices of this instance that are not finished.
     pub running: u32,
-    /// Slots that requests of this instance run on, whether it owns them still or not.
-    pub held: Vec<Held>,
-    /// Claims to slots.
-    pub claims: Vec<Claim>,
+    /// Its slots in cold start.
+    pub slots: Ledger,
     /// The circuit breaker.
     pub breaker: Breaker,
     /// Whether it reports its load; plain services don't.
@@ -86,8 +75,7 @@
             reports,
             known_since: now,
             running: 0,
-            held: Vec::new(),
-            claims: Vec::new(),
+            slots: Ledger::default(),
             breaker: Breaker::default(),
             load: None,
             running_at_load: 0,
@@ -230,11 +218,7 @@
         self.breaker.sent(now);
         self.running += 1;
         if let Grant::Cold { slot } = grant {
-            debug_assert!(self.held.iter().all(|held| held.number != slot));
-            self.held.push(Held {
-                number: slot,
-                ticket,
-            });
+            self.slots.take(slot, ticket);
         }
     }
 
@@ -250,7 +234,7 @@
         let light = f64::from(self.total()) < UNEXPLAINED * f64::from(limit);
         assert!(self.running > 0, "a choice ends once");
         self.running -= 1;
-        self.held.retain(|held| held.ticket != ticket);
+        self.slots.free(ticket);
         match outcome {
             Outcome::Done { first_token } => {
                 self.breaker.succeeded();
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -88,8 +88,7 @@
 }
 
 pub fn members(version: u64, live: &[usize]) -> Members {
-    let live = live.iter().map(|&index| instance(index)).collect();
-    Members { version, live }
+    Members::new(version, live.iter().map(|&index| instance(index)).collect())
 }
 
 pub fn balancer(config: &Config, seed: u64) -> Balancer {
