Queue requests fairly and trace reserves

Cause: under contention organisations have to get their shares, reserves have to return when their owner asks, and idle reserve has to be traced. Change: a bounded start-time fair queue that sheds at once, and accounts of idle and lent reserve by owner.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is pure: moments and seeds are arguments, and a [`Balancer`] is owned by one
 //! task, which passes on what it hears and asks for an upstream for each dispatch.
 
+pub mod admission;
 pub mod balancer;
 pub mod breaker;
 pub mod filter;
@@ -10,6 +11,7 @@
 pub mod load;
 pub mod pool;
 pub mod query;
+pub mod reserve;
 pub mod retry;
 pub mod score;
 pub mod slots;
--- /dev/null
+++ b/crates/routing/tests/admission.rs
@@ -0,0 +1,211 @@
+//! The queue is fair and bounded, reserves come first, and idle reserve is traced.
+
+mod common;
+
+use common::{START, instance, secs};
+use entity::{Moment, name};
+use googletest::prelude::*;
+use proptest::prelude::proptest;
+use routing::Priority;
+use routing::admission::{Cause, Entry, Queue};
+use routing::reserve::{self, Ledger};
+
+fn organisation(name: &str) -> name::Organisation {
+    name.parse().unwrap()
+}
+
+fn entry(item: u32) -> Entry<u32> {
+    Entry {
+        priority: Priority(1),
+        cost: 1,
+        deadline: START + secs(3600),
+        item,
+    }
+}
+
+/// Serves `count` requests and returns whose they were.
+fn serve(queue: &mut Queue<u32>, count: usize) -> Vec<Box<str>> {
+    let mut served = Vec::new();
+    for _ in 0..count {
+        let (name, ..) = queue.pop(START, |_, _| Some(())).unwrap();
+        served.push(name.as_str().into());
+    }
+    served
+}
+
+fn count(served: &[Box<str>], name: &str) -> usize {
+    served.iter().filter(|served| &***served == name).count()
+}
+
+#[gtest]
+fn service_is_shared_by_weight() {
+    let mut queue = Queue::new(1000);
+    let (large, small) = (organisation("large"), organisation("small"));
+    queue.set(&large, 3, 0);
+    queue.set(&small, 1, 0);
+    for item in 0..400 {
+        expect_that!(queue.push(&large, entry(item), START), none());
+    }
+    for item in 0..100 {
+        expect_that!(queue.push(&small, entry(item), START), none());
+    }
+    let served = serve(&mut queue, 100);
+    expect_that!(count(&served, "small"), all![ge(24), le(26)]);
+}
+
+#[gtest]
+fn an_idle_organisation_saves_up_nothing() {
+    let mut queue = Queue::new(1000);
+    let (busy, late) = (organisation("busy"), organisation("late"));
+    for item in 0..300 {
+        queue.push(&busy, entry(item), START);
+    }
+    serve(&mut queue, 100);
+    for item in 0..100 {
+        queue.push(&late, entry(item), START);
+    }
+    let served = serve(&mut queue, 100);
+    expect_that!(count(&served, "late"), all![ge(49), le(51)]);
+}
+
+#[gtest]
+fn a_full_queue_sheds_the_heaviest() {
+    let mut queue = Queue::new(10);
+    let (flood, other) = (organisation("flood"), organisation("other"));
+    for item in 0..10 {
+        expect_that!(queue.push(&flood, entry(item), START), none());
+    }
+    let shed = queue.push(&flood, entry(10), START).unwrap();
+    expect_that!((shed.entry.item, shed.cause), eq((10, Cause::Full)));
+    let shed = queue.push(&other, entry(99), START).unwrap();
+    expect_that!((shed.entry.item, shed.cause), eq((9, Cause::Full)));
+    expect_that!(shed.retry_after, ge(secs(1)));
+    expect_that!(queue.len(), eq(10));
+}
+
+#[gtest]
+fn what_would_be_late_is_shed_at_once() {
+    let mut queue = Queue::new(1000);
+    let one = organisation("one");
+    for item in 0..100 {
+        queue.push(&one, entry(item), START);
+    }
+    let mut now = START;
+    for _ in 0..50 {
+        now = now + secs(1);
+        queue.pop(now, |_, _| Some(())).unwrap();
+    }
+    let urgent = Entry {
+        deadline: now + secs(10),
+        ..entry(7)
+    };
+    let shed = queue.push(&one, urgent, now).unwrap();
+    expect_that!(shed.cause, eq(Cause::Late));
+}
+
+#[gtest]
+fn expired_requests_are_taken_out() {
+    let mut queue = Queue::new(10);
+    let one = organisation("one");
+    let soon = Entry {
+        deadline: START + secs(1),
+        ..entry(1)
+    };
+    queue.push(&one, soon, START);
+    queue.push(&one, entry(2), START);
+    expect_that!(queue.expire(START).len(), eq(0));
+    expect_that!(queue.expire(START + secs(1))[0].entry.item, eq(1));
+    expect_that!(queue.len(), eq(1));
+}
+
+#[gtest]
+fn the_urgent_come_first_within_an_organisation() {
+    let mut queue = Queue::new(10);
+    let one = organisation("one");
+    queue.push(&one, entry(1), START);
+    let urgent = Entry {
+        priority: Priority(0),
+        ..entry(2)
+    };
+    queue.push(&one, urgent, START);
+    let (_, first, ()) = queue.pop(START, |_, _| Some(())).unwrap();
+    expect_that!(first.item, eq(2));
+}
+
+#[gtest]
+fn a_reserve_returns_when_its_owner_asks() {
+    let mut queue = Queue::new(100);
+    let (owner, borrower) = (organisation("owner"), organisation("borrower"));
+    queue.set(&owner, 1, 2);
+    queue.set(&borrower, 100, 0);
+    for item in 0..50 {
+        queue.push(&borrower, entry(item), START);
+    }
+    serve(&mut queue, 10);
+    expect_that!(queue.passes(&borrower), eq(false));
+    expect_that!(queue.passes(&owner), eq(true));
+    for item in 0..3 {
+        queue.push(&owner, entry(item), START);
+    }
+    for expected in ["owner", "owner", "borrower"] {
+        let (name, ..) = queue.pop(START, |_, _| Some(())).unwrap();
+        expect_that!(name.as_str(), eq(expected));
+        queue.began(&name);
+    }
+}
+
+#[gtest]
+fn a_request_that_finds_no_place_keeps_its_turn() {
+    let mut queue = Queue::new(10);
+    let (one, two) = (organisation("one"), organisation("two"));
+    queue.push(&one, entry(1), START);
+    queue.push(&two, entry(2), START);
+    let placed = queue.pop(START, |name, _| (*name == two).then_some(()));
+    expect_that!(placed.unwrap().1.item, eq(2));
+    expect_that!(queue.pop(START, |_, _| None::<()>).is_none(), eq(true));
+    expect_that!(queue.len(), eq(1));
+}
+
+#[gtest]
+fn shares_of_a_reserve_add_up() {
+    let one = organisation("one");
+    let live: Vec<_> = (0..9).map(instance).collect();
+    for reserve in 0..30 {
+        let shares = live
+            .iter()
+            .map(|own| reserve::share(&one, reserve, own, &live));
+        expect_that!(shares.sum::<u32>(), eq(reserve));
+    }
+}
+
+#[gtest]
+fn idle_and_lent_reserve_are_traced_to_their_owner() {
+    let (owner, borrower) = (organisation("owner"), organisation("borrower"));
+    let mut ledger = Ledger::new(10, START);
+    ledger.set(&owner, 4, START);
+    for _ in 0..8 {
+        ledger.began(&borrower, START);
+    }
+    // Of ten, six are unreserved: two of the eight run on the owner's reserve of four.
+    let later = START + secs(10);
+    ledger.began(&owner, later);
+    let usage = ledger.usages(Moment(later.0))[1].clone();
+    expect_that!(usage.organisation, eq(&owner));
+    expect_that!((usage.lent, usage.idle), eq((20.0, 20.0)));
+}
+
+proptest! {
+    #[test]
+    fn the_bound_holds_and_nothing_is_lost(pushes in proptest::collection::vec((0..4usize, 0..3u8), 0..200)) {
+        let mut queue = Queue::new(20);
+        let (mut shed, mut pushed) = (0, 0);
+        for (index, priority) in pushes {
+            let name = organisation(["a", "b", "c", "d"][index]);
+            let priority = Priority(priority);
+            shed += usize::from(queue.push(&name, Entry { priority, ..entry(0) }, START).is_some());
+            pushed += 1;
+            assert!(queue.len() <= 20);
+        }
+        assert_eq!(queue.len() + shed, pushed);
+    }
+}
