--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -161,6 +161,7 @@
         falls: watch::Sender::new(0),
     };
     let engine = Arc::new(engine);
+    engine.push_report();
     let handle = server::spawn(Arc::clone(&engine), options.address, cancel).await?;
     tokio::spawn(load::sample(engine, cancel.clone()));
     Ok(handle)
--- a/standins/src/engine/job.rs
+++ b/standins/src/engine/job.rs
@@ -157,7 +157,13 @@
 
     fn streamed(self) -> Reply {
         let (frames, receiver) = mpsc::channel(BUFFERED_CHUNKS);
-        tokio::spawn(self.write(frames));
+        tokio::spawn(async move {
+            // A caller that has gone cancels the request, also in the middle of a token.
+            tokio::select! {
+                () = frames.closed() => {}
+                () = self.write(&frames) => {}
+            }
+        });
         let body: Body = StreamBody::new(ReceiverStream::new(receiver)).boxed_unsync();
         let mut reply = Response::new(body);
         reply
@@ -166,9 +172,8 @@
         reply
     }
 
-    /// Writes the stream; it ends early when the caller has gone, which is a cancellation.
-    async fn write(mut self, frames: Frames) {
-        let written = self.write_words(&frames).await;
+    async fn write(mut self, frames: &Frames) {
+        let written = self.write_words(frames).await;
         if written.is_err() {
             let _ = frames
                 .send(Err(io::Error::other("the answer is cut off")))
--- a/standins/src/engine/load.rs
+++ b/standins/src/engine/load.rs
@@ -55,6 +55,12 @@
 }
 
 impl Engine {
+    /// Takes a sample.
+    pub(super) fn push_report(&self) {
+        let report = self.report();
+        self.lock().reports.push(report);
+    }
+
     /// The load at this moment.
     pub(super) fn report(&self) -> Report {
         let (running, queued) = (self.batch.running(), self.batch.queued());
@@ -80,10 +86,7 @@
     loop {
         tokio::select! {
             () = cancel.cancelled() => return,
-            _ = ticks.tick() => {
-                let report = engine.report();
-                engine.lock().reports.push(report);
-            }
+            _ = ticks.tick() => engine.push_report(),
         }
     }
 }
