Test failures of whole processes with real signals

Change: tests/failures.rs (kill, freeze, shutdown, log outage, isolation, zone out, withdrawal, crossed and cut answers, spread of a text); the harness runs stand-ins inside of a test or as processes.

--- a/harness/src/bin/demo.rs
+++ b/harness/src/bin/demo.rs
@@ -1,7 +1,7 @@
 //! Runs the main job: a system of processes, requests of both first users, edits of the text.
 
 use anyhow::{Context, Result, ensure};
-use harness::{Binaries, Http, Response, System, key};
+use harness::{Http, Response, Stage, System, key};
 use hyper::Method;
 use std::path::PathBuf;
 
@@ -9,8 +9,10 @@
 async fn main() -> Result<()> {
     let text = std::fs::read_to_string("examples/demo.ini").context("examples/demo.ini")?;
     let folder = PathBuf::from(std::env::args().nth(1).context("usage: demo FOLDER")?);
-    let binaries = Binaries::beside(&std::env::current_exe()?);
-    let mut system = System::start(binaries, &text, &folder).await?;
+    let own = std::env::current_exe()?;
+    let programs = own.parent().context("programs are in a folder")?;
+    let stage = Stage::Processes(programs.join("standin"));
+    let mut system = System::start(&stage, &programs.join("citrontrack"), &text, &folder).await?;
     for _ in 0..3 {
         system.start_instance().await?;
     }
--- a/harness/src/lib.rs
+++ b/harness/src/lib.rs
@@ -6,4 +6,4 @@
 
 pub use http::{Http, Response};
 pub use process::{Process, Signal};
-pub use system::{Binaries, Instance, System, key};
+pub use system::{Instance, Stage, Standin, System, key};
--- a/harness/src/system.rs
+++ b/harness/src/system.rs
@@ -2,14 +2,18 @@
 
 use crate::process::Process;
 use anyhow::{Context, Result, ensure};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 use standins::client::Client;
+use standins::server::Handle;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::process::Command;
+use tokio_util::sync::CancellationToken;
 
 /// Longest wait for something that takes seconds.
 const LIMIT: Duration = Duration::from_secs(30);
@@ -25,26 +29,128 @@
 /// Quality of answers of large versions, from 0 to 1.
 const LARGE_SKILL: f64 = 0.97;
 
-/// The programs to start.
+/// How stand-ins run.
 #[derive(Clone, Debug)]
-pub struct Binaries {
-    /// `citrontrack`.
-    pub citrontrack: PathBuf,
-    /// `standin`.
-    pub standin: PathBuf,
+pub enum Stage {
+    /// As processes of their own, by the program `standin`.
+    Processes(PathBuf),
+    /// Inside of this process.
+    Inside,
 }
 
-impl Binaries {
-    /// Those in the folder of a built program.
-    pub fn beside(program: &Path) -> Self {
-        let folder = program.parent().unwrap_or(Path::new("."));
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Standin {
+    /// What it is called.
+    pub name: Box<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    process: Option<Process>,
+    _handle: Option<Handle>,
+}
+
+impl Standin {
+    async fn process(program: &Path, name: &str, arguments: &[&str]) -> Result<Self> {
+        let process = Process::spawn(name, program, arguments).await?;
+        let address = process.address("listening")?;
+        Ok(Self {
+            name: name.into(),
+            address,
+            process: Some(process),
+            _handle: None,
+        })
+    }
+
+    fn inside(name: &str, handle: Handle) -> Self {
+        let address = handle.address;
         Self {
-            citrontrack: folder.join("citrontrack"),
-            standin: folder.join("standin"),
+            name: name.into(),
+            address,
+            process: None,
+            _handle: Some(handle),
         }
     }
 }
 
+impl Stage {
+    async fn log(&self, cancel: &CancellationToken) -> Result<Standin> {
+        match self {
+            Self::Processes(program) => Standin::process(program, "log", &["log"]).await,
+            Self::Inside => {
+                let handle = standins::log::spawn(Default::default(), cancel).await?;
+                Ok(Standin::inside("log", handle))
+            }
+        }
+    }
+
+    async fn list(&self, cancel: &CancellationToken) -> Result<Standin> {
+        match self {
+            Self::Processes(program) => Standin::process(program, "list", &["instances"]).await,
+            Self::Inside => {
+                let handle = standins::instances::spawn(Default::default(), cancel).await?;
+                Ok(Standin::inside("list", handle))
+            }
+        }
+    }
+
+    async fn rating(&self, cancel: &CancellationToken) -> Result<Standin> {
+        match self {
+            Self::Processes(program) => Standin::process(program, "rating", &["rating"]).await,
+            Self::Inside => {
+                let handle = standins::rating::spawn(Default::default(), cancel).await?;
+                Ok(Standin::inside("rating", handle))
+            }
+        }
+    }
+
+    async fn plain(&self, name: &str, cancel: &CancellationToken) -> Result<Standin> {
+        match self {
+            Self::Processes(program) => Standin::process(program, name, &["plain"]).await,
+            Self::Inside => {
+                let handle = standins::plain::spawn(Default::default(), cancel).await?;
+                Ok(Standin::inside(name, handle))
+            }
+        }
+    }
+
+    async fn engine(
+        &self,
+        name: &str,
+        versions: &[&str],
+        cancel: &CancellationToken,
+    ) -> Result<Standin> {
+        let skills = versions.iter().map(|version| (*version, skill(version)));
+        match self {
+            Self::Processes(program) => {
+                let mut arguments = vec!["engine".to_owned()];
+                for (version, skill) in skills {
+                    arguments.push("--version".to_owned());
+                    arguments.push(format!("{version}={skill}"));
+                }
+                let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+                Standin::process(program, name, &arguments).await
+            }
+            Self::Inside => {
+                let mut options = standins::engine::Options::default();
+                options.versions = versions.iter().map(|version| (*version).into()).collect();
+                let skills = skills.map(|(version, skill)| (version.into(), skill));
+                options.faults.skill = skills.collect();
+                let handle = standins::engine::spawn(options, cancel).await?;
+                Ok(Standin::inside(name, handle))
+            }
+        }
+    }
+}
+
+/// The quality of a version's answers, from 0 to 1.
+fn skill(version: &str) -> f64 {
+    if version.contains("-small/") {
+        SMALL_SKILL
+    } else {
+        LARGE_SKILL
+    }
+}
+
 /// A running instance.
 #[derive(Debug)]
 pub struct Instance {
@@ -61,17 +167,18 @@
 /// Everything that runs.
 #[derive(Debug)]
 pub struct System {
-    binaries: Binaries,
+    program: PathBuf,
     folder: PathBuf,
+    cancel: CancellationToken,
     client: Client,
     /// The stand-in of the platform's log.
-    pub log: Process,
+    pub log: Standin,
     /// The stand-in of the instance list.
-    pub list: Process,
+    pub list: Standin,
     /// The stand-in of the rating service.
-    pub rating: Process,
+    pub rating: Standin,
     /// The stand-ins of upstreams, in the order of their ports in the demo configuration.
-    pub upstreams: Vec<Process>,
+    pub upstreams: Vec<Standin>,
     /// The instances.
     pub instances: Vec<Instance>,
     /// The configuration text as it was last published.
@@ -86,35 +193,26 @@
     format!("demo-key-{organisation}")
 }
 
-async fn standin(binaries: &Binaries, name: &str, arguments: &[&str]) -> Result<Process> {
-    Process::spawn(name, &binaries.standin, arguments).await
-}
-
-async fn start_upstreams(binaries: &Binaries, text: &str) -> Result<Vec<Process>> {
+async fn start_upstreams(
+    stage: &Stage,
+    text: &str,
+    cancel: &CancellationToken,
+) -> Result<Vec<Standin>> {
     let mut upstreams = Vec::new();
     for section in text
         .split("\n[")
         .filter(|section| section.starts_with("upstream "))
     {
         let name = section.split(']').next().unwrap_or_default();
+        let name = name.trim_start_matches("upstream ");
         let versions = section
             .lines()
             .find_map(|line| line.strip_prefix("versions = "));
         let upstream = match versions {
-            None => standin(binaries, name, &["plain"]).await?,
+            None => stage.plain(name, cancel).await?,
             Some(versions) => {
-                let mut arguments = vec!["engine".to_owned()];
-                for version in versions.split(", ") {
-                    let skill = if version.contains("-small/") {
-                        SMALL_SKILL
-                    } else {
-                        LARGE_SKILL
-                    };
-                    arguments.push("--version".to_owned());
-                    arguments.push(format!("{version}={skill}"));
-                }
-                let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-                standin(binaries, name, &arguments).await?
+                let versions: Vec<&str> = versions.split(", ").collect();
+                stage.engine(name, &versions, cancel).await?
             }
         };
         upstreams.push(upstream);
@@ -123,13 +221,13 @@
 }
 
 /// Puts the addresses of the stand-ins into the text, in the order of its upstreams.
-fn place(text: &str, upstreams: &[Process]) -> Result<String> {
+fn place(text: &str, upstreams: &[Standin]) -> Result<String> {
     let mut placed = String::new();
     let mut next = upstreams.iter();
     for line in text.lines() {
         if line.starts_with("address = ") {
             let upstream = next.next().context("fewer stand-ins than upstreams")?;
-            placed.push_str(&format!("address = {}\n", upstream.address("listening")?));
+            placed.push_str(&format!("address = {}\n", upstream.address));
             continue;
         }
         placed.push_str(line);
@@ -144,16 +242,18 @@
     /// # Errors
     ///
     /// One of them did not start.
-    pub async fn start(binaries: Binaries, text: &str, folder: &Path) -> Result<Self> {
+    pub async fn start(stage: &Stage, program: &Path, text: &str, folder: &Path) -> Result<Self> {
         std::fs::create_dir_all(folder)?;
-        let log = standin(&binaries, "log", &["log"]).await?;
-        let list = standin(&binaries, "instances", &["instances"]).await?;
-        let rating = standin(&binaries, "rating", &["rating"]).await?;
-        let upstreams = start_upstreams(&binaries, text).await?;
+        let cancel = CancellationToken::new();
+        let log = stage.log(&cancel).await?;
+        let list = stage.list(&cancel).await?;
+        let rating = stage.rating(&cancel).await?;
+        let upstreams = start_upstreams(stage, text, &cancel).await?;
         let text = place(text, &upstreams)?;
         Ok(Self {
-            binaries,
+            program: program.to_owned(),
             folder: folder.to_owned(),
+            cancel,
             client: Client::default(),
             log,
             list,
@@ -183,9 +283,9 @@
              [rating]\naddress = {}\n\
              [timeline]\npath = {}\n\
              [limits]\nisolation = 4s\ndrain = 20s\n",
-            self.log.address("listening")?,
-            self.list.address("listening")?,
-            self.rating.address("listening")?,
+            self.log.address,
+            self.list.address,
+            self.rating.address,
             events.display(),
         ))
     }
@@ -203,7 +303,7 @@
         let settings = self.folder.join(format!("{name}.ini"));
         std::fs::write(&settings, self.settings(&name, zone, &events)?)?;
         let path = settings.to_str().context("a path in UTF-8")?;
-        let program = &self.binaries.citrontrack;
+        let program = &self.program;
         let process = Process::spawn(&name, program, &["serve", "--settings", path]).await?;
         let entry = json!({
             "zone": zone.0,
@@ -228,7 +328,7 @@
     ///
     /// The list can't be reached.
     pub async fn put_on_list(&self, name: &str, entry: &Value) -> Result<()> {
-        let list = self.list.address("listening")?;
+        let list = self.list.address;
         let path = format!("/instances/{name}");
         let (status, _) = self
             .client
@@ -244,7 +344,7 @@
     ///
     /// The list can't be reached.
     pub async fn take_off_list(&self, name: &str) -> Result<()> {
-        let list = self.list.address("listening")?;
+        let list = self.list.address;
         let path = format!("/instances/{name}");
         self.client
             .call(hyper::Method::DELETE, list, &path, &Value::Null)
@@ -257,10 +357,10 @@
     /// # Errors
     ///
     /// It can't be reached, or does not know a switch.
-    pub async fn fault(&self, standin: &Process, faults: &Value) -> Result<()> {
-        let address = standin.address("listening")?;
+    pub async fn fault(&self, standin: &Standin, faults: &Value) -> Result<()> {
+        let address = standin.address;
         let (status, body) = self.client.post(address, "/faults", faults).await?;
-        ensure!(status == 200, "{} answered {status} {body}", standin.name());
+        ensure!(status == 200, "{} answered {status} {body}", standin.name);
         Ok(())
     }
 
@@ -269,8 +369,8 @@
     /// # Errors
     ///
     /// It can't be reached.
-    pub async fn read(&self, standin: &Process, path: &str) -> Result<Value> {
-        let (_, body) = self.client.get(standin.address("listening")?, path).await?;
+    pub async fn read(&self, standin: &Standin, path: &str) -> Result<Value> {
+        let (_, body) = self.client.get(standin.address, path).await?;
         Ok(body)
     }
 
@@ -293,7 +393,7 @@
     ///
     /// It did not start.
     pub async fn command(&self, arguments: &[&str], input: &str) -> Result<(i32, String)> {
-        let mut child = Command::new(&self.binaries.citrontrack)
+        let mut child = Command::new(&self.program)
             .args(arguments)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
@@ -314,6 +414,17 @@
     ///
     /// It was rejected, or not in force everywhere in time.
     pub async fn publish(&mut self, text: &str) -> Result<u64> {
+        let generation = self.append_text(text).await?;
+        self.wait_in_force(generation).await?;
+        Ok(generation)
+    }
+
+    /// Appends a text to the log, edited from the one in force, and returns its generation.
+    ///
+    /// # Errors
+    ///
+    /// The log did not take it.
+    pub async fn append_text(&mut self, text: &str) -> Result<u64> {
         let base = self.generation;
         let record = json!({
             "record": "publication",
@@ -323,7 +434,7 @@
             "author": "harness",
             "text": text,
         });
-        let log = self.log.address("listening")?;
+        let log = self.log.address;
         let (status, body) = self
             .client
             .post(log, "/streams/config/records", &record)
@@ -332,7 +443,6 @@
         let generation = body["offset"].as_u64().context("the log gives an offset")?;
         self.generation = generation;
         self.text = text.to_owned();
-        self.wait_in_force(generation).await?;
         Ok(generation)
     }
 
@@ -409,8 +519,41 @@
             .into_iter()
             .chain([self.log, self.list, self.rating])
         {
-            standin.stop().await?;
+            if let Some(process) = standin.process {
+                process.stop().await?;
+            }
         }
+        self.cancel.cancel();
         Ok(())
     }
+
+    /// The upstream of a name.
+    ///
+    /// # Panics
+    ///
+    /// There is none.
+    pub fn upstream(&self, name: &str) -> &Standin {
+        let found = self
+            .upstreams
+            .iter()
+            .find(|upstream| &*upstream.name == name);
+        found.unwrap_or_else(|| panic!("the configuration has the upstream {name}"))
+    }
+
+    /// All entries of a stream of the log that are batches, in order.
+    ///
+    /// # Errors
+    ///
+    /// The log can't be read.
+    pub async fn entries(&self, stream: &str) -> Result<Vec<Value>> {
+        let path = format!("/streams/{stream}/records?from=1&limit=100000&wait_ms=0");
+        let page = self.read(&self.log, &path).await?;
+        let mut entries = Vec::new();
+        for record in page["records"].as_array().context("a page has records")? {
+            let data = STANDARD.decode(record["data"].as_str().unwrap_or_default())?;
+            let batch: Vec<Value> = serde_json::from_slice(&data)?;
+            entries.extend(batch);
+        }
+        Ok(entries)
+    }
 }
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,447 @@
+//! Failures of whole processes, caused by real signals and by faults of the stand-ins.
+//!
+//! The stand-ins run inside of the test, the instances as processes of their own.
+
+use anyhow::{Context, Result, ensure};
+use googletest::prelude::*;
+use harness::{Http, Response, Signal, Stage, System, key};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Longest wait for something that takes seconds.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Time between two looks.
+const PAUSE: Duration = Duration::from_millis(100);
+
+async fn system(test: &str, instances: usize) -> Result<System> {
+    let text = std::fs::read_to_string("examples/demo.ini")?;
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let _ = std::fs::remove_dir_all(&folder);
+    let program = Path::new(env!("CARGO_BIN_EXE_citrontrack"));
+    let mut system = System::start(&Stage::Inside, program, &text, &folder).await?;
+    for _ in 0..instances {
+        system.start_instance().await?;
+    }
+    let text = system.text.clone();
+    system.publish(&text).await?;
+    for instance in 0..instances {
+        let what = "all instances to be listed";
+        let all = |status: &Value| status["listed"].as_u64() == Some(instances as u64);
+        system.wait_for(instance, what, all).await?;
+    }
+    Ok(system)
+}
+
+fn uuid(number: u64) -> String {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis();
+    format!(
+        "{:08x}-{:04x}-7000-8000-{number:012x}",
+        now >> 16,
+        now & 0xffff
+    )
+}
+
+/// A rollover with a key, as the given sending of it.
+async fn rollover(
+    system: &System,
+    instance: usize,
+    key_text: &str,
+    sending: u32,
+) -> Result<Response> {
+    let http = Http::new(&key("vermeulen-gent"));
+    let sending = sending.to_string();
+    let headers = [
+        ("idempotency-key", key_text),
+        ("idempotency-attempt", &sending),
+    ];
+    let path = "/services/deposits/rollovers";
+    let caller = system.instances[instance].caller;
+    http.send(Method::POST, caller, path, &headers, r#"{"file":7}"#)
+        .await
+}
+
+/// How often the service ran a key.
+async fn runs(system: &System, key_text: &str) -> Result<u64> {
+    let calls = system.read(system.upstream("deposits-1"), "/calls").await?;
+    let calls = calls.as_array().context("calls are a list")?;
+    let of_key = calls.iter().filter(|call| call["key"] == key_text);
+    Ok(of_key.filter_map(|call| call["count"].as_u64()).sum())
+}
+
+/// Request ids on the usage stream.
+async fn billed(system: &System) -> Result<Vec<String>> {
+    let mut ids = Vec::new();
+    for entry in system.entries("usage").await? {
+        if let Some(id) = entry["request"]["request"].as_str() {
+            ids.push(id.to_owned());
+        }
+    }
+    ids.sort();
+    Ok(ids)
+}
+
+async fn wait_billed(system: &System, wanted: &[String]) -> Result<Vec<String>> {
+    let end = Instant::now() + LIMIT;
+    loop {
+        let billed = billed(system).await?;
+        if wanted.iter().all(|id| billed.binary_search(id).is_ok()) {
+            return Ok(billed);
+        }
+        ensure!(
+            Instant::now() < end,
+            "waited for {wanted:?} to be billed: {billed:?}"
+        );
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Edits the published text.
+fn edited(system: &System, section: &str, from: &str, to: &str) -> String {
+    let (before, rest) = system
+        .text
+        .split_once(section)
+        .expect("the text has the section");
+    let rest = rest.replacen(from, to, 1);
+    format!("{before}{section}{rest}")
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_holder_leaves_at_most_one_run() -> Result<()> {
+    let system = system("killed-holder", 2).await?;
+    let deposits = system.upstream("deposits-1");
+    system.fault(deposits, &json!({ "delay_ms": 1500 })).await?;
+    let id = uuid(1);
+    let call = rollover(&system, 0, &id, 1);
+    let kill = async {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        system.instances[0].process.signal(Signal::Kill)
+    };
+    let (first, killed) = tokio::join!(call, kill);
+    killed?;
+    expect_that!(
+        first,
+        err(anything()),
+        "the caller of a killed instance gets no answer"
+    );
+    system.fault(deposits, &json!({ "delay_ms": 0 })).await?;
+    for sending in 2..5 {
+        let again = rollover(&system, 1, &id, sending).await?;
+        expect_that!(again.status.as_u16(), eq(409), "{}", again.text());
+        expect_that!(again.run(), eq("may-have-run"));
+    }
+    expect_that!(runs(&system, &id).await?, le(1));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_holder_does_not_run_again_when_it_goes_on() -> Result<()> {
+    let system = system("frozen-holder", 2).await?;
+    // The log answers slowly, so that the holder is frozen between its claim and its dispatch.
+    system
+        .fault(&system.log, &json!({ "delay_ms": 300 }))
+        .await?;
+    let id = uuid(2);
+    let call = rollover(&system, 0, &id, 1);
+    let freeze = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        system.instances[0].process.signal(Signal::Stop)?;
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        system.fault(&system.log, &json!({ "delay_ms": 0 })).await?;
+        let again = rollover(&system, 1, &id, 2).await?;
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        system.instances[0].process.signal(Signal::Continue)?;
+        Ok::<_, anyhow::Error>(again)
+    };
+    let (first, again) = tokio::join!(call, freeze);
+    let (first, again) = (first?, again?);
+    let runs = runs(&system, &id).await?;
+    expect_that!(runs, le(1), "{} / {}", first.text(), again.text());
+    for response in [&first, &again] {
+        if response.run() == "not-run" {
+            expect_that!(runs, eq(0), "a refusal that says not-run is true");
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_outage_stops_bookings_at_once_and_nothing_else() -> Result<()> {
+    let system = system("log-outage", 3).await?;
+    let done = rollover(&system, 0, &uuid(3), 1).await?;
+    expect_that!(done.status.as_u16(), eq(200), "{}", done.text());
+    system.fault(&system.log, &json!({ "down": true })).await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let id = uuid(4);
+    let began = Instant::now();
+    let first = rollover(&system, 1, &id, 1).await?;
+    expect_that!(first.run(), eq("not-run"), "{}", first.text());
+    expect_that!(first.header("retry-after"), not(eq("")));
+    let second = rollover(&system, 2, &id, 2).await?;
+    expect_that!(second.run(), eq("may-have-run"), "{}", second.text());
+    expect_that!(began.elapsed(), lt(LIMIT));
+    let mut answered = Vec::new();
+    let http = Http::new(&key("wadi-clinics"));
+    for instance in [0, 1, 2] {
+        for stream in [false, true] {
+            let caller = system.instances[instance].caller;
+            let answer = http
+                .chat(caller, "advisory", stream, &[], "Is my tap safe?")
+                .await?;
+            expect_that!(answer.status.as_u16(), eq(200), "{}", answer.text());
+            answered.push(answer.header("x-request-id").to_owned());
+        }
+    }
+    expect_that!(runs(&system, &id).await?, eq(0));
+    system.fault(&system.log, &json!({ "down": false })).await?;
+    let billed = wait_billed(&system, &answered).await?;
+    for id in &answered {
+        let copies = billed.iter().filter(|other| *other == id).count();
+        expect_that!(copies, eq(1), "{id}");
+    }
+    system.stop().await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_of_an_instance_killed_in_a_log_outage_is_billed_once() -> Result<()> {
+    let system = system("killed-in-outage", 3).await?;
+    system.fault(&system.log, &json!({ "down": true })).await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let http = Http::new(&key("vermeulen-gent"));
+    let mut answered = Vec::new();
+    for _ in 0..4 {
+        let caller = system.instances[0].caller;
+        let answer = http
+            .chat(caller, "advice", false, &[], "Renew at what rate?")
+            .await?;
+        expect_that!(answer.status.as_u16(), eq(200), "{}", answer.text());
+        answered.push(answer.header("x-request-id").to_owned());
+    }
+    system.instances[0].process.signal(Signal::Kill)?;
+    system.take_off_list("entry-1").await?;
+    system.fault(&system.log, &json!({ "down": false })).await?;
+    wait_billed(&system, &answered).await?;
+    // Copies are dropped by the fold; here each has to be there, for the right organisation.
+    for entry in system.entries("usage").await? {
+        let record = &entry["request"];
+        let id = record["request"].as_str().unwrap_or_default().to_owned();
+        if answered.contains(&id) {
+            expect_that!(record["organisation"].as_str(), some(eq("vermeulen-gent")));
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_cuts_off_no_stream() -> Result<()> {
+    let mut system = system("shutdown", 2).await?;
+    for engine in ["advisory-1", "advisory-2"] {
+        system
+            .fault(system.upstream(engine), &json!({ "token_ms": 100.0 }))
+            .await?;
+    }
+    let caller = system.instances[0].caller;
+    let mut streams = tokio::task::JoinSet::new();
+    for _ in 0..4 {
+        streams.spawn(async move {
+            let http = Http::new(&key("wadi-clinics"));
+            http.chat(caller, "advisory", true, &[], "What is my advisory?")
+                .await
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    system.instances[0].process.signal(Signal::Terminate)?;
+    let mut answered = Vec::new();
+    while let Some(stream) = streams.join_next().await {
+        let answer = stream??;
+        expect_that!(answer.text(), ends_with("data: [DONE]\n\n"));
+        answered.push(answer.header("x-request-id").to_owned());
+    }
+    let ended = system.instances[0].process.wait().await?;
+    expect_that!(ended.code(), some(eq(0)));
+    wait_billed(&system, &answered).await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_version_gets_no_new_work_and_moves_its_sessions() -> Result<()> {
+    let mut system = system("withdrawn", 2).await?;
+    let http = Http::new(&key("vermeulen-namur"));
+    let ask = async |system: &System, instance: usize, token: &str| {
+        let caller = system.instances[instance].caller;
+        let mut headers = vec![("x-session-id", "file-1")];
+        if !token.is_empty() {
+            headers.push(("x-session-token", token));
+        }
+        http.chat(caller, "advice", false, &headers, "Renew at what rate?")
+            .await
+    };
+    let first = ask(&system, 0, "").await?;
+    let version = first.json()["model"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    let token = first.header("x-session-token").to_owned();
+    for instance in [1, 0, 1] {
+        let kept = ask(&system, instance, &token).await?;
+        expect_that!(kept.json()["model"].as_str(), some(eq(&*version)));
+        let by_id = ask(&system, instance, "").await?;
+        expect_that!(by_id.json()["model"].as_str(), some(eq(&*version)));
+    }
+    let section = format!("[version {version}]");
+    let text = edited(&system, &section, "price-in", "state = withdrawn\nprice-in");
+    let text = if version == "advice-large/3" {
+        // A roll-out may not begin from a version that is withdrawn.
+        text.split("\n[rollout")
+            .next()
+            .unwrap_or_default()
+            .to_owned()
+    } else {
+        text
+    };
+    system.publish(&text).await?;
+    for instance in [0, 1] {
+        let moved = ask(&system, instance, &token).await?;
+        expect_that!(moved.status.as_u16(), eq(200), "{}", moved.text());
+        expect_that!(moved.json()["model"].as_str(), some(not(eq(&*version))));
+        expect_that!(moved.header("x-session-moved"), eq("true"));
+    }
+    system.stop().await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_that_is_out_and_a_leaving_upstream_get_no_new_work() -> Result<()> {
+    let mut system = system("zone-out", 2).await?;
+    let http = Http::new(&key("wadi-clinics"));
+    let text = edited(&system, "[zone amman-a]", "region", "state = out\nregion");
+    system.publish(&text).await?;
+    let before = system.read(system.upstream("advisory-1"), "/calls").await?;
+    for call in 0..10 {
+        let caller = system.instances[call % 2].caller;
+        let answer = http
+            .chat(caller, "advisory", call % 3 == 0, &[], "Boil or not?")
+            .await?;
+        expect_that!(answer.status.as_u16(), eq(200), "{}", answer.text());
+    }
+    expect_that!(
+        system.read(system.upstream("advisory-1"), "/calls").await?,
+        eq(&before)
+    );
+    let text = edited(
+        &system,
+        "[upstream advisory-2]",
+        "zone",
+        "state = leaving\nzone",
+    );
+    system.publish(&text).await?;
+    let refused = http
+        .chat(system.instances[0].caller, "advisory", false, &[], "?")
+        .await?;
+    expect_that!(refused.run(), eq("not-run"), "{}", refused.text());
+    expect_that!(refused.header("retry-after"), not(eq("")));
+    system.stop().await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_and_ones_own_or_a_clear_error() -> Result<()> {
+    let system = system("answers", 1).await?;
+    for (engine, fault) in [("advisory-1", "wrong_id"), ("advisory-2", "end_early")] {
+        system
+            .fault(system.upstream(engine), &json!({ fault: 0.3 }))
+            .await?;
+    }
+    let http = Http::new(&key("wadi-clinics"));
+    let caller = system.instances[0].caller;
+    let (mut whole, mut refused) = (0, 0);
+    for call in 0..30 {
+        // A circuit that opened after failures closes again between two calls.
+        tokio::time::sleep(PAUSE).await;
+        let stream = call % 2 == 0;
+        let Ok(answer) = http
+            .chat(caller, "advisory", stream, &[], "Boil or not?")
+            .await
+        else {
+            // A stream that broke off after its first events: its connection was cut.
+            refused += 1;
+            continue;
+        };
+        let id = answer.header("x-request-id").to_owned();
+        if answer.status.as_u16() != 200 {
+            expect_that!(answer.code(), not(eq("")), "{}", answer.text());
+            refused += 1;
+            continue;
+        }
+        let text = answer.text();
+        for part in text.split("\"id\":\"chatcmpl-").skip(1) {
+            expect_that!(part, starts_with(&*id), "another request's answer: {text}");
+        }
+        let ended = text.ends_with("data: [DONE]\n\n");
+        expect_that!(ended || !stream, eq(true), "{text}");
+        whole += 1;
+    }
+    expect_that!(whole, gt(0));
+    expect_that!(whole + refused, eq(30));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_hears_from_nobody_refuses_as_not_run() -> Result<()> {
+    let system = system("isolated", 3).await?;
+    for other in [1, 2] {
+        system.instances[other].process.signal(Signal::Stop)?;
+    }
+    system.fault(&system.log, &json!({ "down": true })).await?;
+    system
+        .wait_for(0, "it to stop serving", |status| status["serving"] == false)
+        .await?;
+    let http = Http::new(&key("wadi-clinics"));
+    let refused = http
+        .chat(system.instances[0].caller, "advisory", false, &[], "?")
+        .await?;
+    expect_that!(refused.code(), eq("isolated"), "{}", refused.text());
+    expect_that!(refused.run(), eq("not-run"));
+    for other in [1, 2] {
+        system.instances[other].process.signal(Signal::Continue)?;
+    }
+    system
+        .wait_for(0, "it to serve again", |status| status["serving"] == true)
+        .await?;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_text_accepted_just_before_an_outage_spreads_between_instances() -> Result<()> {
+    let mut system = system("spread", 3).await?;
+    // Two instances are frozen while the third one reads the text; then the log is out.
+    for other in [1, 2] {
+        system.instances[other].process.signal(Signal::Stop)?;
+    }
+    let text = edited(&system, "[version advisory-small/1]", "0.02cr", "0.03cr");
+    let generation = system.append_text(&text).await?;
+    let newer = |status: &Value| status["generation"].as_u64() >= Some(generation);
+    system
+        .wait_for(0, "the text to be in force at one instance", newer)
+        .await?;
+    system.fault(&system.log, &json!({ "down": true })).await?;
+    for other in [1, 2] {
+        system.instances[other].process.signal(Signal::Continue)?;
+    }
+    for other in [1, 2] {
+        system.wait_for(other, "the text to spread", newer).await?;
+    }
+    Ok(())
+}
