--- a/crates/adoption/src/lib.rs
+++ b/crates/adoption/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use fold::{Error, Fold, Page, Reason, Step};
 pub use isolation::{Contact, Isolation, Verdict};
-pub use record::{Checkpoint, FORMAT, Id, IdError, MAX_AUTHOR_BYTES, Publication, Record};
+pub use record::{Checkpoint, FORMAT, Id, IdError, MAX_AUTHOR_BYTES, Publication, Record, STREAM};
 pub use schedule::Schedule;
 pub use snapshot::Snapshot;
--- a/crates/adoption/src/record.rs
+++ b/crates/adoption/src/record.rs
@@ -6,6 +6,9 @@
 use std::fmt;
 use std::str::FromStr;
 
+/// The stream of the platform's log that holds the records.
+pub const STREAM: &str = "config";
+
 /// The format of records and of configuration texts that this release reads.
 ///
 /// It changes whenever a release would accept a text that an older one rejects, or the other way
