--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -42,6 +42,8 @@
     pub caller_address: SocketAddr,
     /// `fellow-address`: where it listens for other instances; port 0 takes any free port.
     pub fellow_address: SocketAddr,
+    /// `operator-address`: where it answers operators; without it there is no such listener.
+    pub operator_address: Option<SocketAddr>,
     /// `secret`: signs session tokens and frames between instances; the same at all instances.
     pub secret: Secret,
 }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -141,6 +141,7 @@
     let region = reader.required("region", NAME);
     let caller_address = reader.required("caller-address", ADDRESS);
     let fellow_address = reader.required("fellow-address", ADDRESS);
+    let operator_address = reader.optional("operator-address", ADDRESS);
     let secret = reader.confidential("secret", SECRET);
     let (caller_address, fellow_address): (SocketAddr, SocketAddr) =
         (caller_address?, fellow_address?);
@@ -162,6 +163,7 @@
         region: region?,
         caller_address,
         fellow_address,
+        operator_address,
         secret: secret?,
     })
 }
