quality: keep direct answers off a suspect roll-out

Change: a CUSUM over the same sums, which may be wrong as it can be taken back, sends streamed answers to the version in service while held ones go on to be rated; windows are 4 s long, and the wealth is worked out as sums arrive instead of at each request.

--- a/crates/quality/src/evidence.rs
+++ b/crates/quality/src/evidence.rs
@@ -20,10 +20,10 @@
 use serde::{Deserialize, Serialize};
 
 /// Length of a window in which an instance sums up ratings.
-pub const WINDOW: Span = Span::from_secs(16);
+pub const WINDOW: Span = Span::from_secs(4);
 
 /// Windows that stay open for late sums; older ones are settled.
-pub const OPEN_WINDOWS: u64 = 32;
+pub const OPEN_WINDOWS: u64 = 128;
 
 /// Number of stakes.
 pub const STAKES: usize = 5;
@@ -110,10 +110,12 @@
     origin: Option<u64>,
     /// Sums by window and source, sorted; the open windows only.
     parts: Vec<Part>,
-    /// Logarithms of the wealth of all starts up to the last settled window, by stake.
-    settled: [f64; STAKES],
-    /// Number of windows, from the origin, that are settled.
-    settled_windows: u64,
+    /// What the settled windows add up to.
+    settled: Fold,
+    /// What all windows before the newest add up to.
+    base: Fold,
+    /// What all windows add up to.
+    whole: Fold,
     /// Sums over all ratings, settled or not.
     all: Tally,
     /// When the latest rating or sum arrived.
@@ -162,8 +164,9 @@
             target,
             origin: None,
             parts: Vec::new(),
-            settled: [f64::NEG_INFINITY; STAKES],
-            settled_windows: 0,
+            settled: Fold::START,
+            base: Fold::START,
+            whole: Fold::START,
             all: Tally::default(),
             at: Moment::default(),
         }
@@ -195,6 +198,7 @@
         one.add(target, score, weight);
         self.all.merge(&one);
         self.at = self.at.max(at);
+        self.refold(index);
     }
 
     /// Takes over a source's sums for a window, unless it has later ones; returns whether it did.
@@ -216,6 +220,7 @@
         self.all.merge(tally);
         part.tally = *tally;
         self.at = self.at.max(at);
+        self.refold(index);
         true
     }
 
@@ -229,19 +234,23 @@
 
     /// Natural logarithm of the test's value; 0 without ratings.
     pub fn log_value(&self) -> f64 {
-        let Some(origin) = self.origin else {
-            return 0.0;
-        };
-        let (wealth, windows) = fold(&self.parts, origin, self.settled, self.settled_windows);
         let stakes = (STAKES as f64).ln();
         // Starts that are still to come keep their weight.
-        let mut value = (1.0 - started(windows)).ln();
-        for stake in wealth {
-            value = log_sum(value, stake - stakes);
+        let mut value = (1.0 - started(self.whole.windows)).ln();
+        for wealth in self.whole.wealth {
+            value = log_sum(value, wealth - stakes);
         }
         value
     }
 
+    /// Natural logarithm of the largest wealth over all stakes and starts; 0 without ratings.
+    ///
+    /// This is the CUSUM statistic (Page, 1954). It reacts sooner than the test's value, and has no
+    /// bound on its false alarms over a roll-out: only what can be taken back may depend on it.
+    pub fn suspicion(&self) -> f64 {
+        self.whole.cusum.iter().copied().fold(0.0, f64::max)
+    }
+
     /// The posterior of the mean over all ratings.
     pub fn posterior(&self) -> Posterior {
         self.posterior_of(&self.all)
@@ -266,7 +275,7 @@
     fn part(&mut self, source: &str, window: u64) -> Option<usize> {
         let origin = *self.origin.get_or_insert(window);
         let window = window.max(origin);
-        if window < origin + self.settled_windows {
+        if window < origin + self.settled.windows {
             return None;
         }
         self.settle(origin, window);
@@ -289,65 +298,81 @@
     fn settle(&mut self, origin: u64, newest: u64) {
         let open = newest.saturating_sub(OPEN_WINDOWS).max(origin);
         let count = self.parts.partition_point(|part| part.window < open);
-        let old: Vec<Part> = self.parts.drain(..count).collect();
-        (self.settled, _) = fold(&old, origin, self.settled, self.settled_windows);
-        self.settled = start_until(
-            self.settled,
-            &old,
-            origin,
-            self.settled_windows,
-            open - origin,
-        );
-        self.settled_windows = self.settled_windows.max(open - origin);
+        self.settled.extend(&self.parts[..count], origin);
+        self.settled.start(open - origin);
+        self.parts.drain(..count);
     }
-}
 
-/// Weight of all starts in the first windows: half on the first one, and the rest with a slowly
-/// falling density, so that the weights sum to 1 over any horizon.
-fn started(windows: u64) -> f64 {
-    if windows == 0 {
-        return 0.0;
+    /// Works out the wealth anew after the sums at an index changed.
+    fn refold(&mut self, index: usize) {
+        let origin = self.origin.expect("there are sums");
+        let newest = self.parts.last().expect("there are sums").window;
+        let first = self.parts.partition_point(|part| part.window < newest);
+        // Only a change before the newest window, or a new one, touches the base.
+        if index < first || self.base.newest != newest {
+            self.base = self.settled;
+            self.base.extend(&self.parts[..first], origin);
+            self.base.newest = newest;
+        }
+        self.whole = self.base;
+        self.whole.extend(&self.parts[first..], origin);
     }
-    1.0 - 0.5 / (1.0 + (windows as f64).ln())
 }
 
-/// Extends wealths over sorted parts; returns them with the number of windows from the origin that
-/// they then cover.
-fn fold(
-    parts: &[Part],
-    origin: u64,
-    mut wealth: [f64; STAKES],
-    mut windows: u64,
-) -> ([f64; STAKES], u64) {
-    for part in parts {
-        let reached = part.window - origin + 1;
-        if reached > windows {
-            let weight = (started(reached) - started(windows)).ln();
-            wealth = wealth.map(|stake| log_sum(stake, weight));
-            windows = reached;
+/// What sums of some windows from the origin on add up to.
+#[derive(Clone, Copy, Debug)]
+struct Fold {
+    /// Logarithms of the wealth of all starts, by stake.
+    wealth: [f64; STAKES],
+    /// Logarithms of the largest wealth of any start, by stake.
+    cusum: [f64; STAKES],
+    /// Number of windows.
+    windows: u64,
+    /// The newest window when a base was worked out.
+    newest: u64,
+}
+
+impl Fold {
+    /// No windows.
+    const START: Self = Self {
+        wealth: [f64::NEG_INFINITY; STAKES],
+        cusum: [0.0; STAKES],
+        windows: 0,
+        newest: 0,
+    };
+
+    /// Adds sorted sums of windows that are not before the last one.
+    fn extend(&mut self, parts: &[Part], origin: u64) {
+        for part in parts {
+            self.start(part.window - origin + 1);
+            for (stake, more) in part.tally.wealth.iter().enumerate() {
+                self.wealth[stake] += more;
+                self.cusum[stake] += more;
+            }
         }
-        for (stake, more) in wealth.iter_mut().zip(part.tally.wealth) {
-            *stake += more;
+    }
+
+    /// Adds the starts of all windows up to a number of them.
+    fn start(&mut self, windows: u64) {
+        if windows <= self.windows {
+            return;
+        }
+        let weight = (started(windows) - started(self.windows)).ln();
+        for stake in 0..STAKES {
+            self.wealth[stake] = log_sum(self.wealth[stake], weight);
+            self.cusum[stake] = self.cusum[stake].max(0.0);
         }
+        self.windows = windows;
     }
-    (wealth, windows)
 }
 
-/// Adds the starts of windows without ratings after the last of some parts, up to a window.
-fn start_until(
-    wealth: [f64; STAKES],
-    parts: &[Part],
-    origin: u64,
-    settled: u64,
-    windows: u64,
-) -> [f64; STAKES] {
-    let last = parts.last().map_or(0, |part| part.window - origin + 1);
-    let covered = last.max(settled);
-    if windows <= covered {
-        return wealth;
+/// Weight of all starts in the first windows: half on the first one, and the rest with a slowly
+/// falling density, so that the weights sum to 1 over any horizon.
+fn started(windows: u64) -> f64 {
+    if windows == 0 {
+        return 0.0;
     }
-    let weight = (started(windows) - started(covered)).ln();
-    wealth.map(|stake| log_sum(stake, weight))
+    1.0 - 0.5 / (1.0 + (windows as f64).ln())
 }
 
 /// The logarithm of the sum of two numbers that are given by their logarithms.
--- a/crates/quality/src/rollout.rs
+++ b/crates/quality/src/rollout.rs
@@ -7,37 +7,60 @@
 /// Ratings of the new version, over all instances, for which its share doubles.
 pub const DOUBLING_RATINGS: u32 = 40;
 
-/// Part of the limit, in logarithms, beyond which the share falls back to its beginning.
-const SUSPICION: f64 = 1.0 / 3.0;
+/// Suspicion, as a natural logarithm, beyond which answers that can't be held for their rating stay
+/// with the version in service.
+const SUSPICION: f64 = 2.5;
+
+/// Part of the beginning share that answers which can't be held keep under suspicion, where others
+/// are held: without any held request the evidence would never settle.
+const TRICKLE: f64 = 0.25;
 
 /// Time without any rating of the new version after which its share falls back to its beginning.
-pub const SILENCE: Span = Span::from_secs(60);
+pub const SILENCE: Span = Span::from_secs(30);
 
 /// The least rate of false alarms that is kept to.
 const MIN_FALSE_ALARM: f64 = 1e-6;
 
+/// How the answer of a request reaches its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// It is held for its rating and escalated if that is poor.
+    Held,
+    /// It is passed on unrated, though other answers of the service may be held.
+    Direct,
+    /// It is passed on unrated, like all answers of the service.
+    Bare,
+}
+
 /// The share of new sessions that begin on the new version.
 ///
 /// It begins at `share` and doubles with every [`DOUBLING_RATINGS`] ratings up to `limit`, for as
 /// long as the lower bound of the mean rating meets the target, over all ratings and over the recent
-/// ones. Evidence against the version takes it back before it suffices for a brake, and so does an
-/// outage of the rating service, during which a bad version can't be noticed.
+/// ones. An outage of the rating service, during which a bad version can't be noticed, takes it back
+/// to its beginning. Under suspicion only answers that are held go on at the full share: they give
+/// the evidence for a brake, or against one, and poor ones are not passed on.
 pub fn share(
     share: Share,
     limit: Share,
     evidence: &Evidence,
-    log_limit: f64,
+    delivery: Delivery,
     now: Moment,
 ) -> Share {
     let start = share.min(limit);
-    let silent = now.since(evidence.latest()) > SILENCE;
-    if silent || evidence.log_value() > log_limit * SUSPICION {
+    if now.since(evidence.latest()) > SILENCE {
         return start;
     }
+    if evidence.suspicion() > SUSPICION {
+        match delivery {
+            Delivery::Held => {}
+            Delivery::Direct => return Share::from_fraction(start.fraction() * TRICKLE),
+            Delivery::Bare => return start,
+        }
+    }
     let target = evidence.target();
     let all = evidence.posterior().lower(now);
     let recent = evidence.recent().lower(now);
-    if all < target || recent < target {
+    if all < target || (recent < target && evidence.suspicion() <= SUSPICION) {
         return start;
     }
     let doublings = (evidence.all().ratings / DOUBLING_RATINGS).min(20);
