Ask for the usage of streams in the load tool

Cause: the chat-completions API sends the usage of a stream only on request; the tool counted every stream of an instance as not whole. Change: streamed requests bear stream_options.include_usage. Conclusion: the fault was the tool's.

--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -182,7 +182,7 @@
     let subject = format!("{} {} ", class.name, arrival.subject);
     let repeats = class.prefix_bytes.div_ceil(subject.len());
     let prefix = subject.repeat(repeats);
-    let body = serde_json::json!({
+    let mut body = serde_json::json!({
         "model": class.service,
         "stream": arrival.streamed,
         "max_tokens": class.tokens,
@@ -191,6 +191,9 @@
             {"role": "user", "content": question},
         ],
     });
+    if arrival.streamed {
+        body["stream_options"] = serde_json::json!({"include_usage": true});
+    }
     body.to_string().into()
 }
 
