Add the commands check, publish, show, diff, bill, status and timeline

Cause: operators had only serve and key; the harness published by itself. Change: the commands over the operator package; status pages of instances; the hybrid clock of digests is taken in; a plain answer closes the circuit of its upstream (Outcome::Done without a first-token time), where it said nothing.

--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -72,8 +72,8 @@
 pub enum Outcome {
     /// The answer arrived whole.
     Done {
-        /// From dispatch to the first byte of the answer.
-        first_token: Span,
+        /// From dispatch to the first byte of the answer; none where all of it came at once.
+        first_token: Option<Span>,
     },
     /// The upstream refused it before it ran.
     Refused,
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -238,7 +238,8 @@
         match outcome {
             Outcome::Done { first_token } => {
                 self.breaker.succeeded();
-                grant == Grant::Warm && self.slow(first_token) && light && self.suspect(now)
+                let slow = first_token.is_some_and(|time| self.slow(time));
+                grant == Grant::Warm && slow && light && self.suspect(now)
             }
             Outcome::Refused => {
                 self.breaker.unsettled(now);
--- a/crates/routing/tests/filter.rs
+++ b/crates/routing/tests/filter.rs
@@ -160,7 +160,7 @@
         reason(&mut balancer, &query(later), later),
         some(eq(Reason::Failing))
     );
-    let first_token = millis(100);
+    let first_token = Some(millis(100));
     balancer.finish(probe, Outcome::Done { first_token }, later);
     expect_that!(reason(&mut balancer, &query(later), later), none());
 }
--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -155,10 +155,8 @@
         let took = Span::from(sent.elapsed());
         let step = self.step(version, &choice.upstream, completion.usage);
         // A plain answer arrives at once: its time says nothing about the first token.
-        self.context
-            .decider
-            .finish(choice, Outcome::Cancelled)
-            .await;
+        let outcome = Outcome::Done { first_token: None };
+        self.context.decider.finish(choice, outcome).await;
         self.measured(version, took, completion.usage).await;
         Ok(Completed { completion, step })
     }
@@ -418,7 +416,7 @@
 
     async fn finish(self, usage: Usage) {
         let outcome = Outcome::Done {
-            first_token: self.first_token,
+            first_token: Some(self.first_token),
         };
         let step = self
             .run_of()
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -120,6 +120,8 @@
 
     /// Takes in a digest of a fellow, but for what has to be asked for.
     pub async fn take(&self, heard: Heard) {
+        // A fellow whose clock is far ahead is not followed; its news count all the same.
+        let _ = self.recorder.observe(heard.clock);
         if let Some(read) = heard.log {
             self.contact.heard_log(read);
         }
--- a/crates/server/src/digest.rs
+++ b/crates/server/src/digest.rs
@@ -8,6 +8,7 @@
 use routing::Suspicion;
 use routing::slots::Ceased;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use timeline::Timestamp;
 
 /// What a digest of a fellow says, read.
 #[derive(Clone, Debug)]
@@ -18,6 +19,8 @@
     pub generation: Generation,
     /// When the log was last read by anybody that the fellow has heard of.
     pub log: Option<Moment>,
+    /// Its hybrid clock, as it told.
+    pub clock: Timestamp,
     /// Whether it knows the same verdicts.
     pub verdicts_hash: i64,
     /// What it says about upstreams.
@@ -93,6 +96,7 @@
         instance,
         generation: Generation(digest.generation.max(0) as u64),
         log: age.map(|age| now - age),
+        clock: Timestamp::from_bits(digest.clock as u64),
         verdicts_hash: digest.verdicts_hash,
         news,
     })
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -485,7 +485,7 @@
         committer.set_rate(Rate((LOG_RATE / count as u64).max(1)));
         let members = Members {
             version: reading.list.version,
-            live,
+            live: live.into(),
         };
         context
             .decider
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -112,7 +112,7 @@
             sent,
         } = taken;
         let upstream = choice.upstream.clone();
-        let first_token = Span::from(sent.elapsed());
+        let first_token = Some(Span::from(sent.elapsed()));
         self.context
             .decider
             .finish(choice, Outcome::Done { first_token })
--- a/crates/server/src/status.rs
+++ b/crates/server/src/status.rs
@@ -6,10 +6,11 @@
 use entity::{Generation, Span, name};
 use journal::usage::Stats;
 use quality::Verdict as RolloutVerdict;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// The state of one instance.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
     /// The instance.
     pub instance: name::Instance,
@@ -42,7 +43,7 @@
 }
 
 /// A roll-out under way.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Rollout {
     /// The service.
     pub service: name::Service,
@@ -56,6 +57,64 @@
     pub braked: bool,
 }
 
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} in {}: generation {}",
+            self.instance, self.zone, self.generation
+        )?;
+        if let Some(author) = &self.author {
+            write!(f, " by {author}")?;
+        }
+        f.write_str(if self.serving {
+            ", serving"
+        } else {
+            ", not serving"
+        })?;
+        if self.draining {
+            f.write_str(", shutting down")?;
+        }
+        match self.log_age {
+            Some(age) => write!(f, "\n  log read {:.1} s ago", age.as_secs_f64())?,
+            None => f.write_str("\n  log not read yet")?,
+        }
+        write!(f, "; {} instances listed", self.listed)?;
+        write!(
+            f,
+            "; usage records: {} to append, {} held",
+            self.unappended, self.held
+        )?;
+        if let Some(fault) = &self.fault {
+            write!(f, "\n  fault: {fault}")?;
+        }
+        for zone in &self.zones_out {
+            write!(f, "\n  zone {zone} is out")?;
+        }
+        for upstream in &self.cold {
+            write!(f, "\n  upstream {upstream} is suspected to be cold")?;
+        }
+        for rollout in &self.rollouts {
+            write!(f, "\n  {rollout}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Rollout {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            service,
+            from,
+            to,
+            share,
+            braked,
+        } = self;
+        write!(f, "roll-out of {service}: {from} to {to}, from {share}")?;
+        f.write_str(if *braked { ", braked" } else { "" })
+    }
+}
+
 /// The state as JSON.
 pub async fn page(context: &Context) -> Bytes {
     let usage = context.usage.stats().await.unwrap_or_default();
--- a/harness/src/system.rs
+++ b/harness/src/system.rs
@@ -131,8 +131,10 @@
                 Standin::process(program, name, &arguments).await
             }
             Self::Inside => {
-                let mut options = standins::engine::Options::default();
-                options.versions = versions.iter().map(|version| (*version).into()).collect();
+                let mut options = standins::engine::Options {
+                    versions: versions.iter().map(|version| (*version).into()).collect(),
+                    ..Default::default()
+                };
                 let skills = skills.map(|(version, skill)| (version.into(), skill));
                 options.faults.skill = skills.collect();
                 let handle = standins::engine::spawn(options, cancel).await?;
@@ -425,22 +427,17 @@
     ///
     /// The log did not take it.
     pub async fn append_text(&mut self, text: &str) -> Result<u64> {
-        let base = self.generation;
-        let record = json!({
-            "record": "publication",
-            "format": 1,
-            "id": format!("{:032x}", base + 1),
-            "base": base,
-            "author": "harness",
-            "text": text,
-        });
-        let log = self.log.address;
-        let (status, body) = self
-            .client
-            .post(log, "/streams/config/records", &record)
-            .await?;
-        ensure!(status == 200, "the log answered {status}");
-        let generation = body["offset"].as_u64().context("the log gives an offset")?;
+        let log = self.log.address.to_string();
+        let base = self.generation.to_string();
+        let arguments = [
+            "publish", "--log", &log, "--author", "harness", "--base", &base, "--json",
+        ];
+        let (code, output) = self.command(&arguments, text).await?;
+        ensure!(code == 0, "publish ended with {code}: {output}");
+        let report: Value = serde_json::from_str(&output).context("the report of publish")?;
+        let generation = report["generation"]
+            .as_u64()
+            .context("the report has a generation")?;
         self.generation = generation;
         self.text = text.to_owned();
         Ok(generation)
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -1,6 +1,6 @@
 //! `citrontrack serve`: one entry instance.
 
-use crate::command::{FINDINGS, read};
+use crate::command::{FAILED, FINDINGS, read};
 use anyhow::{Context, Result};
 use argh::FromArgs;
 use server::Instance;
@@ -49,6 +49,6 @@
     Ok(if whole {
         ExitCode::SUCCESS
     } else {
-        ExitCode::from(crate::command::FAILED)
+        ExitCode::from(FAILED)
     })
 }
