--- a/crates/adoption/src/fold.rs
+++ b/crates/adoption/src/fold.rs
@@ -5,6 +5,9 @@
 use entity::{Findings, Generation, Offset};
 use std::sync::Arc;
 
+/// Most findings that a rejection keeps, so that a damaged text takes no memory at all instances.
+const KEPT_FINDINGS: usize = 100;
+
 /// A reply to a read: consecutive records, beginning at the wanted offset or, if that has expired,
 /// at the first retained one.
 #[derive(Clone, Debug)]
@@ -81,7 +84,7 @@
         /// Who published the one in force.
         author: Box<str>,
     },
-    /// Its text has findings.
+    /// Its text has findings; the first of them.
     Text(Findings),
 }
 
@@ -427,7 +430,10 @@
                         snapshot: Arc::new(snapshot),
                     };
                 }
-                Err(findings) => Reason::Text(findings),
+                Err(mut findings) => {
+                    findings.0.truncate(KEPT_FINDINGS);
+                    Reason::Text(findings)
+                }
             }
         } else {
             Reason::Base {
--- a/crates/adoption/src/isolation.rs
+++ b/crates/adoption/src/isolation.rs
@@ -8,10 +8,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Contact {
     /// Age of the last reply of the log to a read of the configuration stream that was folded to its
-    /// end: the own, or a fellow's as its digest gave it plus the age of that digest. Nothing if
-    /// there was none.
+    /// end: the own, or a fellow's as its digest gave it plus the age of that digest. A fellow's counts
+    /// only if its generation is not later than the own. Nothing if there was none.
     pub log: Option<Span>,
-    /// Live instances on the last list, with this one.
+    /// Live instances on the last list, with this one; 0 before a list was read.
     pub listed: u32,
     /// Digests that this instance offered to fellows drawn at random from the list, within the bound.
     pub offered: u32,
@@ -56,7 +56,10 @@
 /// digests that were answered, since no instance talks to all others.
 fn reaches_majority(contact: &Contact) -> bool {
     debug_assert!(contact.answered <= contact.offered);
-    let others = u64::from(contact.listed.saturating_sub(1));
+    let Some(others) = contact.listed.checked_sub(1) else {
+        return false;
+    };
+    let others = u64::from(others);
     let (offered, answered) = (u64::from(contact.offered), u64::from(contact.answered));
     if others == 0 {
         return true;
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -52,17 +52,33 @@
         }
     }
 
-    fn add(&mut self, entry: Entry<'a>, findings: &mut Findings) {
-        let Some(first) = self.entry(entry.key) else {
-            self.entries.push(entry);
+    /// Keeps the first entry of each key. The keys are sorted, since a text can have very many.
+    fn settle(&mut self, findings: &mut Findings) {
+        let mut sorted = self.entries.clone();
+        sorted.sort_by_key(|entry| (entry.key, entry.line));
+        let mut doubles = Vec::new();
+        for pair in sorted.windows(2) {
+            if pair[0].key == pair[1].key {
+                doubles.push(pair[1].line);
+            }
+        }
+        if doubles.is_empty() {
             return;
-        };
-        let place = Place {
-            line: entry.line,
-            ..self.place(entry.key)
-        };
-        let problem = format!("the key is there already, in line {}", first.line);
-        findings.add(place, problem, "keep one of the two");
+        }
+        doubles.sort_unstable();
+        let (doubles, entries): (Vec<_>, Vec<_>) = std::mem::take(&mut self.entries)
+            .into_iter()
+            .partition(|entry| doubles.binary_search(&entry.line).is_ok());
+        self.entries = entries;
+        for entry in doubles {
+            let first = self.place(entry.key);
+            let problem = format!("the key is there already, in line {}", first.line);
+            let place = Place {
+                line: entry.line,
+                ..first
+            };
+            findings.add(place, problem, "keep one of the two");
+        }
     }
 }
 
@@ -109,6 +125,9 @@
                 Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
             }
         }
+        for section in &mut document.sections {
+            section.settle(findings);
+        }
         document
     }
 
@@ -146,7 +165,7 @@
             findings.add(place, "a value without a key", "write KEY = VALUE");
             return;
         }
-        section.add(Entry { key, value, line }, findings);
+        section.entries.push(Entry { key, value, line });
     }
 }
 
--- a/crates/config/src/outline.rs
+++ b/crates/config/src/outline.rs
@@ -1,9 +1,10 @@
 //! The sections of a configuration text by kind and name, before their keys are read.
 
-use crate::document::{Document, Section};
+use crate::document::{Document, Section, shorten};
 use entity::id::{self, Id};
 use entity::{Findings, Place, name};
 use std::borrow::Borrow;
+use std::cmp::Ordering;
 use std::fmt::Display;
 use std::str::FromStr;
 
@@ -60,21 +61,28 @@
         let mut later = Vec::new();
         for section in document.sections {
             match section.words().as_slice() {
-                ["zone", name] => insert(&mut outline.zones, name, section, findings),
-                ["service", name] => insert(&mut outline.services, name, section, findings),
-                ["version", name] => insert(&mut outline.versions, name, section, findings),
-                ["upstream", name] => insert(&mut outline.upstreams, name, section, findings),
+                ["zone", name] => push(&mut outline.zones, name, section, findings),
+                ["service", name] => push(&mut outline.services, name, section, findings),
+                ["version", name] => push(&mut outline.versions, name, section, findings),
+                ["upstream", name] => push(&mut outline.upstreams, name, section, findings),
                 ["organisation", name] => {
-                    insert(&mut outline.organisations, name, section, findings);
+                    push(&mut outline.organisations, name, section, findings);
                 }
                 ["route", _, _, _] | ["rollout", _] => later.push(section),
                 _ => unknown(&section, findings),
             }
         }
+        sort(&mut outline.zones, by_name, findings);
+        sort(&mut outline.services, by_name, findings);
+        sort(&mut outline.versions, by_name, findings);
+        sort(&mut outline.upstreams, by_name, findings);
+        sort(&mut outline.organisations, by_name, findings);
         // Routes and roll-outs refer to services, which are complete only now.
         for section in later {
             outline.referring(section, findings);
         }
+        sort(&mut outline.routes, Route::cmp, findings);
+        sort(&mut outline.rollouts, Rollout::cmp, findings);
         outline
     }
 
@@ -82,73 +90,92 @@
         let words = section.words();
         let name = words[1];
         let Some(service) = find(&self.services, name) else {
-            let remedy = format!("add [service {name}] or correct the name");
-            findings.add(
-                place(&section),
-                format!("there is no service {name}"),
-                remedy,
-            );
+            let problem = format!("there is no service {}", shorten(name));
+            let remedy = format!("add [service {}] or correct the name", shorten(name));
+            findings.add(place(&section), problem, remedy);
             return;
         };
-        if let [_, _, method, path] = words.as_slice() {
-            self.route(service, method, path, section, findings);
+        if let [_, _, method, path] = words[..] {
+            self.routes.push(Route {
+                service,
+                method,
+                path,
+                section,
+            });
             return;
         }
-        let found = self
-            .rollouts
-            .binary_search_by_key(&service, |rollout| rollout.service);
-        match found {
-            Ok(first) => double(&section, self.rollouts[first].section.line, findings),
-            Err(position) => self.rollouts.insert(position, Rollout { service, section }),
-        }
+        self.rollouts.push(Rollout { service, section });
     }
+}
 
-    fn route(
-        &mut self,
-        service: id::Service,
-        method: &'a str,
-        path: &'a str,
-        section: Section<'a>,
-        findings: &mut Findings,
-    ) {
-        let key = (service, method, path);
-        let found = self
-            .routes
-            .binary_search_by_key(&key, |route| (route.service, route.method, route.path));
-        match found {
-            Ok(first) => double(&section, self.routes[first].section.line, findings),
-            Err(position) => {
-                let route = Route {
-                    service,
-                    method,
-                    path,
-                    section,
-                };
-                self.routes.insert(position, route);
-            }
-        }
+/// An entry of the outline.
+trait Entry<'a> {
+    fn section(&self) -> &Section<'a>;
+}
+
+impl<'a, N> Entry<'a> for Named<'a, N> {
+    fn section(&self) -> &Section<'a> {
+        &self.section
+    }
+}
+
+impl<'a> Entry<'a> for Route<'a> {
+    fn section(&self) -> &Section<'a> {
+        &self.section
     }
 }
 
-fn insert<'a, N: Borrow<str> + FromStr<Err: Display>>(
-    sorted: &mut Vec<Named<'a, N>>,
+impl<'a> Entry<'a> for Rollout<'a> {
+    fn section(&self) -> &Section<'a> {
+        &self.section
+    }
+}
+
+impl Route<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let ours = (self.service, self.method, self.path);
+        ours.cmp(&(other.service, other.method, other.path))
+    }
+}
+
+impl Rollout<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.service.cmp(&other.service)
+    }
+}
+
+fn by_name<N: Ord>(a: &Named<'_, N>, b: &Named<'_, N>) -> Ordering {
+    a.name.cmp(&b.name)
+}
+
+fn push<'a, N: FromStr<Err: Display>>(
+    named: &mut Vec<Named<'a, N>>,
     name: &str,
     section: Section<'a>,
     findings: &mut Findings,
 ) {
-    let name: N = match name.parse() {
-        Ok(name) => name,
-        Err(error) => {
-            findings.add(place(&section), error.to_string(), "correct the name");
-            return;
-        }
-    };
-    match sorted.binary_search_by(|named| named.name.borrow().cmp(name.borrow())) {
-        Ok(first) => double(&section, sorted[first].section.line, findings),
-        Err(position) => sorted.insert(position, Named { name, section }),
+    match name.parse() {
+        Ok(name) => named.push(Named { name, section }),
+        Err(error) => findings.add(place(&section), error.to_string(), "correct the name"),
     }
 }
 
+/// Sorts entries, and keeps the first in the text of those that are equal.
+fn sort<'a, E: Entry<'a>>(
+    entries: &mut Vec<E>,
+    compare: impl Fn(&E, &E) -> Ordering,
+    findings: &mut Findings,
+) {
+    entries.sort_by(&compare);
+    entries.dedup_by(|later, first| {
+        let equal = compare(later, first).is_eq();
+        if equal {
+            double(later.section(), first.section().line, findings);
+        }
+        equal
+    });
+}
+
 fn place(section: &Section<'_>) -> Place {
     Place {
         line: section.line,
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -115,3 +115,19 @@
     let found = config::parse(&text).expect_err("a cycle");
     assert_eq!(found.0.len(), 1);
 }
+
+/// Texts with very many keys or sections are checked in about linear time.
+#[test]
+fn large_texts_with_findings_are_checked() {
+    let mut keys = String::from("[zone z]\nregion = r\n");
+    let mut sections = String::new();
+    for index in (0..16_000).rev() {
+        keys += &format!("k{index}=1\n");
+        sections += &format!("[zone z{index}]\n");
+    }
+    assert_eq!(config::parse(&keys).expect_err("unknown").0.len(), 16_000);
+    assert_eq!(
+        config::parse(&sections).expect_err("missing").0.len(),
+        16_000
+    );
+}
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -98,3 +98,25 @@
     let text = SMALLEST.replace("replace-this-by-a-long-random-text-of-your-own", "hunter");
     expect_that!(findings(&text), not(contains_substring("hunter")));
 }
+
+proptest::proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        cases: 256,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..proptest::test_runner::Config::default()
+    })]
+
+    #[test]
+    fn damaged_settings_never_panic(
+        edits in proptest::collection::vec((0..EXAMPLE.len(), proptest::num::u8::ANY), 1..20),
+    ) {
+        let mut bytes = EXAMPLE.as_bytes().to_vec();
+        for (index, byte) in edits {
+            bytes[index] = byte;
+        }
+        if let Err(found) = settings::parse(&String::from_utf8_lossy(&bytes)) {
+            proptest::prop_assert!(!found.is_empty());
+        }
+    }
+}
