Score upstreams by what the instance sent itself

Cause: two random choices on lagging reports lost to round robin where load is even, and affinity crowded requests onto engines with the prefix. Change: the score counts own requests and prompts in full, reports of others little, and takes caches as a factor; all upstreams are compared where few instances share them. A query says how large its prompt is.

--- /dev/null
+++ b/crates/routing/examples/model/mod.rs
@@ -0,0 +1,326 @@
+//! A small queueing model of engines behind several entry instances, in steps of virtual time.
+//!
+//! An engine prefills one prompt at a time, and generates tokens for all its running requests at a
+//! rate that falls with their number. Its prefix cache keeps the most recent prefixes. In cold
+//! start it works slowly, and falls over when it runs more than its cold limit: all its requests
+//! fail, and cold start begins again. It reports its load with a lag.
+#![allow(dead_code, reason = "each example uses a part")]
+
+pub mod fleet;
+pub mod policy;
+
+use entity::Moment;
+use entity::time::Span;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A step of virtual time.
+pub const STEP: Span = Span::from_millis(5);
+
+/// Time for one token with nothing else running.
+const TOKEN_MS: f64 = 12.0;
+
+/// Requests that double the time for a token.
+const HALF_RATE: f64 = 16.0;
+
+/// The part of prefill that is left when the prefix is cached.
+const CACHED_PART: f64 = 0.2;
+
+/// How much slower a cold engine works.
+const COLD_FACTOR: f64 = 3.0;
+
+/// Time between two load reports of an engine.
+const REPORT_EVERY: Span = Span::from_secs(1);
+
+/// How old a load report is when it arrives.
+pub const REPORT_LAG: Span = Span::from_millis(500);
+
+/// How long cold start takes.
+pub const COLD_START: Span = Span::from_secs(20);
+
+/// Most requests at once of an engine: warm and in cold start.
+pub const WARM: u32 = 16;
+/// See [`WARM`].
+pub const COLD: u32 = 2;
+
+/// A request of the load.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: usize,
+    pub organisation: usize,
+    pub instance: usize,
+    pub arrived: Moment,
+    pub deadline: Moment,
+    pub prefix: u64,
+    pub prefill_ms: f64,
+    pub tokens: f64,
+    pub tries: u32,
+}
+
+/// How a request ended at an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// The moment of the first token, and the time to it from dispatch.
+    Done {
+        first: Moment,
+        first_token: Span,
+    },
+    Failed,
+    Refused,
+}
+
+struct Running {
+    request: Request,
+    dispatched: Moment,
+    prefill_left: f64,
+    tokens_left: f64,
+    first: Option<Moment>,
+}
+
+/// A report as it will arrive.
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub as_of: Moment,
+    pub running: u32,
+    pub queued: u32,
+    pub cold: bool,
+    pub prefixes: Vec<u64>,
+}
+
+pub struct Engine {
+    /// Speed in relation to the others'.
+    pub speed: f64,
+    /// Prefixes that fit into its cache.
+    pub memory: usize,
+    running: Vec<Running>,
+    queue: Vec<(Request, Moment)>,
+    cache: Vec<u64>,
+    warm_at: Moment,
+    reported: Moment,
+    reports: Vec<Report>,
+    pub fallen: u32,
+}
+
+impl Engine {
+    pub fn new(speed: f64, memory: usize) -> Self {
+        Self {
+            speed,
+            memory,
+            running: Vec::new(),
+            queue: Vec::new(),
+            cache: Vec::new(),
+            warm_at: Moment(0),
+            reported: Moment(0),
+            reports: Vec::new(),
+            fallen: 0,
+        }
+    }
+
+    /// Restarts it: cold, with an empty cache.
+    pub fn restart(&mut self, now: Moment) {
+        self.warm_at = now + COLD_START;
+        self.cache.clear();
+    }
+
+    pub fn is_cold(&self, now: Moment) -> bool {
+        now < self.warm_at
+    }
+
+    /// Takes a request; returns the ends of those that fail by it.
+    pub fn send(&mut self, request: Request, now: Moment) -> Vec<(Request, End)> {
+        self.queue.push((request, now));
+        let load = (self.running.len() + self.queue.len()) as u32;
+        if !self.is_cold(now) || load <= COLD {
+            return Vec::new();
+        }
+        self.fallen += 1;
+        self.restart(now);
+        let running = self.running.drain(..).map(|running| running.request);
+        let queued = self.queue.drain(..).map(|(request, _)| request);
+        running
+            .chain(queued)
+            .map(|request| (request, End::Failed))
+            .collect()
+    }
+
+    /// One step; returns the requests that ended.
+    pub fn step(&mut self, now: Moment) -> Vec<(Request, End)> {
+        while self.running.len() < WARM as usize && !self.queue.is_empty() {
+            let (request, dispatched) = self.queue.remove(0);
+            self.start(request, dispatched);
+        }
+        self.report(now);
+        let factor = if self.is_cold(now) { COLD_FACTOR } else { 1.0 };
+        let ms = STEP.as_secs_f64() * 1e3 * self.speed / factor;
+        self.prefill(ms, now);
+        self.generate(ms, now)
+    }
+
+    fn start(&mut self, request: Request, dispatched: Moment) {
+        let cached = self.cache.contains(&request.prefix);
+        let part = if cached { CACHED_PART } else { 1.0 };
+        self.cache.retain(|&prefix| prefix != request.prefix);
+        self.cache.push(request.prefix);
+        if self.cache.len() > self.memory {
+            self.cache.remove(0);
+        }
+        self.running.push(Running {
+            dispatched,
+            prefill_left: request.prefill_ms * part,
+            tokens_left: request.tokens,
+            first: None,
+            request,
+        });
+    }
+
+    fn prefill(&mut self, ms: f64, now: Moment) {
+        let waiting = self
+            .running
+            .iter_mut()
+            .find(|running| running.first.is_none());
+        let Some(running) = waiting else {
+            return;
+        };
+        running.prefill_left -= ms;
+        if running.prefill_left <= 0.0 {
+            running.first = Some(now);
+        }
+    }
+
+    fn generate(&mut self, ms: f64, now: Moment) -> Vec<(Request, End)> {
+        let decoding = self
+            .running
+            .iter()
+            .filter(|running| running.first.is_some());
+        let each = TOKEN_MS * (1.0 + decoding.count() as f64 / HALF_RATE);
+        let mut ended = Vec::new();
+        for running in &mut self.running {
+            if running.first.is_some_and(|first| first < now) {
+                running.tokens_left -= ms / each;
+            }
+        }
+        for running in self
+            .running
+            .extract_if(.., |running| running.tokens_left <= 0.0)
+        {
+            let first = running.first.expect("it generated tokens");
+            let first_token = first.since(running.dispatched);
+            ended.push((running.request, End::Done { first, first_token }));
+        }
+        ended
+    }
+
+    fn report(&mut self, now: Moment) {
+        if now.since(self.reported) < REPORT_EVERY {
+            return;
+        }
+        self.reported = now;
+        self.reports.push(Report {
+            as_of: now,
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            cold: self.is_cold(now),
+            prefixes: self.cache.clone(),
+        });
+    }
+
+    /// The reports that arrive now.
+    pub fn arrived(&mut self, now: Moment) -> Vec<Report> {
+        let due = |report: &mut Report| now.since(report.as_of) >= REPORT_LAG;
+        self.reports.extract_if(.., due).collect()
+    }
+}
+
+/// What arrives: a Poisson stream.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Requests a second, by organisation.
+    pub rates: Vec<f64>,
+    pub instances: usize,
+    /// The share of requests that arrive at the first instance, beyond its equal part.
+    pub skew: f64,
+    /// Prefixes in use, the most popular first by Zipf's law; 0 for no shared ones.
+    pub prefixes: usize,
+    /// Whether a tenth of the prompts is ten times as long.
+    pub heavy: bool,
+    pub deadline: Span,
+}
+
+pub struct Source {
+    load: Load,
+    random: ChaCha8Rng,
+    count: usize,
+}
+
+impl Source {
+    pub fn new(load: Load, seed: u64) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        Self {
+            load,
+            random,
+            count: 0,
+        }
+    }
+
+    /// The requests of one step.
+    pub fn step(&mut self, now: Moment) -> Vec<Request> {
+        let mut arrived = Vec::new();
+        for organisation in 0..self.load.rates.len() {
+            let chance = self.load.rates[organisation] * STEP.as_secs_f64();
+            let whole = chance as u32;
+            let extra = self.random.random_bool(chance - f64::from(whole));
+            for _ in 0..whole + u32::from(extra) {
+                arrived.push(self.request(organisation, now));
+            }
+        }
+        arrived
+    }
+
+    fn request(&mut self, organisation: usize, now: Moment) -> Request {
+        self.count += 1;
+        let uniform: f64 = self.random.random();
+        let first = self.random.random_bool(self.load.skew);
+        let any = self.random.random_range(0..self.load.instances);
+        let long = self.load.heavy && self.random.random_bool(0.1);
+        Request {
+            id: self.count,
+            organisation,
+            instance: if first { 0 } else { any },
+            arrived: now,
+            deadline: now + self.load.deadline,
+            prefix: self.prefix(),
+            prefill_ms: self.random.random_range(60.0..140.0) * if long { 10.0 } else { 1.0 },
+            tokens: 5.0 - 40.0 * (1.0 - uniform).ln(),
+            tries: 0,
+        }
+    }
+
+    /// Zipf's law by the inverse of its continuous form: `P(rank <= x)` is `ln x / ln n`.
+    fn prefix(&mut self) -> u64 {
+        if self.load.prefixes == 0 {
+            return 1_000_000 + self.count as u64;
+        }
+        let uniform: f64 = self.random.random();
+        (self.load.prefixes as f64).powf(uniform) as u64
+    }
+}
+
+/// The value below which a share of the sorted values lies.
+pub fn quantile(sorted: &[f64], share: f64) -> f64 {
+    if sorted.is_empty() {
+        return f64::NAN;
+    }
+    let index = (sorted.len() as f64 * share) as usize;
+    sorted[index.min(sorted.len() - 1)]
+}
+
+/// The mean and the standard deviation.
+pub fn spread(values: &[f64]) -> (f64, f64) {
+    let count = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / count;
+    let square = values
+        .iter()
+        .map(|value| (value - mean).powi(2))
+        .sum::<f64>();
+    (mean, (square / (count - 1.0).max(1.0)).sqrt())
+}
--- /dev/null
+++ b/crates/routing/examples/model/policy.rs
@@ -0,0 +1,232 @@
+//! Policies of the entry instances: the balancer and honest baselines.
+
+use super::{COLD, Report, Request, WARM};
+use config::{
+    Config, Fencing, Kind, Organisation, Presence, Service, Stage, Upstream, Version, Zone,
+};
+use entity::id::{self, Id};
+use entity::time::Span;
+use entity::unit::{Bytes, Cost, Share};
+use entity::{Generation, Map, Moment, name};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routing::{Balancer, Bounds, Choice, Load, Members, Outcome, Priority, Query};
+use std::sync::Arc;
+
+/// The configuration of a fleet: engines in turn over the zones.
+pub fn config(zones: usize, engines: usize, organisations: &[(u32, u32)]) -> Config {
+    let zone = |index| Zone {
+        name: format!("zone-{index}").parse().unwrap(),
+        region: "region".parse().unwrap(),
+        state: Presence::In,
+    };
+    let upstream = |index: usize| Upstream {
+        name: format!("engine-{index:03}").parse().unwrap(),
+        zone: id::Zone::new(index % zones),
+        address: "127.0.0.1:1".parse().unwrap(),
+        versions: vec![id::Version::new(0)],
+        services: Vec::new(),
+        warm: WARM,
+        cold: COLD,
+        fencing: Fencing::Checked,
+        state: Presence::In,
+    };
+    let organisation = |(index, &(weight, reserve)): (usize, &(u32, u32))| Organisation {
+        name: format!("organisation-{index:02}").parse().unwrap(),
+        services: vec![id::Service::new(0)],
+        versions: vec![id::Version::new(0)],
+        weight,
+        reserve,
+        keys: Vec::new(),
+    };
+    let service = Service {
+        name: "draft".parse().unwrap(),
+        kind: Kind::Chat,
+        depends: Vec::new(),
+        versions: vec![id::Version::new(0)],
+        quality: Share::percent(80),
+        cascade: false,
+        deadline: Span::from_secs(30),
+    };
+    let version = Version {
+        name: "draft/1".parse().unwrap(),
+        model: "draft".parse().unwrap(),
+        price_in: Cost(1),
+        price_out: Cost(1),
+        stage: Stage::Active,
+    };
+    Config {
+        zones: Map::new((0..zones).map(zone).collect()),
+        services: Map::new(vec![service]),
+        versions: Map::new(vec![version]),
+        upstreams: Map::new((0..engines).map(upstream).collect()),
+        organisations: Map::new(organisations.iter().enumerate().map(organisation).collect()),
+        ..Config::default()
+    }
+}
+
+/// How an instance picks engines.
+pub trait Policy {
+    fn configure(&mut self, config: &Arc<Config>, generation: Generation, now: Moment);
+    fn tick(&mut self, _now: Moment) {}
+    fn report(&mut self, _engine: usize, _report: &Report, _now: Moment) {}
+    /// The engine for a request, if there is one that may take it now.
+    fn choose(&mut self, request: &Request, now: Moment) -> Option<usize>;
+    fn finish(&mut self, request: &Request, engine: usize, outcome: Outcome, now: Moment);
+    fn may_retry(&mut self, request: &Request, now: Moment) -> bool;
+}
+
+/// The product.
+pub struct Product {
+    balancer: Balancer,
+    generation: Generation,
+    choices: Vec<(usize, Choice)>,
+    members: Members,
+    tick: Moment,
+}
+
+fn instance(index: usize) -> name::Instance {
+    format!("entry-{index}").parse().unwrap()
+}
+
+impl Product {
+    pub fn new(own: usize, instances: usize, zones: usize, seed: u64) -> Self {
+        let zone = format!("zone-{}", own % zones).parse().unwrap();
+        let live = (0..instances).map(instance).collect();
+        Self {
+            balancer: Balancer::new(instance(own), zone, Bounds::default(), seed),
+            generation: Generation(0),
+            choices: Vec::new(),
+            members: Members::new(1, live),
+            tick: Moment(0),
+        }
+    }
+}
+
+impl Policy for Product {
+    fn configure(&mut self, config: &Arc<Config>, generation: Generation, now: Moment) {
+        self.generation = generation;
+        self.balancer.configure(config, generation, now);
+    }
+
+    fn tick(&mut self, now: Moment) {
+        if now.since(self.tick) >= Span::from_secs(1) {
+            self.tick = now;
+            self.balancer.members(self.members.clone(), now, now);
+        }
+    }
+
+    fn report(&mut self, engine: usize, report: &Report, now: Moment) {
+        let name = format!("engine-{engine:03}").parse().unwrap();
+        let load = Load {
+            as_of: report.as_of,
+            running: report.running,
+            queued: report.queued,
+            cold: report.cold,
+            prefixes: report.prefixes.clone(),
+        };
+        self.balancer.load(&name, load, now);
+    }
+
+    fn choose(&mut self, request: &Request, now: Moment) -> Option<usize> {
+        let query = Query {
+            generation: self.generation,
+            service: id::Service::new(0),
+            version: Some(id::Version::new(0)),
+            organisation: id::Organisation::new(request.organisation),
+            prompt: Bytes((request.prefill_ms * 100.0) as u64),
+            prefix: Some(request.prefix),
+            priority: Priority(0),
+            excluded: &[],
+            deadline: request.deadline,
+        };
+        let choice = self.balancer.choose(&query, now).ok()?;
+        self.balancer
+            .recheck(&choice, now)
+            .expect("nothing changed since the choice");
+        let engine = choice.upstream.as_str()["engine-".len()..].parse().unwrap();
+        self.choices.push((request.id, choice));
+        if request.tries == 0 {
+            self.balancer.request(now);
+        }
+        Some(engine)
+    }
+
+    fn finish(&mut self, request: &Request, _engine: usize, outcome: Outcome, now: Moment) {
+        let index = self
+            .choices
+            .iter()
+            .position(|(id, _)| *id == request.id)
+            .unwrap();
+        let (_, choice) = self.choices.swap_remove(index);
+        self.balancer.finish(choice, outcome, now);
+    }
+
+    fn may_retry(&mut self, request: &Request, now: Moment) -> bool {
+        self.balancer
+            .retry(request.tries, request.deadline, now)
+            .is_some()
+    }
+}
+
+/// Which engine a baseline takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Rule {
+    RoundRobin,
+    Random,
+    LeastConnections,
+}
+
+/// A baseline: all engines that are in service, up to their warm limit by its own count.
+pub struct Baseline {
+    rule: Rule,
+    random: ChaCha8Rng,
+    config: Arc<Config>,
+    running: Vec<u32>,
+    next: usize,
+}
+
+impl Baseline {
+    pub fn new(rule: Rule, engines: usize, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        Self {
+            rule,
+            next: random.random_range(0..engines),
+            random,
+            config: Arc::default(),
+            running: vec![0; engines],
+        }
+    }
+}
+
+impl Policy for Baseline {
+    fn configure(&mut self, config: &Arc<Config>, _: Generation, _: Moment) {
+        self.config = Arc::clone(config);
+    }
+
+    fn choose(&mut self, _: &Request, _: Moment) -> Option<usize> {
+        let open = |engine: &usize| self.config.in_service(id::Upstream::new(*engine));
+        let open: Vec<usize> = (0..self.running.len()).filter(open).collect();
+        self.next += 1;
+        let engine = match self.rule {
+            Rule::RoundRobin => open[self.next % open.len()],
+            Rule::Random => open[self.random.random_range(0..open.len())],
+            Rule::LeastConnections => {
+                // Ties are broken in turn, as the usual balancers do.
+                let turn = |engine: &usize| (engine + self.next) % self.running.len();
+                let key = |engine: &&usize| (self.running[**engine], turn(engine));
+                *open.iter().min_by_key(key).unwrap()
+            }
+        };
+        self.running[engine] += 1;
+        Some(engine)
+    }
+
+    fn finish(&mut self, _: &Request, engine: usize, _: Outcome, _: Moment) {
+        self.running[engine] -= 1;
+    }
+
+    fn may_retry(&mut self, request: &Request, _: Moment) -> bool {
+        request.tries < 2
+    }
+}
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -7,13 +7,14 @@
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
 use crate::retry;
-use crate::score::{self, Affinity};
+use crate::score::{self, Affinity, Place};
 use crate::slots::{Bounds, Ceased, Claim, Members, Views};
 use crate::state::State;
 use config::Config;
 use entity::id::{self, Id};
 use entity::name;
 use entity::time::Span;
+use entity::unit::Bytes;
 use entity::{Generation, Map, Moment};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,9 +23,18 @@
 /// Instances that are assumed to share an upstream before the instance list was read.
 const ASSUMED_LIVE: usize = 16;
 
+/// Instances that share an upstream up to which all upstreams are compared.
+const FEW_SHARERS: usize = 32;
+
 /// Upstreams of a pool that a prefix belongs to.
 const HOMES: usize = 2;
 
+/// Weight of the newest prompt in the moving average of sizes.
+const NEWEST_PROMPT: f64 = 0.01;
+
+/// Largest prompt, in mean prompts, that counts.
+const LARGEST_PROMPT: f64 = 50.0;
+
 /// When a caller may try again after a refusal for lack of room.
 const ROOM_WAIT: Span = Span::from_secs(1);
 
@@ -51,6 +61,8 @@
     places: Map<id::Upstream, Option<u32>>,
     budget: retry::Budget,
     tickets: u64,
+    /// Moving average of the sizes of prompts, in bytes.
+    mean_prompt: f64,
 }
 
 /// An upstream that the filter lets through.
@@ -76,6 +88,7 @@
             places: Map::default(),
             budget: retry::Budget::new(Moment(0)),
             tickets: 0,
+            mean_prompt: 0.0,
         }
     }
 
@@ -171,9 +184,9 @@
 
     /// Chooses an upstream for a request.
     ///
-    /// Of two upstreams picked at random, and those that the prefix belongs to, the one with the
-    /// best score is taken ("the power of two choices", Mitzenmacher, 2001): load reports lag, and
-    /// if all instances took the best of all, they would all take the same.
+    /// The score weighs what this instance sent itself, lagging load reports and caches. Among many
+    /// instances only two upstreams are compared, picked at random ("the power of two choices",
+    /// Mitzenmacher, 2001).
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
         if query.generation != self.generation {
             return Err(refusal(Reason::Generation));
@@ -184,11 +197,13 @@
             organisation: query.organisation,
             excluded: query.excluded,
             deadline: query.deadline,
+            priority: query.priority,
         };
         let filter = self.filter(now);
         filter.permitted(&work).map_err(refusal)?;
         let candidates = self.candidates(&work, query.prefix, now).map_err(refusal)?;
-        let best = self.best(&candidates);
+        let sharers = self.sharers(candidates[0].upstream);
+        let best = self.best(&candidates, sharers);
         Ok(self.begin(best, query, now))
     }
 
@@ -263,7 +278,8 @@
         let mut strongest = self.absence(work);
         for &upstream in &pool.used {
             let state = self.state_of(upstream);
-            let grant = match filter.check(work, upstream, state, self.sharers(upstream), None) {
+            let sharers = self.sharers(upstream);
+            let grant = match filter.check(work, upstream, state, sharers, None) {
                 Ok(grant) => grant,
                 Err(reason) => {
                     strongest = strongest.max(reason);
@@ -278,10 +294,15 @@
                 _ if home => Affinity::Home,
                 _ => Affinity::None,
             };
+            let place = Place {
+                upstream,
+                sharers,
+                affinity,
+            };
             candidates.push(Candidate {
                 upstream,
                 grant,
-                score: score::score(&self.config, zone, upstream, state, affinity, now),
+                score: score::score(&self.config, zone, place, state, now),
                 tied: affinity != Affinity::None,
             });
         }
@@ -325,13 +346,20 @@
         ranked.into_iter().map(|(_, upstream)| upstream).collect()
     }
 
-    fn best<'a>(&mut self, candidates: &'a [Candidate]) -> &'a Candidate {
-        let first = self.random.random_range(0..candidates.len());
-        let second = self.random.random_range(0..candidates.len());
+    /// The best of all where few instances share the upstreams. Where many do, hardly anything of an
+    /// upstream's load is this instance's own, and all instances would take the same: then the best
+    /// of two picked at random and of those that the prefix is tied to.
+    fn best<'a>(&mut self, candidates: &'a [Candidate], sharers: usize) -> &'a Candidate {
+        let count = candidates.len();
+        let first = self.random.random_range(0..count);
+        let second = self.random.random_range(0..count);
         let mut best = &candidates[first];
-        let tied = candidates.iter().filter(|candidate| candidate.tied);
-        for candidate in tied.chain(std::iter::once(&candidates[second])) {
-            if candidate.score < best.score {
+        // Equal scores go to the first in a random rotation.
+        for candidate in candidates[first..].iter().chain(&candidates[..first]) {
+            let compared = sharers <= FEW_SHARERS
+                || candidate.tied
+                || candidate.upstream == candidates[second].upstream;
+            if compared && candidate.score < best.score {
                 best = candidate;
             }
         }
@@ -341,8 +369,9 @@
     fn begin(&mut self, candidate: &Candidate, query: &Query, now: Moment) -> Choice {
         self.tickets += 1;
         let ticket = self.tickets;
+        let prompt = self.relative(query.prompt);
         let place = self.places[candidate.upstream].expect("candidates have a state");
-        self.states[place as usize].begin(candidate.grant, ticket, now);
+        self.states[place as usize].begin(candidate.grant, ticket, prompt, now);
         let upstream = &self.config.upstreams[candidate.upstream];
         Choice {
             upstream: upstream.name.clone(),
@@ -355,7 +384,18 @@
             service: query.service,
             version: query.version,
             organisation: query.organisation,
+            priority: query.priority,
+        }
+    }
+
+    /// The size of a prompt in relation to the mean.
+    fn relative(&mut self, prompt: Bytes) -> f64 {
+        let bytes = (prompt.0 as f64).max(1.0);
+        if self.mean_prompt == 0.0 {
+            self.mean_prompt = bytes;
         }
+        self.mean_prompt += NEWEST_PROMPT * (bytes - self.mean_prompt);
+        (bytes / self.mean_prompt).min(LARGEST_PROMPT)
     }
 
     /// A choice's work and upstream in the ids of the configuration in force.
@@ -372,6 +412,7 @@
             organisation: choice.organisation,
             excluded: &[],
             deadline: choice.end,
+            priority: choice.priority,
         };
         if choice.generation == self.generation {
             return Ok((work, upstream));
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -3,6 +3,7 @@
 //! It is applied when an upstream is chosen and again just before dispatch, to first tries,
 //! retries, hedges, steps of a cascade and queued requests alike.
 
+use crate::query::Priority;
 use crate::slots::Views;
 use crate::state::{Readiness, State};
 use config::{Config, Presence, Stage};
@@ -10,6 +11,10 @@
 use entity::id;
 use entity::name;
 
+/// Share of an upstream's limit beyond which only the most urgent requests use what other instances
+/// leave free.
+const URGENT_ONLY: f64 = 0.9;
+
 /// On what ground a dispatch is allowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Grant {
@@ -77,6 +82,8 @@
     pub excluded: &'a [name::Upstream],
     /// When the answer is due.
     pub deadline: Moment,
+    /// How urgent it is.
+    pub priority: Priority,
 }
 
 /// What the filter goes by.
@@ -108,7 +115,7 @@
         }
         match (state.readiness(self.now), held) {
             (Readiness::Warm { .. }, Some((grant, _))) => Ok(grant),
-            (Readiness::Warm { .. }, None) => self.warm(upstream, state, sharers),
+            (Readiness::Warm { .. }, None) => self.warm(work, upstream, state, sharers),
             (Readiness::Cold, None) => self.slot(work, state, None),
             (Readiness::Cold, Some((Grant::Warm, _))) => Err(Reason::Cold),
             (Readiness::Cold, Some((Grant::Cold { .. }, ticket))) => {
@@ -162,17 +169,27 @@
 
     /// Whether a warm upstream has room: this instance's share of its limit always, and more where
     /// load reports show that others leave theirs unused.
-    fn warm(&self, upstream: id::Upstream, state: &State, sharers: usize) -> Result<Grant, Reason> {
-        let limit = self.config.upstreams[upstream].warm;
-        let limit = (f64::from(limit) * state.ramp(self.now)).ceil() as u32;
+    fn warm(
+        &self,
+        work: &Work,
+        upstream: id::Upstream,
+        state: &State,
+        sharers: usize,
+    ) -> Result<Grant, Reason> {
+        let limit = f64::from(self.config.upstreams[upstream].warm) * state.ramp(self.now);
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
-        let share = (limit / sharers).max(1);
+        let share = (limit.ceil() as u32 / sharers).max(1);
         if state.running < share {
             return Ok(Grant::Warm);
         }
-        let spare = limit.saturating_sub(state.reported());
+        let common = match work.priority {
+            Priority(0) => limit.ceil() as u32,
+            _ => (limit * URGENT_ONLY).ceil() as u32,
+        };
+        // All sharers may borrow at once between two reports: each gets twice its part of the spare.
+        let spare = common.saturating_sub(state.reported());
         let borrowed = (2 * spare).div_ceil(sharers);
-        if spare > 0 && state.begun() < borrowed && state.total() < limit {
+        if state.begun() < borrowed && state.total() < common {
             return Ok(Grant::Warm);
         }
         Err(Reason::Full)
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -5,6 +5,7 @@
 use entity::id;
 use entity::name;
 use entity::time::Span;
+use entity::unit::Bytes;
 use entity::{Generation, Moment};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +26,8 @@
     pub version: Option<id::Version>,
     /// The organisation that pays for it.
     pub organisation: id::Organisation,
+    /// Size of the prompt or body.
+    pub prompt: Bytes,
     /// Hash of the prompt's prefix, for chat services.
     pub prefix: Option<u64>,
     /// How urgent it is.
@@ -55,6 +58,7 @@
     pub(crate) service: id::Service,
     pub(crate) version: Option<id::Version>,
     pub(crate) organisation: id::Organisation,
+    pub(crate) priority: Priority,
 }
 
 /// Why no upstream can take a request now; nothing of it has left the instance.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -29,6 +29,12 @@
 /// start.
 const SLOW: f64 = 6.0;
 
+/// First-token time that is assumed before the first answer, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 200.0;
+
+/// How long a sent prompt counts: the time constant of its decay, in usual first-token times.
+const MEMORY: f64 = 3.0;
+
 /// Weight of the newest first-token time in the moving average.
 const NEWEST: f64 = 0.05;
 
@@ -65,6 +71,9 @@
     recovered: bool,
     suspected: Option<Moment>,
     first_token_ms: Option<f64>,
+    /// Requests sent lately, each counting for less as time goes by.
+    sent: f64,
+    sent_at: Moment,
 }
 
 impl State {
@@ -83,6 +92,8 @@
             recovered: false,
             suspected: None,
             first_token_ms: None,
+            sent: 0.0,
+            sent_at: now,
         }
     }
 
@@ -136,6 +147,14 @@
             .max(self.running)
     }
 
+    /// Prompts that this instance sent lately, in mean prompts: an estimate of those whose first
+    /// token is still to come. Each counts for less as time goes by, the slower the upstream is.
+    pub fn sent(&self, now: Moment) -> f64 {
+        let usual = self.first_token_ms.unwrap_or(FIRST_TOKEN_MS);
+        let elapsed = now.since(self.sent_at).as_secs_f64() * 1e3;
+        self.sent * (-elapsed / (MEMORY * usual.max(1.0))).exp()
+    }
+
     /// Requests of this instance that were begun since the newest load report, less those ended.
     pub fn begun(&self) -> u32 {
         self.running.saturating_sub(self.running_at_load)
@@ -213,10 +232,12 @@
         self.breaker = Breaker::default();
     }
 
-    /// Counts a choice.
-    pub fn begin(&mut self, grant: Grant, ticket: u64, now: Moment) {
+    /// Counts a choice with a prompt of so many mean prompts.
+    pub fn begin(&mut self, grant: Grant, ticket: u64, prompt: f64, now: Moment) {
         self.breaker.sent(now);
         self.running += 1;
+        self.sent = self.sent(now) + prompt;
+        self.sent_at = now;
         if let Grant::Cold { slot } = grant {
             self.slots.take(slot, ticket);
         }
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -6,7 +6,7 @@
 };
 use entity::id::{self, Id};
 use entity::time::Span;
-use entity::unit::{Cost, Share};
+use entity::unit::{Bytes, Cost, Share};
 use entity::{Generation, Map, Moment, name};
 use routing::{Balancer, Bounds, Load, Members, Priority, Query};
 use std::sync::Arc;
@@ -111,6 +111,7 @@
         service: id::Service::new(0),
         version: Some(id::Version::new(0)),
         organisation: id::Organisation::new(0),
+        prompt: Bytes(1000),
         prefix: None,
         priority: Priority(0),
         excluded: &[],
