Keep the timer's rounding out of an engine's answers

Cause: each wait shorter than the timer's step took a step, also the reading of a short prompt, so that an engine with token_ms 0 was slower than asked. Change: waits below a millisecond are made up for by later ones.

--- a/standins/src/engine/job.rs
+++ b/standins/src/engine/job.rs
@@ -23,6 +23,8 @@
 const COLD_SLOWDOWN: f64 = 4.0;
 /// Running requests that make a token take twice as long as in a batch of one.
 const DOUBLING: f64 = 16.0;
+/// Shortest wait that the timer keeps; shorter ones are made up for by later steps.
+const TIMER_STEP: Duration = Duration::from_millis(1);
 /// Chunks that a stream holds for a slow reader.
 const BUFFERED_CHUNKS: usize = 16;
 
@@ -121,8 +123,8 @@
         if self.engine.cold() {
             slowdown *= COLD_SLOWDOWN;
         }
-        if alone > Duration::ZERO {
-            self.pace += alone.mul_f64(slowdown);
+        self.pace += alone.mul_f64(slowdown);
+        if self.pace.duration_since(Instant::now()) >= TIMER_STEP {
             tokio::select! {
                 _ = self.falls.changed() => return Err(Dropped),
                 () = tokio::time::sleep_until(self.pace) => {}
