--- a/crates/routing/examples/model/fleet.rs
+++ b/crates/routing/examples/model/fleet.rs
@@ -182,7 +182,9 @@
         let now = self.now;
         let policy = &mut self.entrances[request.instance].policy;
         let outcome = match end {
-            End::Done { first_token, .. } => Outcome::Done { first_token },
+            End::Done { first_token, .. } => Outcome::Done {
+                first_token: Some(first_token),
+            },
             End::Failed => Outcome::Failed,
             End::Refused => Outcome::Refused,
         };
--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -6,9 +6,8 @@
 use crate::version::{self, Admitted, Assignment};
 use adoption::Snapshot;
 use billing::usage;
-use bytes::Bytes;
 use caller::{Chat, Event, Refusal, Reply, Request, Streamed, Whole};
-use entity::unit::Tokens;
+use entity::unit::{Bytes, Tokens};
 use entity::{Moment, Span, id, name};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -20,6 +19,8 @@
 use tokio::time::Instant;
 use upstream::{Chunk, Completion, Failure, Usage};
 
+/// Bytes of a prompt for one token, as the caller's side estimates.
+const BYTES_PER_TOKEN: u64 = 4;
 /// Events of a stream that wait for a slow caller.
 const EVENTS: usize = 32;
 /// Longest answer text that is kept to be rated, in bytes.
@@ -83,6 +84,7 @@
             service: self.service,
             version: Some(version),
             organisation: self.organisation,
+            prompt: Bytes(self.chat.prompt.0 * BYTES_PER_TOKEN),
             prefix: Some(self.chat.prefix),
             priority: Priority(u8::from(!self.request.live)),
             deadline: self.deadline,
@@ -405,7 +407,7 @@
     }
 
     /// Passes an event on; a caller too slow to take it by the deadline counts as gone.
-    async fn send(&self, data: Bytes) -> Result<(), ()> {
+    async fn send(&self, data: bytes::Bytes) -> Result<(), ()> {
         let deadline = self.context.clock.instant(self.deadline);
         let sent = self.events.send(Event::Data(data));
         match tokio::time::timeout_at(deadline, sent).await {
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Clock;
 use adoption::Snapshot;
-use entity::unit::{Share, Tokens};
+use entity::unit::{Bytes, Share, Tokens};
 use entity::{Generation, Moment, Span, id, name};
 use quality::{Judge, Plan, Rating, Summary, Verdict};
 use routing::slots::Ceased;
@@ -48,6 +48,8 @@
     pub version: Option<id::Version>,
     /// The organisation.
     pub organisation: id::Organisation,
+    /// Size of the prompt or body.
+    pub prompt: Bytes,
     /// Hash of the prompt's prefix.
     pub prefix: Option<u64>,
     /// How urgent it is.
@@ -432,6 +434,7 @@
             service: want.service,
             version: want.version,
             organisation: want.organisation,
+            prompt: want.prompt,
             prefix: want.prefix,
             priority: want.priority,
             excluded: &want.excluded,
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -8,6 +8,7 @@
 use caller::{Plain, Refusal, Reply, Request, Whole};
 use config::{Repeat, Route};
 use entity::request::Ran;
+use entity::unit::Bytes;
 use entity::{Moment, Span, id, name};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -92,6 +93,7 @@
             service: self.service,
             version: None,
             organisation: self.organisation,
+            prompt: Bytes(self.plain.body.len() as u64),
             prefix: None,
             priority: Priority(u8::from(!self.request.live)),
             deadline: self.deadline,
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -5,6 +5,7 @@
 use adoption::Snapshot;
 use caller::Refusal;
 use entity::request::{self, Ran};
+use entity::unit::Bytes;
 use entity::{Moment, Span, id, name};
 use hyper::StatusCode;
 use routing::{Choice, Outcome, Priority};
@@ -30,6 +31,8 @@
     pub version: Option<id::Version>,
     /// The organisation.
     pub organisation: id::Organisation,
+    /// Size of the prompt or body.
+    pub prompt: Bytes,
     /// Hash of the prompt's prefix.
     pub prefix: Option<u64>,
     /// How urgent it is.
@@ -67,6 +70,7 @@
             service: self.service,
             version: self.version,
             organisation: self.organisation,
+            prompt: self.prompt,
             prefix: self.prefix,
             priority: self.priority,
             excluded: excluded.to_vec(),
@@ -123,9 +127,10 @@
 ) -> Result<Taken<D::Value>, GivenUp> {
     let mut excluded = Vec::new();
     let mut ran = Ran::No;
+    let mut last: Option<Failure> = None;
     for retry in 0..MAX_TRIES {
         let asked = context.clock.now();
-        let choice = choose(context, job, &excluded, ran).await?;
+        let choice = choose(context, job, &excluded, last.as_ref(), ran).await?;
         if context.clock.now().since(asked) > context.bounds.slack {
             // The process was paused: what was chosen may be another instance's slot by now.
             context.decider.finish(choice, Outcome::Cancelled).await;
@@ -169,6 +174,7 @@
         let Some(delay) = delay else {
             return Err(GivenUp::Refused(refuse(&failure, ran)));
         };
+        last = Some(failure);
         tokio::time::sleep(delay.duration()).await;
     }
     let message = "no upstream gave a whole answer";
@@ -183,6 +189,7 @@
     context: &Context,
     job: &Job,
     excluded: &[name::Upstream],
+    last: Option<&Failure>,
     ran: Ran,
 ) -> Result<Choice, GivenUp> {
     let chosen = context.decider.choose(job.want(excluded)).await;
@@ -194,10 +201,9 @@
     if refusal.reason == routing::Reason::Generation && ran == Ran::No {
         return Err(GivenUp::Stale);
     }
-    Err(GivenUp::Refused(Refusal {
-        ran,
-        ..no_upstream(&refusal)
-    }))
+    // After a try, the caller is told why that failed, not that there is no other upstream.
+    let refused = last.map_or_else(|| no_upstream(&refusal), |failure| refuse(failure, ran));
+    Err(GivenUp::Refused(Refusal { ran, ..refused }))
 }
 
 /// The pause before another try; none if there may be none.
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -27,7 +27,7 @@
 const ISOLATION: Span = Span::from_secs(12);
 const DRAIN: Span = Span::from_secs(120);
 const RETRY_BUDGET: Share = Share::percent(10);
-const USAGE_DELAY: Span = Span::from_millis(50);
+const USAGE_DELAY: Span = Span::from_millis(5);
 
 const SECTIONS: [&str; 8] = [
     "instance",
