--- a/crates/claims/src/fold.rs
+++ b/crates/claims/src/fold.rs
@@ -55,7 +55,8 @@
     key: Key,
     fingerprint: Option<Digest>,
     holder: Option<request::Id>,
-    answer: Option<Answer>,
+    /// Boxed, because most keys that are open have none.
+    answer: Option<Box<Answer>>,
     /// Sendings up to this one can't win any more.
     excluded: Sending,
     /// Sorted by id. Each attempt is decided by its first record: later copies change nothing.
@@ -135,7 +136,7 @@
         // The claim itself may have expired from the log before this reader began.
         self.holder = Some(outcome.attempt);
         self.fingerprint = Some(outcome.fingerprint);
-        self.answer = Some(outcome.answer.clone());
+        self.answer = Some(Box::new(outcome.answer.clone()));
     }
 }
 
@@ -260,8 +261,8 @@
         self.len() == 0
     }
 
-    /// Drops keys whose last record is older than `before_ms`, which must not be after the log's
-    /// own bound of retention.
+    /// Drops keys whose last record is older than `before_ms`: the log's time less
+    /// [`Window::memory`](crate::Window::memory), so that no later claim of them is in its window.
     pub fn forget(&mut self, before_ms: u64) {
         for bucket in &mut self.buckets {
             bucket.retain(|entry| entry.last_ms >= before_ms);
--- a/crates/claims/src/record.rs
+++ b/crates/claims/src/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Longest response body that an outcome keeps, in bytes.
-pub const MAX_BODY_BYTES: usize = 16 * 1024;
+pub const MAX_BODY_BYTES: usize = 4 * 1024;
 
 /// An attempt wants to run the operation of a key.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/claims/src/window.rs
+++ b/crates/claims/src/window.rs
@@ -45,9 +45,12 @@
         }
     }
 
-    /// How long the log keeps records.
-    pub fn retention(&self) -> Span {
-        self.retention
+    /// How long a key has to be remembered after its last record: any claim that the log takes
+    /// later is past the key's window.
+    pub fn memory(&self) -> Span {
+        let micros = |span: Span| span.as_micros();
+        let lifetime = micros(self.retention) - micros(self.margin);
+        Span::from_micros(lifetime + micros(self.skew))
     }
 
     /// Where `now_ms` is in the window of a key; milliseconds since the Unix epoch.
--- a/crates/claims/tests/fold.rs
+++ b/crates/claims/tests/fold.rs
@@ -144,6 +144,7 @@
     expect_that!(at(-60), eq(Phase::Open));
     expect_that!(at(3480), eq(Phase::Open));
     expect_that!(at(3481), eq(Phase::Expired));
+    expect_that!(window.memory(), eq(Span::from_secs(3540)));
 }
 
 #[gtest]
--- a/crates/journal/src/committer.rs
+++ b/crates/journal/src/committer.rs
@@ -28,6 +28,8 @@
     pub batch_bytes: usize,
     /// Appends a second, over all streams.
     pub rate: Rate,
+    /// Appends that may follow each other at once after a time with fewer than the rate.
+    pub burst: u32,
     /// Appends under way at once, over all streams; each stream has at most one.
     pub parallel: usize,
     /// The smallest delay after a failure.
@@ -44,6 +46,7 @@
             linger: Span::from_millis(5),
             batch_bytes: 128 * 1024,
             rate: Rate(30),
+            burst: 10,
             parallel: 4,
             least_delay: Span::from_millis(50),
             most_delay: Span::from_secs(2),
@@ -126,6 +129,7 @@
         lanes: Vec::new(),
         running: JoinSet::new(),
         free_at: Instant::now(),
+        paced_at: Instant::now(),
         backoff: Backoff::new(policy.least_delay, policy.most_delay),
         health,
     };
@@ -191,8 +195,10 @@
     /// Sorted by stream.
     lanes: Vec<Lane>,
     running: JoinSet<Done>,
-    /// When the rate, or the delay after a failure, permits the next append.
+    /// When the delay after a failure permits the next append.
     free_at: Instant,
+    /// When the next append would be due if all so far had kept to the rate exactly.
+    paced_at: Instant,
     backoff: Backoff,
     health: watch::Sender<Health>,
 }
@@ -300,7 +306,7 @@
             let Some((index, due)) = first else {
                 return self.recover();
             };
-            let at = due.max(self.free_at);
+            let at = due.max(self.free_at).max(self.paced());
             if at > Instant::now() {
                 return Some(at);
             }
@@ -326,8 +332,19 @@
                 result,
             }
         });
+        self.paced_at = self.paced_at.max(Instant::now()) + self.interval();
+    }
+
+    /// Time between appends that keep to the rate exactly.
+    fn interval(&self) -> Duration {
         let rate = u32::try_from(self.rates.borrow().0.max(1)).unwrap_or(u32::MAX);
-        self.free_at = Instant::now() + Duration::from_secs(1) / rate;
+        Duration::from_secs(1) / rate
+    }
+
+    /// When the rate permits the next append (the generic cell rate algorithm).
+    fn paced(&self) -> Instant {
+        let slack = self.interval() * self.policy.burst.saturating_sub(1);
+        self.paced_at.checked_sub(slack).unwrap_or(self.paced_at)
     }
 
     fn finish(&mut self, done: Result<Done, tokio::task::JoinError>) {
--- a/crates/journal/src/partition.rs
+++ b/crates/journal/src/partition.rs
@@ -273,8 +273,8 @@
             return;
         }
         self.unsearched = 0;
-        let retention_ms = self.policy.window.retention().as_micros() / 1000;
-        fold.forget(last.time_ms.saturating_sub(retention_ms));
+        let memory_ms = self.policy.window.memory().as_micros().div_ceil(1000);
+        fold.forget(last.time_ms.saturating_sub(memory_ms));
     }
 
     /// Answers all attempts that the records read so far decide.
--- a/crates/journal/tests/usage.rs
+++ b/crates/journal/tests/usage.rs
@@ -248,6 +248,8 @@
     sleep(Duration::from_secs(60)).await;
     expect_false!(waiting.is_finished());
     log.set(Faults::default());
+    let flushed = timeout(Duration::from_secs(5), running[0].0.flush()).await;
+    expect_that!(flushed, ok(ok(())));
     let committed = timeout(Duration::from_secs(5), waiting).await;
     expect_that!(committed.expect("in time").expect("no panic"), ok(()));
 }
