--- a/crates/adoption/src/fold.rs
+++ b/crates/adoption/src/fold.rs
@@ -5,6 +5,9 @@
 use entity::{Findings, Generation, Offset};
 use std::sync::Arc;
 
+/// Most findings that a rejection keeps, so that a damaged text takes no memory at all instances.
+const KEPT_FINDINGS: usize = 100;
+
 /// A reply to a read: consecutive records, beginning at the wanted offset or, if that has expired,
 /// at the first retained one.
 #[derive(Clone, Debug)]
@@ -81,7 +84,7 @@
         /// Who published the one in force.
         author: Box<str>,
     },
-    /// Its text has findings.
+    /// Its text has findings; the first of them.
     Text(Findings),
 }
 
@@ -104,6 +107,16 @@
         /// The offset that was given.
         offset: Offset,
     },
+    /// The log ends before records that this reader has folded.
+    #[error(
+        "the log ends before offset {next}, and offset {wanted} was wanted: it has lost records"
+    )]
+    Rewound {
+        /// The offset that was wanted.
+        wanted: Offset,
+        /// The offset that the next append will get.
+        next: Offset,
+    },
     /// A fellow's text has a format of another release.
     #[error("generation {generation} has format {format}; this release reads {FORMAT}")]
     Learned {
@@ -223,7 +236,15 @@
     ///
     /// [`Error::Format`] at a record of another release, before which the fold stays: its verdict is
     /// unknown here, and with it everything after. [`Error::Gap`] if the page is not consecutive.
+    /// [`Error::Rewound`] if the log has lost records: whatever it gives in their place is not folded,
+    /// since generations would go back.
     pub fn read(&mut self, page: &Page<'_>, steps: &mut Vec<Step>) -> Result<(), Error> {
+        if page.next < self.wanted() {
+            return Err(Error::Rewound {
+                wanted: self.wanted(),
+                next: page.next,
+            });
+        }
         self.check_gap(page.first, steps);
         self.begin(page.first);
         for (offset, data) in &page.records {
@@ -409,7 +430,10 @@
                         snapshot: Arc::new(snapshot),
                     };
                 }
-                Err(findings) => Reason::Text(findings),
+                Err(mut findings) => {
+                    findings.0.truncate(KEPT_FINDINGS);
+                    Reason::Text(findings)
+                }
             }
         } else {
             Reason::Base {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -4,7 +4,7 @@
 use crate::filter::Grant;
 use crate::load::Load;
 use crate::query::Outcome;
-use crate::slots::Claim;
+use crate::slots::Ledger;
 use entity::Moment;
 use entity::name;
 use entity::time::Span;
@@ -29,6 +29,12 @@
 /// start.
 const SLOW: f64 = 6.0;
 
+/// First-token time that is assumed before the first answer, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 200.0;
+
+/// How long a sent prompt counts: the time constant of its decay, in usual first-token times.
+const MEMORY: f64 = 3.0;
+
 /// Weight of the newest first-token time in the moving average.
 const NEWEST: f64 = 0.05;
 
@@ -44,15 +50,6 @@
     },
 }
 
-/// A slot in use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Held {
-    /// The slot.
-    pub number: u32,
-    /// The choice that uses it.
-    pub ticket: u64,
-}
-
 /// What an instance knows about one upstream.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -60,10 +57,8 @@
     pub name: name::Upstream,
     /// Choices of this instance that are not finished.
     pub running: u32,
-    /// Slots that requests of this instance run on, whether it owns them still or not.
-    pub held: Vec<Held>,
-    /// Claims to slots.
-    pub claims: Vec<Claim>,
+    /// Its slots in cold start.
+    pub slots: Ledger,
     /// The circuit breaker.
     pub breaker: Breaker,
     /// Whether it reports its load; plain services don't.
@@ -76,6 +71,9 @@
     recovered: bool,
     suspected: Option<Moment>,
     first_token_ms: Option<f64>,
+    /// Requests sent lately, each counting for less as time goes by.
+    sent: f64,
+    sent_at: Moment,
 }
 
 impl State {
@@ -86,8 +84,7 @@
             reports,
             known_since: now,
             running: 0,
-            held: Vec::new(),
-            claims: Vec::new(),
+            slots: Ledger::default(),
             breaker: Breaker::default(),
             load: None,
             running_at_load: 0,
@@ -95,6 +92,8 @@
             recovered: false,
             suspected: None,
             first_token_ms: None,
+            sent: 0.0,
+            sent_at: now,
         }
     }
 
@@ -148,6 +147,14 @@
             .max(self.running)
     }
 
+    /// Prompts that this instance sent lately, in mean prompts: an estimate of those whose first
+    /// token is still to come. Each counts for less as time goes by, the slower the upstream is.
+    pub fn sent(&self, now: Moment) -> f64 {
+        let usual = self.first_token_ms.unwrap_or(FIRST_TOKEN_MS);
+        let elapsed = now.since(self.sent_at).as_secs_f64() * 1e3;
+        self.sent * (-elapsed / (MEMORY * usual.max(1.0))).exp()
+    }
+
     /// Requests of this instance that were begun since the newest load report, less those ended.
     pub fn begun(&self) -> u32 {
         self.running.saturating_sub(self.running_at_load)
@@ -225,16 +232,14 @@
         self.breaker = Breaker::default();
     }
 
-    /// Counts a choice.
-    pub fn begin(&mut self, grant: Grant, ticket: u64, now: Moment) {
+    /// Counts a choice with a prompt of so many mean prompts.
+    pub fn begin(&mut self, grant: Grant, ticket: u64, prompt: f64, now: Moment) {
         self.breaker.sent(now);
         self.running += 1;
+        self.sent = self.sent(now) + prompt;
+        self.sent_at = now;
         if let Grant::Cold { slot } = grant {
-            debug_assert!(self.held.iter().all(|held| held.number != slot));
-            self.held.push(Held {
-                number: slot,
-                ticket,
-            });
+            self.slots.take(slot, ticket);
         }
     }
 
@@ -250,11 +255,12 @@
         let light = f64::from(self.total()) < UNEXPLAINED * f64::from(limit);
         assert!(self.running > 0, "a choice ends once");
         self.running -= 1;
-        self.held.retain(|held| held.ticket != ticket);
+        self.slots.free(ticket);
         match outcome {
             Outcome::Done { first_token } => {
                 self.breaker.succeeded();
-                grant == Grant::Warm && self.slow(first_token) && light && self.suspect(now)
+                let slow = first_token.is_some_and(|time| self.slow(time));
+                grant == Grant::Warm && slow && light && self.suspect(now)
             }
             Outcome::Refused => {
                 self.breaker.unsettled(now);
--- /dev/null
+++ b/crates/server/src/status.rs
@@ -0,0 +1,191 @@
+//! What an instance tells operators about itself.
+
+use crate::context::Context;
+use adoption::Verdict;
+use bytes::Bytes;
+use entity::{Generation, Span, name};
+use journal::usage::Stats;
+use quality::Verdict as RolloutVerdict;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The state of one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// The instance.
+    pub instance: name::Instance,
+    /// Its zone.
+    pub zone: name::Zone,
+    /// The generation in force; 0 where none is.
+    pub generation: Generation,
+    /// Who published it.
+    pub author: Option<Box<str>>,
+    /// Why the configuration stream can't be read on, if it can't.
+    pub fault: Option<Box<str>>,
+    /// Whether requests are served, going by whom the instance hears from.
+    pub serving: bool,
+    /// Whether it is being shut down.
+    pub draining: bool,
+    /// Time since the log was last read, by it or by anybody that it heard of.
+    pub log_age: Option<Span>,
+    /// Instances on the list.
+    pub listed: usize,
+    /// Usage records of its own that the log has not confirmed yet.
+    pub unappended: usize,
+    /// Usage records held for fellows.
+    pub held: usize,
+    /// Upstreams that are believed to be in cold start.
+    pub cold: Vec<name::Upstream>,
+    /// Zones that are out.
+    pub zones_out: Vec<name::Zone>,
+    /// Roll-outs, as the text states them.
+    pub rollouts: Vec<Rollout>,
+}
+
+/// A roll-out under way.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Rollout {
+    /// The service.
+    pub service: name::Service,
+    /// The version in service.
+    pub from: name::Version,
+    /// The new version.
+    pub to: name::Version,
+    /// The share in the text.
+    pub share: entity::unit::Share,
+    /// Whether a brake is known.
+    pub braked: bool,
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} in {}: generation {}",
+            self.instance, self.zone, self.generation
+        )?;
+        if let Some(author) = &self.author {
+            write!(f, " by {author}")?;
+        }
+        f.write_str(if self.serving {
+            ", serving"
+        } else {
+            ", not serving"
+        })?;
+        if self.draining {
+            f.write_str(", shutting down")?;
+        }
+        match self.log_age {
+            Some(age) => write!(f, "\n  log read {:.1} s ago", age.as_secs_f64())?,
+            None => f.write_str("\n  log not read yet")?,
+        }
+        write!(f, "; {} instances listed", self.listed)?;
+        write!(
+            f,
+            "; usage records: {} to append, {} held",
+            self.unappended, self.held
+        )?;
+        if let Some(fault) = &self.fault {
+            write!(f, "\n  fault: {fault}")?;
+        }
+        for zone in &self.zones_out {
+            write!(f, "\n  zone {zone} is out")?;
+        }
+        for upstream in &self.cold {
+            write!(f, "\n  upstream {upstream} is suspected to be cold")?;
+        }
+        for rollout in &self.rollouts {
+            write!(f, "\n  {rollout}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Rollout {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            service,
+            from,
+            to,
+            share,
+            braked,
+        } = self;
+        write!(f, "roll-out of {service}: {from} to {to}, from {share}")?;
+        f.write_str(if *braked { ", braked" } else { "" })
+    }
+}
+
+/// The state as JSON.
+pub async fn page(context: &Context) -> Bytes {
+    let usage = context.usage.stats().await.unwrap_or_default();
+    serde_json::to_vec(&status(context, &usage))
+        .unwrap_or_default()
+        .into()
+}
+
+fn status(context: &Context, usage: &Stats) -> Status {
+    let snapshot = context.snapshot();
+    let own = &context.settings.instance;
+    let told = context.told.load();
+    let cold = told
+        .digest
+        .suspicions
+        .iter()
+        .filter_map(|cold| cold.upstream.parse().ok());
+    Status {
+        instance: own.name.clone(),
+        zone: own.zone.clone(),
+        generation: context.generation(),
+        author: snapshot.as_ref().map(|snapshot| snapshot.author.clone()),
+        fault: context.configuration.fault.borrow().clone(),
+        serving: snapshot.is_some() && context.contact.verdict() == Verdict::Serve,
+        draining: context.is_draining(),
+        log_age: context.contact.log_age(),
+        listed: context.members.borrow().list.instances.len(),
+        unappended: usage.open,
+        held: usage.held,
+        cold: cold.collect(),
+        zones_out: zones_out(context),
+        rollouts: rollouts(context, &told.verdicts),
+    }
+}
+
+fn zones_out(context: &Context) -> Vec<name::Zone> {
+    let Some(snapshot) = context.snapshot() else {
+        return Vec::new();
+    };
+    let mut out = Vec::new();
+    for (_, zone) in snapshot.config.zones.iter() {
+        if zone.state == config::Presence::Out {
+            out.push(zone.name.clone());
+        }
+    }
+    out
+}
+
+fn rollouts(context: &Context, verdicts: &[RolloutVerdict]) -> Vec<Rollout> {
+    let Some(snapshot) = context.snapshot() else {
+        return Vec::new();
+    };
+    let config = &snapshot.config;
+    let mut rollouts = Vec::new();
+    for rollout in &config.rollouts {
+        let service = config.services[rollout.service].name.clone();
+        let to = config.versions[rollout.to].name.clone();
+        let braked = verdicts.iter().any(|verdict| match verdict {
+            RolloutVerdict::Brake(brake) => {
+                brake.rollout.service == service && brake.rollout.to == to
+            }
+            RolloutVerdict::Lift(_) => false,
+        });
+        let from = config.versions[rollout.from].name.clone();
+        rollouts.push(Rollout {
+            service,
+            from,
+            to,
+            share: rollout.share,
+            braked,
+        });
+    }
+    rollouts
+}
--- a/standins/src/engine/job.rs
+++ b/standins/src/engine/job.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tokio_stream::wrappers::ReceiverStream;
 
 /// Time to read a byte of prompt that is not cached.
@@ -22,6 +23,8 @@
 const COLD_SLOWDOWN: f64 = 4.0;
 /// Running requests that make a token take twice as long as in a batch of one.
 const DOUBLING: f64 = 16.0;
+/// Shortest wait that the timer keeps; shorter ones are made up for by later steps.
+const TIMER_STEP: Duration = Duration::from_millis(1);
 /// Chunks that a stream holds for a slow reader.
 const BUFFERED_CHUNKS: usize = 16;
 
@@ -36,6 +39,8 @@
     /// Words after which the answer is cut off.
     cut: Option<usize>,
     prefill: Duration,
+    /// When the present step ends; steps follow without the timer's rounding between them.
+    pace: Instant,
     usage: Usage,
     _permit: Permit,
 }
@@ -85,6 +90,7 @@
             request: if crossed { other(&request) } else { request },
             stream: prompt.stream,
             cut,
+            pace: Instant::now(),
             prefill: PREFILL_PER_BYTE * read as u32,
             usage: Usage {
                 prompt: prompt.tokens(),
@@ -117,11 +123,11 @@
         if self.engine.cold() {
             slowdown *= COLD_SLOWDOWN;
         }
-        if alone > Duration::ZERO {
-            let time = alone.mul_f64(slowdown);
+        self.pace += alone.mul_f64(slowdown);
+        if self.pace.duration_since(Instant::now()) >= TIMER_STEP {
             tokio::select! {
                 _ = self.falls.changed() => return Err(Dropped),
-                () = tokio::time::sleep(time) => {}
+                () = tokio::time::sleep_until(self.pace) => {}
             }
         }
         if self.falls.has_changed().unwrap_or(true) || self.engine.faults.get().down {
@@ -153,7 +159,13 @@
 
     fn streamed(self) -> Reply {
         let (frames, receiver) = mpsc::channel(BUFFERED_CHUNKS);
-        tokio::spawn(self.write(frames));
+        tokio::spawn(async move {
+            // A caller that has gone cancels the request, also in the middle of a token.
+            tokio::select! {
+                () = frames.closed() => {}
+                () = self.write(&frames) => {}
+            }
+        });
         let body: Body = StreamBody::new(ReceiverStream::new(receiver)).boxed_unsync();
         let mut reply = Response::new(body);
         reply
@@ -162,9 +174,8 @@
         reply
     }
 
-    /// Writes the stream; it ends early when the caller has gone, which is a cancellation.
-    async fn write(mut self, frames: Frames) {
-        let written = self.write_words(&frames).await;
+    async fn write(mut self, frames: &Frames) {
+        let written = self.write_words(frames).await;
         if written.is_err() {
             let _ = frames
                 .send(Err(io::Error::other("the answer is cut off")))
