Keep claims safe while releases are mixed

Cause: a batch that a release could not read was skipped, so that a claim in a record of a newer release could have been passed over and its key dispatched twice. Change: an entry that can't be read but bears a key keeps that key from being won; only what is no batch of any release is skipped. Conclusion: an older release is only more careful than a newer one.

--- a/crates/claims/src/fold.rs
+++ b/crates/claims/src/fold.rs
@@ -41,6 +41,8 @@
     Held(request::Id),
     /// The key was run and answered.
     Settled(&'a Answer),
+    /// A record that this release can't read is about the key: it may be held or settled.
+    Foreign,
 }
 
 #[derive(Clone, Debug)]
@@ -57,6 +59,8 @@
     holder: Option<request::Id>,
     /// Boxed, because most keys that are open have none.
     answer: Option<Box<Answer>>,
+    /// Whether a record that this release can't read is about the key.
+    foreign: bool,
     /// Sendings up to this one can't win any more.
     excluded: Sending,
     /// Sorted by id. Each attempt is decided by its first record: later copies change nothing.
@@ -71,6 +75,7 @@
             fingerprint: None,
             holder: None,
             answer: None,
+            foreign: false,
             excluded: Sending::UNNUMBERED,
             attempts: Vec::new(),
             last_ms: 0,
@@ -88,7 +93,7 @@
         if mismatched {
             return Standing::Mismatched;
         }
-        if self.holder.is_some() || self.answer.is_some() {
+        if self.foreign || self.holder.is_some() || self.answer.is_some() {
             return Standing::Lost;
         }
         if self.excluded.is_numbered() && claim.sending <= self.excluded {
@@ -195,6 +200,7 @@
             Record::Claim(claim) => entry.claim(claim, at),
             Record::Release(release) => entry.release(release, at),
             Record::Outcome(outcome) => entry.settle(outcome),
+            Record::Foreign(_) => entry.foreign = true,
         }
     }
 
@@ -224,6 +230,9 @@
         if let Some(answer) = &entry.answer {
             return Status::Settled(answer);
         }
+        if entry.foreign {
+            return Status::Foreign;
+        }
         entry.holder.map_or(Status::Free, Status::Held)
     }
 
@@ -247,7 +256,7 @@
         let Some(entry) = self.get(key) else {
             return false;
         };
-        let unheld = entry.holder.is_none() && entry.answer.is_none();
+        let unheld = entry.holder.is_none() && entry.answer.is_none() && !entry.foreign;
         sending.is_numbered() && sending <= entry.excluded && unheld
     }
 
--- a/crates/claims/src/holder.rs
+++ b/crates/claims/src/holder.rs
@@ -205,7 +205,7 @@
     pub fn answer<'a>(&self, fold: &'a Fold) -> Option<&'a Answer> {
         match fold.status(self.pending.claim.key) {
             Status::Settled(answer) => Some(answer),
-            Status::Free | Status::Held(_) => None,
+            Status::Free | Status::Held(_) | Status::Foreign => None,
         }
     }
 
--- a/crates/claims/src/record.rs
+++ b/crates/claims/src/record.rs
@@ -4,6 +4,8 @@
 use crate::key::{Key, Sending};
 use entity::{name, request};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::collections::BTreeMap;
 
 /// Longest response body that an outcome keeps, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024;
@@ -84,6 +86,9 @@
     Release(Release),
     /// An attempt ran and was answered.
     Outcome(Outcome),
+    /// A record of another release, of which only the operation is known.
+    #[serde(skip)]
+    Foreign(Key),
 }
 
 impl Record {
@@ -93,6 +98,7 @@
             Self::Claim(claim) => claim.key,
             Self::Release(release) => release.key,
             Self::Outcome(outcome) => outcome.key,
+            Self::Foreign(key) => *key,
         }
     }
 }
@@ -115,11 +121,35 @@
     serde_json::to_vec(batch).expect("records serialise to JSON")
 }
 
+/// What all releases have in common: an object with one field, whose value bears the key.
+#[derive(Deserialize)]
+struct Bare {
+    key: Key,
+}
+
 /// The batch in one log record.
 ///
+/// An entry that this release can't read but whose operation is known is
+/// [foreign](Record::Foreign), so that no claim is passed over while releases are mixed.
+///
 /// # Errors
 ///
-/// The bytes are not a batch of records.
+/// The bytes are no batch of any release: not an array, or an entry bears no key.
 pub fn decode(data: &[u8]) -> Result<Vec<Record>, serde_json::Error> {
-    serde_json::from_slice(data)
+    let entries: Vec<&RawValue> = serde_json::from_slice(data)?;
+    let mut batch = Vec::with_capacity(entries.len());
+    for entry in entries {
+        batch.push(decode_one(entry)?);
+    }
+    Ok(batch)
+}
+
+fn decode_one(entry: &RawValue) -> Result<Record, serde_json::Error> {
+    let Ok(record) = serde_json::from_str(entry.get()) else {
+        let fields: BTreeMap<Box<str>, Bare> = serde_json::from_str(entry.get())?;
+        let bare = fields.into_values().next();
+        let bare = bare.ok_or_else(|| serde::de::Error::custom("an entry without a key"))?;
+        return Ok(Record::Foreign(bare.key));
+    };
+    Ok(record)
 }
--- a/crates/claims/tests/fold.rs
+++ b/crates/claims/tests/fold.rs
@@ -178,3 +178,29 @@
     let decoded = record::decode(&record::encode(&batch));
     expect_that!(decoded, ok(eq(&batch)));
 }
+
+#[gtest]
+fn record_of_another_release_keeps_its_key_from_being_won() {
+    let key = claim(1, b"").key;
+    let foreign = format!(r#"[{{"extend":{{"key":"{key}","until":7}}}}]"#);
+    let batch = record::decode(foreign.as_bytes()).expect("its key is known");
+    expect_that!(batch, elements_are![eq(&Record::Foreign(key))]);
+    let mut fold = empty();
+    apply(&mut fold, &batch[0], CREATED.0);
+    let pending = pending(1, b"body");
+    apply(&mut fold, &pending.record(), CREATED.0);
+    expect_that!(
+        pending.read(&fold),
+        matches_pattern!(Reading::Lost(anything()))
+    );
+    expect_that!(fold.status(key), eq(Status::Foreign));
+    for garbage in [
+        "{}",
+        "7",
+        r#"["x"]"#,
+        r#"[{}]"#,
+        r#"[{"extend":{"until":7}}]"#,
+    ] {
+        expect_that!(record::decode(garbage.as_bytes()), err(anything()));
+    }
+}
--- a/crates/journal/src/partition.rs
+++ b/crates/journal/src/partition.rs
@@ -252,7 +252,7 @@
             .fold
             .get_or_insert_with(|| Fold::open(page.first, page.next));
         for record in &page.records {
-            // A record that can't be decoded was appended by no instance; it changes no key.
+            // A record that is no batch was appended by no instance of any release.
             let batch = record::decode(record.data()).unwrap_or_default();
             let at = Position {
                 offset: record.offset,
@@ -399,7 +399,7 @@
     }
     match fold.status(claim.key) {
         Status::Settled(answer) => Some(Verdict::Done(answer.clone())),
-        Status::Held(_) => Some(Verdict::InProgress),
+        Status::Held(_) | Status::Foreign => Some(Verdict::InProgress),
         Status::Free => None,
     }
 }
