Append what waits when the usage task is cancelled

Cause: a cancelled usage task dropped the records and intervals that waited in its committer, which would still have appended them. Change: the task leaves its calls running; the committer drains them. Conclusion: a leaving instance loses no interval of reserved capacity while the log is up.

--- a/crates/journal/src/usage.rs
+++ b/crates/journal/src/usage.rs
@@ -211,6 +211,6 @@
 ) -> Handle {
     let (sender, messages) = mpsc::channel(CHANNEL_MESSAGES);
     let task = task::Task::new(committer, replicas, home, policy);
-    tokio::spawn(async move { cancel.run_until_cancelled(task.run(messages)).await });
+    tokio::spawn(task.run(messages, cancel));
     Handle { messages: sender }
 }
--- a/crates/journal/src/usage/task.rs
+++ b/crates/journal/src/usage/task.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
 
 /// Records that one message to a fellow carries at most.
 const MESSAGE_RECORDS: usize = 256;
@@ -89,14 +90,19 @@
         }
     }
 
-    pub(super) async fn run(mut self, mut messages: mpsc::Receiver<Message>) {
+    pub(super) async fn run(
+        mut self,
+        mut messages: mpsc::Receiver<Message>,
+        cancel: CancellationToken,
+    ) {
         let mut ticks = interval(self.policy.tick.duration());
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                () = cancel.cancelled() => break,
                 message = messages.recv() => match message {
                     Some(message) => self.take(message),
-                    None => return,
+                    None => break,
                 },
                 Some(done) = self.running.join_next() => {
                     self.finish(done.expect("a call does not panic"));
@@ -104,6 +110,8 @@
                 _ = ticks.tick() => self.tick(),
             }
         }
+        // The committer still appends what waits there, for as long as it drains.
+        self.running.detach_all();
     }
 
     fn now(&self) -> Moment {
--- a/crates/journal/tests/usage.rs
+++ b/crates/journal/tests/usage.rs
@@ -237,6 +237,26 @@
     expect_that!(requests, eq(200));
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn leaving_instance_appends_what_waits_in_its_committer() {
+    let log = FakeLog::open(1);
+    let cancel = CancellationToken::new();
+    let committer = committer::spawn(log.clone(), committer::Policy::default(), cancel.clone());
+    let view = View {
+        cluster: Cluster::default(),
+        own: "entry-0".parse().expect("a name"),
+    };
+    let home = "a".parse().expect("a name");
+    let handle = usage::open(committer, Arc::new(view), home, policy_of(), cancel.clone());
+    let waiting = tokio::spawn(async move { handle.commit(record(1)).await });
+    sleep(Duration::from_millis(2)).await;
+    cancel.cancel();
+    expect_that!(waiting.await.expect("no panic"), err(eq(Error::Closed)));
+    sleep(Duration::from_secs(1)).await;
+    expect_that!(billed(&log), eq((1, 1)));
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn lone_instance_waits_for_the_log() {
