Compare fellows with the instance list once a second

Cause: the usage task copied and sorted the list twenty times a second. Change: the comparison moves to the pass over held records.

--- a/crates/journal/src/usage.rs
+++ b/crates/journal/src/usage.rs
@@ -45,7 +45,7 @@
 pub struct Policy {
     /// How long an append may take before fellows are asked to hold the record.
     pub patience: Span,
-    /// How often fellows are asked, told and compared with the instance list.
+    /// How often fellows are asked to hold records and told of those that were appended.
     pub tick: Span,
     /// How long fellows have to confirm before others are asked too.
     pub confirm: Span,
--- a/crates/journal/src/usage/task.rs
+++ b/crates/journal/src/usage/task.rs
@@ -19,8 +19,9 @@
 /// Held records that are offered to the committer in one pass.
 const REPLAY_RECORDS: usize = 256;
 
-/// How often held records are looked through for those to append.
-const REPLAY_INTERVAL: Span = Span::from_secs(1);
+/// How often fellows are compared with the instance list, and held records are looked through for
+/// those to append.
+const REVIEW_INTERVAL: Span = Span::from_secs(1);
 
 /// A record that this instance answers for.
 struct Owned {
@@ -59,7 +60,7 @@
     running: JoinSet<Done>,
     /// Fellows with a call under way, sorted; each gets one at a time.
     busy: Vec<name::Instance>,
-    replay_at: Moment,
+    review_at: Moment,
     flushes: Vec<oneshot::Sender<()>>,
     stats: Stats,
 }
@@ -84,7 +85,7 @@
             drops: Vec::new(),
             running: JoinSet::new(),
             busy: Vec::new(),
-            replay_at: Moment::default(),
+            review_at: Moment::default(),
             flushes: Vec::new(),
             stats: Stats::default(),
         }
@@ -282,10 +283,10 @@
                 let _ = reply.send(());
             }
         }
-        self.compare();
         let now = self.now();
-        if now >= self.replay_at {
-            self.replay_at = now + REPLAY_INTERVAL;
+        if now >= self.review_at {
+            self.review_at = now + REVIEW_INTERVAL;
+            self.compare();
             self.stats.expired += self.held.expire(now).len() as u64;
             self.replay(now);
         }
