Measure fairness and what an instance keeps

Cause: the fairness of the queue and the cost at the target size were not measured; choice, subsets and retries had no tests of their own.

--- a/crates/routing/examples/model/fleet.rs
+++ b/crates/routing/examples/model/fleet.rs
@@ -34,6 +34,8 @@
     source: Source,
     pub records: Vec<Record>,
     pub tries: usize,
+    /// Whether organisations are told apart in the queues.
+    pub fair: bool,
 }
 
 /// Requests that wait at one instance at most.
@@ -61,6 +63,7 @@
             source: Source::new(load, seed),
             records: Vec::new(),
             tries: 0,
+            fair: true,
         };
         fleet.configure(config);
         fleet
@@ -70,14 +73,16 @@
         self.generation = Generation(self.generation.0 + 1);
         self.config = config;
         let config = Arc::new(self.config.clone());
+        let instances = self.entrances.len() as u32;
         for entrance in &mut self.entrances {
             entrance
                 .policy
                 .configure(&config, self.generation, self.now);
             for organisation in config.organisations.values() {
+                let reserve = organisation.reserve / instances;
                 entrance
                     .queue
-                    .set(&organisation.name, organisation.weight, 0);
+                    .set(&organisation.name, organisation.weight, reserve);
             }
         }
     }
@@ -124,9 +129,8 @@
     }
 
     fn organisation(&self, request: &Request) -> name::Organisation {
-        self.config.organisations.values()[request.organisation]
-            .name
-            .clone()
+        let index = if self.fair { request.organisation } else { 0 };
+        self.config.organisations.values()[index].name.clone()
     }
 
     fn arrive(&mut self, request: Request) {
@@ -155,24 +159,24 @@
         let now = self.now;
         let entrance = &mut self.entrances[index];
         let expired = entrance.queue.expire(now);
-        let mut placed = Vec::new();
-        let policy = &mut entrance.policy;
-        while let Some((_, entry, engine)) = entrance
-            .queue
-            .pop(now, |_, entry| policy.choose(&entry.item, now))
-        {
-            placed.push((entry.item, engine));
-        }
         for shed in expired {
             self.record(&shed.entry.item, None, false);
         }
-        for (request, engine) in placed {
-            self.send(request, engine);
+        loop {
+            let entrance = &mut self.entrances[index];
+            let policy = &mut entrance.policy;
+            let place = |_: &_, entry: &Entry<Request>| policy.choose(&entry.item, now);
+            let Some((_, entry, engine)) = entrance.queue.pop(now, place) else {
+                break;
+            };
+            self.send(entry.item, engine);
         }
     }
 
     fn send(&mut self, request: Request, engine: usize) {
         self.tries += 1;
+        let organisation = self.organisation(&request);
+        self.entrances[request.instance].queue.began(&organisation);
         for (request, end) in self.engines[engine].send(request, self.now) {
             self.ended(request, engine, end);
         }
@@ -180,6 +184,8 @@
 
     fn ended(&mut self, mut request: Request, engine: usize, end: End) {
         let now = self.now;
+        let organisation = self.organisation(&request);
+        self.entrances[request.instance].queue.ended(&organisation);
         let policy = &mut self.entrances[request.instance].policy;
         let outcome = match end {
             End::Done { first_token, .. } => Outcome::Done { first_token },
--- a/crates/routing/examples/model/policy.rs
+++ b/crates/routing/examples/model/policy.rs
@@ -21,7 +21,7 @@
         state: Presence::In,
     };
     let upstream = |index: usize| Upstream {
-        name: format!("engine-{index:03}").parse().unwrap(),
+        name: format!("engine-{index:04}").parse().unwrap(),
         zone: id::Zone::new(index % zones),
         address: "127.0.0.1:1".parse().unwrap(),
         versions: vec![id::Version::new(0)],
@@ -117,7 +117,7 @@
     }
 
     fn report(&mut self, engine: usize, report: &Report, now: Moment) {
-        let name = format!("engine-{engine:03}").parse().unwrap();
+        let name = format!("engine-{engine:04}").parse().unwrap();
         let load = Load {
             as_of: report.as_of,
             running: report.running,
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -160,6 +160,11 @@
         self.pools.used().into_iter().filter(reports).collect()
     }
 
+    /// How many upstreams this instance keeps state of.
+    pub fn kept(&self) -> usize {
+        self.states.len()
+    }
+
     /// Suspicions of cold start that no load report has settled yet, of this and other instances.
     pub fn suspicions(&self) -> Vec<Suspicion> {
         let mut suspicions = Vec::new();
--- /dev/null
+++ b/crates/routing/tests/choice.rs
@@ -0,0 +1,149 @@
+//! The choice spreads load, keeps to subsets and follows prefixes.
+
+mod common;
+
+use common::{
+    START, balancer, config, engine, instance, members, millis, query, secs, warm, warm_all,
+};
+use config::Config;
+use entity::id::{self, Id};
+use googletest::prelude::*;
+use routing::{Balancer, Choice, Load, Outcome, Query, subset};
+
+const UPSTREAMS: usize = 6;
+
+fn ready(config: &Config, live: &[usize]) -> Balancer {
+    let mut balancer = balancer(config, 3);
+    balancer.members(members(1, live), START, START);
+    warm_all(&mut balancer, config.upstreams.len(), START);
+    balancer
+}
+
+/// Chooses `count` times without any end, and counts by upstream.
+fn spread(balancer: &mut Balancer, query: &Query, count: usize) -> (Vec<usize>, Vec<Choice>) {
+    let mut counts = vec![0; UPSTREAMS];
+    let mut choices = Vec::new();
+    for _ in 0..count {
+        let choice = balancer.choose(query, START).unwrap();
+        let index = (0..UPSTREAMS).find(|&index| engine(index) == choice.upstream);
+        counts[index.unwrap()] += 1;
+        choices.push(choice);
+    }
+    (counts, choices)
+}
+
+#[gtest]
+fn an_even_load_is_spread_evenly() {
+    let mut balancer = ready(&config(UPSTREAMS), &[0]);
+    let (counts, _) = spread(&mut balancer, &query(START), 24);
+    expect_that!(counts, each(eq(&4)));
+}
+
+#[gtest]
+fn an_upstream_that_others_load_gets_less() {
+    let mut balancer = ready(&config(UPSTREAMS), &[0, 1, 2]);
+    let now = START + millis(1);
+    let busy = Load {
+        running: 7,
+        ..warm(now)
+    };
+    balancer.load(&engine(0), busy, now);
+    let (counts, _) = spread(&mut balancer, &query(START), 10);
+    expect_that!(counts[0], le(1));
+}
+
+#[gtest]
+fn a_shared_limit_is_divided() {
+    let mut balancer = ready(&config(1), &[0, 1, 2, 3]);
+    let now = START + millis(1);
+    let full = Load {
+        running: 8,
+        ..warm(now)
+    };
+    balancer.load(&engine(0), full, now);
+    // A quarter of eight, however busy the others keep it.
+    let one = balancer.choose(&query(START), now);
+    let two = balancer.choose(&query(START), now);
+    expect_that!(one.is_ok() && two.is_ok(), eq(true));
+    expect_that!(balancer.choose(&query(START), now).is_err(), eq(true));
+}
+
+#[gtest]
+fn a_prefix_keeps_its_home_until_that_is_loaded() {
+    let mut balancer = ready(&config(UPSTREAMS), &[0]);
+    let tied = Query {
+        prefix: Some(42),
+        ..query(START)
+    };
+    let (counts, choices) = spread(&mut balancer, &tied, 12);
+    let homes = counts.iter().filter(|&&count| count > 2).count();
+    expect_that!(homes, le(2));
+    expect_that!(counts.iter().filter(|&&count| count > 0).count(), gt(2));
+    for choice in choices {
+        balancer.finish(choice, Outcome::Cancelled, START);
+    }
+}
+
+#[gtest]
+fn after_cold_start_the_limit_grows() {
+    let mut balancer = ready(&config(1), &[0]);
+    let cold = Load {
+        cold: true,
+        ..warm(START + secs(1))
+    };
+    balancer.load(&engine(0), cold, START + secs(1));
+    let mut allowed = Vec::new();
+    for after in [2, 7, 12] {
+        let now = START + secs(after);
+        balancer.load(&engine(0), warm(now), now);
+        let query = Query {
+            deadline: now + secs(30),
+            ..query(now)
+        };
+        let mut choices = Vec::new();
+        while let Ok(choice) = balancer.choose(&query, now) {
+            choices.push(choice);
+        }
+        allowed.push(choices.len());
+        for choice in choices {
+            balancer.finish(choice, Outcome::Cancelled, now);
+        }
+    }
+    expect_that!(allowed, eq(&vec![1, 5, 8]));
+}
+
+#[gtest]
+fn subsets_cover_zones_and_change_little() {
+    let config = config(100);
+    let serving: Vec<id::Upstream> = config.upstreams.keys().collect();
+    let subset = subset::pick(&instance(0), &config, &serving, 16);
+    expect_that!(subset.len(), eq(16));
+    let in_first = subset
+        .iter()
+        .filter(|&&id| config.upstreams[id].zone == id::Zone::new(0))
+        .count();
+    expect_that!(in_first, eq(8));
+    let fewer: Vec<_> = serving
+        .iter()
+        .copied()
+        .filter(|&id| id != subset[3])
+        .collect();
+    let after = subset::pick(&instance(0), &config, &fewer, 16);
+    let kept = subset.iter().filter(|id| after.contains(id)).count();
+    expect_that!(kept, eq(15));
+}
+
+#[gtest]
+fn subsets_of_many_instances_use_all_upstreams_alike() {
+    let config = config(100);
+    let serving: Vec<id::Upstream> = config.upstreams.keys().collect();
+    let mut users = vec![0; 100];
+    for own in 0..320 {
+        for id in subset::pick(&instance(own), &config, &serving, 16) {
+            users[id.index()] += 1;
+        }
+    }
+    // 51.2 on average; four standard deviations of a binomial are 26.
+    expect_that!(users, each(all![ge(&25), le(&78)]));
+    expect_that!(subset::sharers(320, 100, 16), eq(52));
+}
