Run three balancers at random against cold slots and edits

Cause: the model check covers the slot code, not the balancer around it. Conclusion: the invariants of slots, zones and versions hold in the balancer.

--- /dev/null
+++ b/crates/routing/tests/random.rs
@@ -0,0 +1,267 @@
+//! Long randomised runs of three balancers before cold and warm engines.
+//!
+//! Instances join, leave, crash, pause and read a lagging list; engines turn cold and warm; operators
+//! take zones in and out and withdraw versions. Whatever happens, a request is sent only where the
+//! sender's configuration allows it, and the slots in use of an upstream never exceed its limit.
+//! `ROUTING_SEEDS=n` sets the number of seeds.
+
+mod common;
+
+use common::{START, config, engine, instance, members, millis, query, secs};
+use config::{Config, Presence, Stage};
+use entity::id::{self, Id};
+use entity::time::Span;
+use entity::{Generation, Moment};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routing::{Balancer, Bounds, Choice, Grant, Load, Outcome, Query};
+use std::sync::Arc;
+
+const INSTANCES: usize = 3;
+const UPSTREAMS: usize = 4;
+const STEP: Span = Span::from_millis(250);
+const STEPS: usize = 2400;
+
+/// How long a name stays on the list, or off it, at least.
+const DWELL: Span = Span::from_secs(10);
+
+/// Shorter requests than the default, so that slots change hands often.
+const BOUNDS: Bounds = Bounds {
+    lag: Span::from_secs(2),
+    fresh: Span::from_secs(2),
+    slack: Span::from_secs(1),
+    run: Span::from_secs(5),
+};
+
+struct Entry {
+    balancer: Balancer,
+    generation: Generation,
+    config: Arc<Config>,
+    running: Vec<Choice>,
+    paused_until: Moment,
+}
+
+struct World {
+    now: Moment,
+    random: ChaCha8Rng,
+    config: Config,
+    generation: Generation,
+    /// Lists of the past, the newest last: from when, and who.
+    lists: Vec<(Moment, Vec<usize>)>,
+    moved: [Moment; INSTANCES],
+    cold: [bool; UPSTREAMS],
+    entries: Vec<Entry>,
+    cold_sent: u32,
+    warm_sent: u32,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let config = config(UPSTREAMS);
+        let mut world = Self {
+            now: START,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            config,
+            generation: Generation(1),
+            lists: vec![(Moment(0), (0..INSTANCES).collect())],
+            moved: [START; INSTANCES],
+            cold: [true; UPSTREAMS],
+            entries: Vec::new(),
+            cold_sent: 0,
+            warm_sent: 0,
+        };
+        world.entries = (0..INSTANCES).map(|index| world.entry(index)).collect();
+        world
+    }
+
+    fn entry(&self, index: usize) -> Entry {
+        let zone = "amman-a".parse().unwrap();
+        let mut balancer = Balancer::new(instance(index), zone, BOUNDS, index as u64);
+        let config = Arc::new(self.config.clone());
+        balancer.configure(&config, self.generation, self.now);
+        Entry {
+            balancer,
+            generation: self.generation,
+            config,
+            running: Vec::new(),
+            paused_until: self.now,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.disturb();
+        for index in 0..INSTANCES {
+            self.end_overdue(index);
+            if self.entries[index].paused_until > self.now {
+                continue;
+            }
+            self.hear(index);
+            self.work(index);
+            self.check();
+        }
+    }
+
+    fn disturb(&mut self) {
+        let index = self.random.random_range(0..INSTANCES);
+        if self.random.random_bool(0.02) && self.now.since(self.moved[index]) > DWELL {
+            self.moved[index] = self.now;
+            let (_, mut live) = self.lists.last().unwrap().clone();
+            let present = live.contains(&index);
+            live.retain(|&other| other != index);
+            if !present {
+                live.push(index);
+            }
+            self.lists.push((self.now, live));
+        }
+        if self.random.random_bool(0.005) {
+            // A crash closes its connections, which ends its requests.
+            self.entries[index] = self.entry(index);
+        }
+        if self.random.random_bool(0.01) {
+            let pause = secs(self.random.random_range(0..15));
+            self.entries[index].paused_until = self.now + pause;
+        }
+        let upstream = self.random.random_range(0..UPSTREAMS);
+        if self.random.random_bool(0.02) {
+            self.cold[upstream] = !self.cold[upstream];
+        }
+        if self.random.random_bool(0.01) {
+            self.edit();
+        }
+    }
+
+    fn edit(&mut self) {
+        let zone = id::Zone::new(self.random.random_range(0..2));
+        let version = id::Version::new(0);
+        let withdraw = self.random.random_bool(0.1);
+        self.config.versions[version].stage = match withdraw {
+            true => Stage::Withdrawn,
+            false => Stage::Active,
+        };
+        self.config.zones[zone].state = match self.config.zones[zone].state {
+            Presence::In => Presence::Out,
+            Presence::Out => Presence::In,
+        };
+        self.generation = Generation(self.generation.0 + 1);
+    }
+
+    /// Requests end by their deadline, also those of a paused instance, at the upstream.
+    fn end_overdue(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        for choice in entry.running.extract_if(.., |choice| choice.end < self.now) {
+            entry.balancer.finish(choice, Outcome::Cancelled, self.now);
+        }
+    }
+
+    fn hear(&mut self, index: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[index];
+        if entry.generation != self.generation && self.random.random_bool(0.2) {
+            entry.generation = self.generation;
+            entry.config = Arc::new(self.config.clone());
+            entry
+                .balancer
+                .configure(&entry.config, self.generation, now);
+        }
+        if self.random.random_bool(0.7) {
+            let lag = millis(self.random.random_range(0..=2000));
+            let seen = self.lists.partition_point(|&(from, _)| from <= now - lag);
+            let (_, live) = &self.lists[seen - 1];
+            entry.balancer.members(members(seen as u64, live), now, now);
+        }
+        for upstream in 0..UPSTREAMS {
+            if self.random.random_bool(0.7) {
+                continue;
+            }
+            let load = Load {
+                as_of: now,
+                cold: self.cold[upstream],
+                ..Load::default()
+            };
+            entry.balancer.load(&engine(upstream), load, now);
+        }
+    }
+
+    fn work(&mut self, index: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[index];
+        while !entry.running.is_empty() && self.random.random_bool(0.2) {
+            let ended = self.random.random_range(0..entry.running.len());
+            let choice = entry.running.swap_remove(ended);
+            let first_token = millis(300);
+            let outcome = match self.random.random_range(0..20) {
+                0 => Outcome::Failed,
+                1 => Outcome::Refused,
+                _ => Outcome::Done { first_token },
+            };
+            entry.balancer.finish(choice, outcome, now);
+        }
+        for _ in 0..2 {
+            let asked = Query {
+                generation: entry.generation,
+                deadline: now + millis(self.random.random_range(1..=5000)),
+                ..query(now)
+            };
+            let Ok(choice) = entry.balancer.choose(&asked, now) else {
+                continue;
+            };
+            if entry.balancer.recheck(&choice, now).is_err() {
+                entry.balancer.finish(choice, Outcome::Cancelled, now);
+                continue;
+            }
+            let upstream = entry.config.upstream(choice.upstream.as_str()).unwrap();
+            assert!(entry.config.in_service(upstream));
+            assert!(
+                entry
+                    .config
+                    .allows(asked.organisation, asked.service, id::Version::new(0))
+            );
+            match choice.grant {
+                Grant::Warm => self.warm_sent += 1,
+                Grant::Cold { .. } => self.cold_sent += 1,
+            }
+            entry.running.push(choice);
+        }
+    }
+
+    /// Slots in use by upstream, over all instances: each at most once.
+    fn check(&self) {
+        for upstream in 0..UPSTREAMS {
+            let mut slots = Vec::new();
+            for entry in &self.entries {
+                for choice in &entry.running {
+                    let Grant::Cold { slot } = choice.grant else {
+                        continue;
+                    };
+                    if choice.upstream == engine(upstream) {
+                        slots.push(slot);
+                    }
+                }
+            }
+            slots.sort_unstable();
+            let used = slots.len();
+            slots.dedup();
+            assert_eq!(used, slots.len(), "two requests on one slot of {upstream}");
+            assert!(used <= 2, "more slots than the limit on {upstream}");
+        }
+    }
+}
+
+#[gtest]
+fn invariants_hold_over_long_runs() {
+    let seeds = std::env::var("ROUTING_SEEDS").map_or(200, |seeds| seeds.parse().unwrap());
+    let (mut cold, mut warm) = (0, 0);
+    for seed in 0..seeds {
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.step();
+        }
+        cold += world.cold_sent;
+        warm += world.warm_sent;
+    }
+    println!("{seeds} seeds: {cold} requests on slots, {warm} on warm upstreams");
+    expect_that!(cold, gt(0));
+    expect_that!(warm, gt(0));
+}
