Tell engines which requests are beyond their organisation's share

Cause: behind a flood, first tokens of others waited for the flood's prompts in the engine, and what an owner ran on its reserve was charged to its share too. Change: a request served ahead of the virtual time is sent with a lower priority; service within a reserve is not charged.

--- a/crates/routing/examples/model/fleet.rs
+++ b/crates/routing/examples/model/fleet.rs
@@ -36,6 +36,8 @@
     pub tries: usize,
     /// Whether organisations are told apart in the queues.
     pub fair: bool,
+    /// Whether engines are told which requests are beyond their organisation's share.
+    pub priorities: bool,
 }
 
 /// Requests that wait at one instance at most.
@@ -64,6 +66,7 @@
             records: Vec::new(),
             tries: 0,
             fair: true,
+            priorities: false,
         };
         fleet.configure(config);
         fleet
@@ -173,10 +176,14 @@
         }
     }
 
-    fn send(&mut self, request: Request, engine: usize) {
+    fn send(&mut self, mut request: Request, engine: usize) {
         self.tries += 1;
         let organisation = self.organisation(&request);
-        self.entrances[request.instance].queue.began(&organisation);
+        let queue = &mut self.entrances[request.instance].queue;
+        queue.began(&organisation);
+        if self.priorities {
+            request.urgency = queue.urgency(&organisation, Priority(0)).0;
+        }
         for (request, end) in self.engines[engine].send(request, self.now) {
             self.ended(request, engine, end);
         }
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -12,6 +12,9 @@
 /// Weight of the newest interval in the moving average of the service rate.
 const NEWEST: f64 = 0.1;
 
+/// By how much a request beyond its organisation's share is less urgent.
+const YIELD: u8 = 100;
+
 /// Shortest time after which a shed request may come again.
 const SHORTEST_WAIT: Span = Span::from_secs(1);
 
@@ -62,6 +65,8 @@
     running: u32,
     /// The finish tag of its last served request, in virtual time.
     finish: f64,
+    /// Whether that request was served ahead of the virtual time.
+    ahead: bool,
     /// The most urgent first, and within a priority by arrival.
     entries: Vec<Entry<T>>,
 }
@@ -145,6 +150,20 @@
         !waits && (self.is_empty() || first && !self.flows.iter().any(rival))
     }
 
+    /// How urgent an upstream should take the request to be that an organisation was just served.
+    ///
+    /// While others wait, a request that was served ahead of the virtual time is beyond its
+    /// organisation's share of this moment: it yields, so that others' first tokens don't wait
+    /// behind its prompt.
+    pub fn urgency(&self, organisation: &name::Organisation, priority: Priority) -> Priority {
+        let own = self.flows.iter().find(|flow| flow.name == *organisation);
+        let yields = |flow: &Flow<T>| flow.ahead && !flow.within_reserve();
+        if !self.is_empty() && own.is_some_and(yields) {
+            return Priority(priority.0.saturating_add(YIELD));
+        }
+        priority
+    }
+
     /// Lets a request wait. Returns the request that is shed for it, if one is: itself, or the last
     /// one of the organisation that has the most in the queue for its weight.
     pub fn push(
@@ -190,10 +209,16 @@
             let virtual_time = self.virtual_time;
             let flow = &mut self.flows[index];
             let entry = flow.entries.remove(0);
-            let start = flow.start(virtual_time);
-            flow.finish = start + f64::from(entry.cost) / f64::from(flow.weight.max(1));
+            // What is served within the reserve is not charged to the organisation's share.
+            if flow.within_reserve() {
+                flow.ahead = false;
+            } else {
+                let start = flow.start(virtual_time);
+                flow.ahead = start > virtual_time;
+                flow.finish = start + f64::from(entry.cost) / f64::from(flow.weight.max(1));
+                self.virtual_time = start.max(virtual_time);
+            }
             let name = flow.name.clone();
-            self.virtual_time = self.virtual_time.max(start);
             self.served(now);
             return Some((name, entry, result));
         }
@@ -274,6 +299,7 @@
                 reserve: 0,
                 running: 0,
                 finish: 0.0,
+                ahead: false,
                 entries: Vec::new(),
             };
             self.flows.insert(index, flow);
