Bound the wait for the time line's sink at the end

Cause: dropping the recorder joined the writing thread, so that a shutdown waited for a stuck sink for ever. Change: the drop waits two seconds at most. Conclusion: a stuck sink can't hold up a graceful shutdown.

--- a/crates/timeline/src/recorder.rs
+++ b/crates/timeline/src/recorder.rs
@@ -17,7 +17,8 @@
 
 /// Records the events of one process; clones share its clock and its sink.
 ///
-/// When the last clone is dropped, the events that are queued are written.
+/// When the last clone is dropped, the events that are queued are written, for which it waits up to
+/// two seconds.
 #[derive(Clone)]
 pub struct Recorder {
     shared: Arc<Shared>,
--- a/crates/timeline/src/sink.rs
+++ b/crates/timeline/src/sink.rs
@@ -7,10 +7,13 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, BufWriter, Read, Seek, SeekFrom, Write};
 use std::path::Path;
-use std::sync::Mutex;
+use std::sync::{Mutex, mpsc};
+use std::time::Duration;
 
 /// Events that wait to be written.
 const QUEUED_EVENTS: usize = 4096;
+/// Longest wait for a sink to take the queued events at the end.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Where events are written, one JSON object a line.
 pub enum Sink {
@@ -57,7 +60,8 @@
 
 /// A bounded queue before a thread that writes.
 pub(crate) struct Queue {
-    core: AsyncCore,
+    /// Present until the queue is dropped.
+    core: Option<AsyncCore>,
     values: OwnedKVList,
 }
 
@@ -74,7 +78,7 @@
             .thread_name("timeline".into())
             .build();
         Self {
-            core,
+            core: Some(core),
             values: o!().into(),
         }
     }
@@ -84,6 +88,21 @@
         let location = record_static!(Level::Info, "");
         let message = format_args!("");
         let record = Record::new(&location, &message, BorrowedKV(line));
-        self.core.log(&record, &self.values).is_ok()
+        let core = self.core.as_ref();
+        core.is_some_and(|core| core.log(&record, &self.values).is_ok())
+    }
+}
+
+impl Drop for Queue {
+    /// Writes what is queued, but gives a stuck sink up: a shutdown must not wait for it for ever.
+    fn drop(&mut self) {
+        let core = self.core.take();
+        let (flushed, wait) = mpsc::channel();
+        std::thread::spawn(move || {
+            drop(core);
+            // The receiver is gone where the sink took too long.
+            let _ = flushed.send(());
+        });
+        let _ = wait.recv_timeout(FLUSH_TIMEOUT);
     }
 }
--- a/crates/timeline/tests/recorder.rs
+++ b/crates/timeline/tests/recorder.rs
@@ -102,6 +102,15 @@
     );
 }
 
+#[gtest]
+fn a_stuck_sink_does_not_hold_up_the_end() {
+    let (recorder, gate, lines) = open("entry-1");
+    recorder.event(Kind::Stopped).record();
+    drop(recorder);
+    expect_that!(lines.try_recv(), err(anything()));
+    drop(gate);
+}
+
 #[gtest]
 fn what_a_message_causes_is_later_than_its_cause() {
     let (first, second) = (Recorder::off(), Recorder::off());
