--- a/crates/routing/tests/random.rs
+++ b/crates/routing/tests/random.rs
@@ -194,7 +194,9 @@
             let outcome = match self.random.random_range(0..20) {
                 0 => Outcome::Failed,
                 1 => Outcome::Refused,
-                _ => Outcome::Done { first_token },
+                _ => Outcome::Done {
+                    first_token: Some(first_token),
+                },
             };
             entry.balancer.finish(choice, outcome, now);
         }
