Count contact only where nothing newer is known; back off from records that can't be folded

Cause: a review of the server found that an instance that knows it is behind counted as in contact, that a fresh age could be paired with an old generation, that an unreadable record made the follower spin, that the schedule of checkpoints began anew at each restart, that an instance that never read the list counted as alone, and that a short retention was raised silently, under which a key could run twice. Change: each of them; an instance refuses to start where the retention is too short for claims; adopted events are recorded when what is in force changes.

--- a/crates/server/src/configuration.rs
+++ b/crates/server/src/configuration.rs
@@ -2,20 +2,18 @@
 
 use crate::clock::Clock;
 use crate::contact::Tracker;
-use adoption::{Checkpoint, Fold, Page, Record, Schedule, Snapshot, Step};
+use adoption::{Checkpoint, Fold, Page, Record, STREAM, Schedule, Snapshot, Step};
 use bytes::Bytes;
 use entity::unit::Share;
-use entity::{Moment, Span};
+use entity::{Moment, Offset, Span};
 use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-/// The configuration stream.
-pub const STREAM: &str = "config";
 /// Records of one read.
-const READ_LIMIT: usize = 64;
+const READ_LIMIT: usize = 32;
 /// Shortest and longest pause after a failed read.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
 /// Texts of fellows that wait to be taken.
@@ -102,16 +100,17 @@
                 }
                 read = read => read,
             };
-            match read {
-                Ok(page) => {
-                    pause = PAUSES.0;
-                    self.fold_page(&page, begun);
-                    self.write_checkpoint(&log).await;
-                }
-                Err(_) => {
-                    self.pause(pause, &mut texts).await;
-                    pause = (pause * 2).min(PAUSES.1);
-                }
+            let folded = match read {
+                Ok(page) => self.fold_page(&page, begun),
+                Err(_) => false,
+            };
+            if folded {
+                pause = PAUSES.0;
+                self.write_checkpoint(&log).await;
+            } else {
+                // A record that can't be folded will not change, no more than an outage ends at once.
+                self.pause(pause, &mut texts).await;
+                pause = (pause * 2).min(PAUSES.1);
             }
         }
     }
@@ -134,7 +133,8 @@
         }
     }
 
-    fn fold_page(&mut self, page: &logs::Page, begun: Moment) {
+    /// Folds a page that was read since `begun`. Returns whether all of it could be folded.
+    fn fold_page(&mut self, page: &logs::Page, begun: Moment) -> bool {
         let records = page
             .records
             .iter()
@@ -147,29 +147,32 @@
         };
         let mut steps = Vec::new();
         let read = self.fold.read(&folded, &mut steps);
-        self.note(&steps);
-        self.fault
-            .send_replace(read.err().map(|error| error.to_string().into()));
+        self.note(&steps, Some(page));
+        let whole = read.is_ok();
+        let fault = read.err().map(|error| error.to_string().into());
+        self.fault.send_replace(fault);
+        // In this order, so that nobody sees the age of this read with what was in force before it.
+        self.publish();
         if self.fold.position().is_some() && self.fold.wanted() == page.next {
             self.parts.contact.heard_log(begun);
         }
-        self.publish();
+        whole
     }
 
     fn learn(&mut self, text: &Checkpoint) {
         let mut steps = Vec::new();
         // A text of another release stays out of force here; the fold will say so at its record.
         let _ = self.fold.learn(text, &mut steps);
-        self.note(&steps);
+        self.note(&steps, None);
         self.publish();
     }
 
-    fn note(&mut self, steps: &[Step]) {
+    fn note(&mut self, steps: &[Step], page: Option<&logs::Page>) {
         for step in steps {
             match step {
-                Step::Checkpoint { .. } => {
-                    let now = self.parts.clock.now();
-                    self.schedule.checkpoint(now, jitter());
+                Step::Checkpoint { offset } => {
+                    let written = self.written(*offset, page);
+                    self.schedule.checkpoint(written, jitter());
                 }
                 Step::Accepted { .. } | Step::Rejected { .. } | Step::Malformed { .. } => {
                     self.schedule.record();
@@ -180,6 +183,16 @@
         }
     }
 
+    /// When the log took a record, by the log's clock.
+    fn written(&self, offset: Offset, page: Option<&logs::Page>) -> Moment {
+        let now = self.parts.clock.now();
+        let records = page.map_or(&[][..], |page| &page.records);
+        let record = records.iter().find(|record| record.offset == offset);
+        record.map_or(now, |record| {
+            Moment(record.time_ms.saturating_mul(1000)).min(now)
+        })
+    }
+
     fn publish(&self) {
         let now = self.fold.in_force();
         self.in_force.send_if_modified(|known| {
--- a/crates/server/src/contact.rs
+++ b/crates/server/src/contact.rs
@@ -84,7 +84,7 @@
         }
         let contact = Contact {
             log: state.log.map(|at| now.since(at)),
-            listed: state.listed.max(1),
+            listed: state.listed,
             offered,
             answered,
         };
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -91,11 +91,13 @@
     /// The digest to tell a fellow now.
     pub fn digest(&self) -> message::Digest {
         let mut digest = self.told.load().digest.clone();
-        digest.generation = self.generation().0 as i64;
+        // The age is read first: a later generation with an older age is true, the other way round
+        // would tell a fellow that this generation was the last one a moment ago.
         digest.log_age_ms = self
             .contact
             .log_age()
             .map(|age| (age.as_micros() / 1000) as i64);
+        digest.generation = self.generation().0 as i64;
         digest.clock = self.recorder.timestamp().to_bits() as i64;
         digest
     }
@@ -122,7 +124,9 @@
     pub async fn take(&self, heard: Heard) {
         // A fellow whose clock is far ahead is not followed; its news count all the same.
         let _ = self.recorder.observe(heard.clock);
-        if let Some(read) = heard.log {
+        // A fellow with a later generation knows that this instance has missed something.
+        let known = heard.generation <= self.generation();
+        if let Some(read) = heard.log.filter(|_| known) {
             self.contact.heard_log(read);
         }
         self.decider.news(heard.news).await;
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -10,7 +10,7 @@
 use crate::replica::Fellows;
 use crate::{configuration, digest, gossip, loads, members, verdicts};
 use adoption::Step;
-use anyhow::{Context as _, Result};
+use anyhow::{Context as _, Result, ensure};
 use arc_swap::ArcSwap;
 use caller::{Handler, Limits, Server};
 use claims::window::Window;
@@ -289,7 +289,7 @@
         usage::Policy::default(),
         stopping.clone(),
     );
-    let claims = open_claims(&settings, &log, &committer, stopping);
+    let claims = open_claims(&settings, &log, &committer, stopping)?;
     let (scores, scored) = mpsc::channel(SCORES);
     let rating = settings
         .rating
@@ -347,26 +347,27 @@
     log: &logs::Client,
     committer: &committer::Handle,
     stopping: &CancellationToken,
-) -> claimer::Handle<logs::Client> {
+) -> Result<claimer::Handle<logs::Client>> {
     // A key lives for less than the retention by more than the clocks may differ.
     let margin = Span::from_micros(2 * KEY_SKEW.as_micros());
-    let retention = settings
-        .log
-        .retention
-        .max(Span::from_micros(2 * margin.as_micros()));
+    let retention = settings.log.retention;
+    ensure!(
+        margin < retention,
+        "[log] retention = {retention} is too short: claims on keys need more than {margin}"
+    );
     let policy = claimer::Policy {
         window: Window::new(retention, margin, KEY_SKEW),
         patience: CLAIM_PATIENCE,
         retry_after: LOG_WAIT,
     };
     let own = settings.instance.name.clone();
-    claimer::open(
+    Ok(claimer::open(
         log.clone(),
         committer.clone(),
         own,
         policy,
         stopping.clone(),
-    )
+    ))
 }
 
 fn follow_configuration(
@@ -391,12 +392,6 @@
 
 fn note(recorder: &Recorder, step: &Step) {
     match step {
-        Step::Accepted { snapshot, .. } => {
-            let draft = recorder
-                .event(Kind::Adopted)
-                .count("generation", snapshot.generation.0);
-            draft.text("author", &snapshot.author).record();
-        }
         Step::Rejected { offset, author, .. } => {
             let draft = recorder.event(Kind::Rejected).count("offset", offset.0);
             draft.text("author", author).record();
@@ -415,7 +410,18 @@
                 .text("failure", "two sources disagree about a generation")
                 .record();
         }
-        Step::Malformed { .. } | Step::Started { .. } | Step::Restarted { .. } => {}
+        Step::Restarted { first } => {
+            let draft = recorder.event(Kind::Outage).count("first", first.0);
+            draft
+                .text("failure", "records of the configuration expired unread")
+                .record();
+        }
+        Step::Malformed { offset } => {
+            let draft = recorder.event(Kind::Rejected).count("offset", offset.0);
+            draft.text("failure", "not a record").record();
+        }
+        // What is in force is recorded when it changes, whoever told it.
+        Step::Accepted { .. } | Step::Started { .. } => {}
     }
 }
 
@@ -459,6 +465,11 @@
     loop {
         let snapshot = in_force.borrow_and_update().clone();
         if let Some(snapshot) = snapshot {
+            let draft = context.recorder.event(Kind::Adopted);
+            draft
+                .count("generation", snapshot.generation.0)
+                .text("author", &snapshot.author)
+                .record();
             context.decider.configure(snapshot).await;
             context.refresh_digest().await;
         }
