Count usage entries of other releases apart

Cause: one entry that could not be read hid its whole batch from the bill. Change: such an entry is foreign, counted in the checkpoint and in no total; the rest of its batch is billed.

--- a/crates/billing/src/ledger.rs
+++ b/crates/billing/src/ledger.rs
@@ -75,6 +75,9 @@
     pub accounts: Vec<Account>,
     /// Entries that came after their horizon and are in no total.
     pub late: u64,
+    /// Entries of other releases, which are in no total: a newer release has to bill them.
+    #[serde(default)]
+    pub foreign: u64,
 }
 
 /// What an entry did to the totals.
@@ -88,6 +91,8 @@
     Late,
     /// The checkpoint counts it already.
     Covered,
+    /// It is of another release.
+    Foreign,
 }
 
 /// A fold of the usage stream.
@@ -145,23 +150,26 @@
     }
 
     fn step(&mut self, offset: Offset, entry: &Entry) -> Effect {
-        let id = entry.id();
+        let fresh = offset > self.checkpoint.through;
+        let Some(id) = entry.id() else {
+            self.checkpoint.foreign += u64::from(fresh);
+            return Effect::Foreign;
+        };
         if !self.horizon.covers(id, self.clock_ms) {
-            if offset > self.checkpoint.through {
-                self.checkpoint.late += 1;
-            }
+            self.checkpoint.late += u64::from(fresh);
             return Effect::Late;
         }
         let Err(index) = self.recent.binary_search(&id) else {
             return Effect::Duplicate;
         };
         self.recent.insert(index, id);
-        if offset <= self.checkpoint.through {
+        if !fresh {
             return Effect::Covered;
         }
         match entry {
             Entry::Request(record) => self.count(record),
             Entry::Reserve(interval) => self.add(interval),
+            Entry::Foreign => unreachable!("an entry with an id is of this release"),
         }
         Effect::Counted
     }
--- a/crates/billing/src/usage.rs
+++ b/crates/billing/src/usage.rs
@@ -3,6 +3,7 @@
 use entity::unit::{Cost, Tokens};
 use entity::{name, request};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// The stream that holds usage.
 pub const STREAM: &str = "usage";
@@ -100,14 +101,18 @@
     Request(Record),
     /// An interval of reserved capacity.
     Reserve(Interval),
+    /// An entry of another release.
+    #[serde(skip)]
+    Foreign,
 }
 
 impl Entry {
-    /// The id by which duplicates are dropped.
-    pub fn id(&self) -> request::Id {
+    /// The id by which duplicates are dropped; `None` for an entry of another release.
+    pub fn id(&self) -> Option<request::Id> {
         match self {
-            Self::Request(record) => record.request,
-            Self::Reserve(interval) => interval.id,
+            Self::Request(record) => Some(record.request),
+            Self::Reserve(interval) => Some(interval.id),
+            Self::Foreign => None,
         }
     }
 }
@@ -130,11 +135,15 @@
     serde_json::to_vec(batch).expect("entries serialise to JSON")
 }
 
-/// The batch in one log record.
+/// The batch in one log record. Entries that this release can't read are
+/// [foreign](Entry::Foreign), so that they don't hide the others.
 ///
 /// # Errors
 ///
-/// The bytes are not a batch of entries.
+/// The bytes are not an array.
 pub fn decode(data: &[u8]) -> Result<Vec<Entry>, serde_json::Error> {
-    serde_json::from_slice(data)
+    let entries: Vec<&RawValue> = serde_json::from_slice(data)?;
+    let entries = entries.into_iter().map(RawValue::get);
+    let read = |entry| serde_json::from_str(entry).unwrap_or(Entry::Foreign);
+    Ok(entries.map(read).collect())
 }
--- a/crates/billing/tests/ledger.rs
+++ b/crates/billing/tests/ledger.rs
@@ -216,3 +216,19 @@
     let batch = vec![entry(1)];
     expect_that!(usage::decode(&usage::encode(&batch)), ok(eq(&batch)));
 }
+
+#[gtest]
+fn entry_of_another_release_hides_no_other() {
+    let mut data = br#"[{"refund":{"request":"x"}},"#.to_vec();
+    data.extend(usage::encode_one(&entry(1)));
+    data.push(b']');
+    let batch = usage::decode(&data).expect("an array");
+    let mut ledger = ledger(Checkpoint::default(), 1);
+    let effects = ledger.apply(Offset(1), TIME_MS, &batch);
+    expect_that!(
+        effects,
+        elements_are![eq(&Effect::Foreign), eq(&Effect::Counted)]
+    );
+    expect_that!(ledger.checkpoint().foreign, eq(1));
+    expect_that!(usage::decode(b"{}"), err(anything()));
+}
