Let requests wait for an upstream in fair queues

Change: package server queues such requests per pool with routing's fair queue: weights, reserves, a bound, shed at once with Retry-After; they are placed when a choice ends, a load report arrives, or every 20 ms.

--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -61,6 +61,18 @@
     pub(crate) priority: Priority,
 }
 
+impl Choice {
+    /// The service, the version if it is for one, and the organisation that it was made for.
+    pub fn names(&self) -> (&name::Service, Option<&name::Version>, &name::Organisation) {
+        (
+            &self.config.services[self.service].name,
+            self.version
+                .map(|version| &self.config.versions[version].name),
+            &self.config.organisations[self.organisation].name,
+        )
+    }
+}
+
 /// Why no upstream can take a request now; nothing of it has left the instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("not run: {reason}")]
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -3,6 +3,7 @@
 //! Requests ask by message, so that each decision is made on one state, and nothing is locked.
 
 use crate::clock::Clock;
+use crate::waiting::{Reply, Waiting};
 use adoption::Snapshot;
 use entity::unit::{Bytes, Share, Tokens};
 use entity::{Generation, Moment, Span, id, name};
@@ -10,9 +11,12 @@
 use routing::slots::Ceased;
 use routing::{Balancer, Bounds, Choice, Load, Members, Outcome, Priority, Suspicion};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+/// Time between two looks at requests that wait, beside those when an upstream becomes free.
+const TICK: Duration = Duration::from_millis(20);
 /// Messages that may wait.
 const QUEUE: usize = 4096;
 
@@ -106,7 +110,6 @@
     Plan(Wish, oneshot::Sender<Option<Plan>>),
     Usable(id::Service, id::Version, Generation, oneshot::Sender<bool>),
     Choose(Box<Want>, oneshot::Sender<Result<Choice, routing::Refusal>>),
-    Recheck(Choice, oneshot::Sender<Result<Choice, routing::Refusal>>),
     Finish(Choice, Outcome),
     Retry(u32, Moment, oneshot::Sender<Option<Span>>),
     Rated(Rated),
@@ -196,18 +199,6 @@
             .await
     }
 
-    /// Applies every filter to a choice again. A choice that is refused has been given back.
-    ///
-    /// # Errors
-    ///
-    /// The outer one: the instance is closing. The inner one: the choice no longer holds.
-    pub async fn recheck(
-        &self,
-        choice: Choice,
-    ) -> Result<Result<Choice, routing::Refusal>, Closed> {
-        self.ask(|reply| Message::Recheck(choice, reply)).await
-    }
-
     /// Gives a choice back.
     pub async fn finish(&self, choice: Choice, outcome: Outcome) {
         self.tell(Message::Finish(choice, outcome)).await;
@@ -296,6 +287,8 @@
     pub bounds: Bounds,
     /// Seed of its random choices.
     pub seed: u64,
+    /// Most requests that wait for one pool of upstreams.
+    pub queue: usize,
     /// The clock.
     pub clock: Clock,
     /// Takes verdicts that were reached here.
@@ -306,6 +299,7 @@
 pub fn spawn(parts: Parts, cancel: CancellationToken) -> Handle {
     let (messages, queue) = mpsc::channel(QUEUE);
     let task = Task {
+        waiting: Waiting::new(parts.own.clone(), parts.queue),
         balancer: Balancer::new(parts.own, parts.zone, parts.bounds, parts.seed),
         judge: Judge::new(parts.seed, &parts.life),
         snapshot: None,
@@ -322,6 +316,7 @@
 }
 
 struct Task {
+    waiting: Waiting,
     balancer: Balancer,
     judge: Judge,
     snapshot: Option<Arc<Snapshot>>,
@@ -331,8 +326,18 @@
 
 impl Task {
     async fn run(mut self, mut queue: mpsc::Receiver<Message>) {
-        while let Some(message) = queue.recv().await {
-            self.take(message);
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = queue.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = ticks.tick(), if self.waiting.len() > 0 => {
+                    self.waiting.drain(&mut self.balancer, self.clock.now());
+                }
+            }
             for verdict in self.judge.take_verdicts() {
                 let _ = self.verdicts.send(verdict);
             }
@@ -350,7 +355,10 @@
         match message {
             Message::Configure(snapshot) => self.configure(snapshot, now),
             Message::Members(members, begun, ended) => self.members(members, begun, ended),
-            Message::Load(upstream, load) => self.balancer.load(&upstream, load, now),
+            Message::Load(upstream, load) => {
+                self.balancer.load(&upstream, load, now);
+                self.waiting.drain(&mut self.balancer, now);
+            }
             Message::Plan(wish, reply) => {
                 let _ = reply.send(self.plan(&wish, now));
             }
@@ -358,10 +366,11 @@
                 let current = generation == self.generation();
                 let _ = reply.send(current && !self.judge.braked(service, version));
             }
-            Message::Choose(want, reply) => self.choose(&want, now, reply),
-            Message::Recheck(choice, reply) => self.recheck(choice, now, reply),
+            Message::Choose(want, reply) => self.choose(want, now, reply),
             Message::Finish(choice, outcome) => {
+                self.waiting.ended(&choice);
                 self.balancer.finish(choice, outcome, now);
+                self.waiting.drain(&mut self.balancer, now);
             }
             Message::Retry(retry, deadline, reply) => {
                 let _ = reply.send(self.balancer.retry(retry, deadline, now));
@@ -394,6 +403,7 @@
         self.balancer
             .configure(&snapshot.config, snapshot.generation, now);
         self.judge.configure(&snapshot.config, snapshot.generation);
+        self.waiting.configure(&snapshot.config);
         self.snapshot = Some(snapshot);
     }
 
@@ -401,6 +411,7 @@
         let live = u32::try_from(members.live.len()).unwrap_or(u32::MAX).max(1);
         self.judge
             .set_viewers(live.max(quality::judge::DEFAULT_VIEWERS));
+        self.waiting.members(members.live.clone());
         self.balancer.members(members, begun, ended);
     }
 
@@ -420,47 +431,11 @@
         })
     }
 
-    fn choose(
-        &mut self,
-        want: &Want,
-        now: Moment,
-        reply: oneshot::Sender<Result<Choice, routing::Refusal>>,
-    ) {
+    fn choose(&mut self, want: Box<Want>, now: Moment, reply: Reply) {
         if want.excluded.is_empty() {
             self.balancer.request(now);
         }
-        let query = routing::Query {
-            generation: want.generation,
-            service: want.service,
-            version: want.version,
-            organisation: want.organisation,
-            prompt: want.prompt,
-            prefix: want.prefix,
-            priority: want.priority,
-            excluded: &want.excluded,
-            deadline: want.deadline,
-        };
-        let chosen = self.balancer.choose(&query, now);
-        // An asker that has gone can't give its choice back.
-        if let Err(Ok(choice)) = reply.send(chosen) {
-            self.balancer.finish(choice, Outcome::Cancelled, now);
-        }
-    }
-
-    fn recheck(
-        &mut self,
-        choice: Choice,
-        now: Moment,
-        reply: oneshot::Sender<Result<Choice, routing::Refusal>>,
-    ) {
-        if let Err(refusal) = self.balancer.recheck(&choice, now) {
-            self.balancer.finish(choice, Outcome::Cancelled, now);
-            let _ = reply.send(Err(refusal));
-            return;
-        }
-        if let Err(Ok(choice)) = reply.send(Ok(choice)) {
-            self.balancer.finish(choice, Outcome::Cancelled, now);
-        }
+        self.waiting.choose(want, reply, &mut self.balancer, now);
     }
 
     fn rated(&mut self, rated: &Rated, now: Moment) {
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -438,6 +438,7 @@
         zone: own.zone.clone(),
         life: format!("{}/{seed:016x}", own.name).into(),
         bounds: bounds(settings),
+        queue: settings.limits.queue as usize,
         seed,
         clock,
         verdicts: reached,
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -27,5 +27,6 @@
 mod tries;
 mod verdicts;
 mod version;
+mod waiting;
 
 pub use instance::Instance;
--- /dev/null
+++ b/crates/server/src/waiting.rs
@@ -0,0 +1,236 @@
+//! Requests that wait for an upstream, in fair queues over organisations.
+//!
+//! There is a queue for each pool: a service with one of its versions, or a plain service. A request
+//! goes past its queue only if nobody waits who comes first.
+
+use crate::decider::Want;
+use config::Config;
+use entity::{Moment, Span, name};
+use routing::admission::{Entry, Queue, Shed};
+use routing::reserve;
+use routing::{Balancer, Choice, Query, Reason, Refusal};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// Longest wait of a request on whose answer somebody waits.
+const LIVE_WAIT: Span = Span::from_secs(2);
+/// Longest wait of any other request.
+const DRAFT_WAIT: Span = Span::from_secs(15);
+/// Bytes of a prompt or body that count as one unit of cost.
+const COST_BYTES: u64 = 1024;
+
+/// What a request that waits gets in the end.
+pub type Reply = oneshot::Sender<Result<Choice, Refusal>>;
+
+/// A pool of upstreams, by name, since ids change with the configuration.
+type Key = (name::Service, Option<name::Version>);
+
+struct Waiter {
+    want: Box<Want>,
+    reply: Reply,
+}
+
+/// All queues of one instance.
+pub struct Waiting {
+    bound: usize,
+    /// Sorted by pool.
+    queues: Vec<(Key, Queue<Waiter>)>,
+    config: Arc<Config>,
+    own: name::Instance,
+    live: Arc<[name::Instance]>,
+}
+
+impl Waiting {
+    /// Queues in which at most `bound` requests wait each.
+    pub fn new(own: name::Instance, bound: usize) -> Self {
+        let live = Arc::from([own.clone()]);
+        Self {
+            bound,
+            queues: Vec::new(),
+            config: Arc::default(),
+            own,
+            live,
+        }
+    }
+
+    /// Takes over weights and reserves of a configuration.
+    pub fn configure(&mut self, config: &Arc<Config>) {
+        self.config = config.clone();
+        for (_, queue) in &mut self.queues {
+            set_shares(queue, &self.config, &self.own, &self.live);
+        }
+    }
+
+    /// Takes over the instance list, over which reserves are divided.
+    pub fn members(&mut self, live: Arc<[name::Instance]>) {
+        self.live = live;
+        for (_, queue) in &mut self.queues {
+            set_shares(queue, &self.config, &self.own, &self.live);
+        }
+    }
+
+    /// Gives a request its upstream, lets it wait for one, or refuses it at once.
+    pub fn choose(&mut self, want: Box<Want>, reply: Reply, balancer: &mut Balancer, now: Moment) {
+        let Some((key, organisation)) = self.names(&want) else {
+            let _ = reply.send(Err(stale()));
+            return;
+        };
+        let queue = self.queue(&key);
+        if queue.passes(&organisation) {
+            match balancer.choose(&query(&want), now) {
+                Err(refusal) if passes_in_time(refusal.reason) => {}
+                chosen => {
+                    answer(queue, &organisation, reply, chosen, balancer, now);
+                    return;
+                }
+            }
+        }
+        let wait = if want.priority.0 == 0 {
+            LIVE_WAIT
+        } else {
+            DRAFT_WAIT
+        };
+        let entry = Entry {
+            priority: want.priority,
+            cost: cost(&want),
+            deadline: want.deadline.min(now + wait),
+            item: Waiter { want, reply },
+        };
+        if let Some(shed) = queue.push(&organisation, entry, now) {
+            refuse(shed);
+        }
+    }
+
+    /// Gives waiting requests the upstreams that have become free, and refuses those whose time is
+    /// over.
+    pub fn drain(&mut self, balancer: &mut Balancer, now: Moment) {
+        for (_, queue) in &mut self.queues {
+            for shed in queue.expire(now) {
+                refuse(shed);
+            }
+            loop {
+                let place = |_: &name::Organisation, entry: &Entry<Waiter>| match balancer
+                    .choose(&query(&entry.item.want), now)
+                {
+                    Err(refusal) if passes_in_time(refusal.reason) => None,
+                    chosen => Some(chosen),
+                };
+                let Some((organisation, entry, chosen)) = queue.pop(now, place) else {
+                    break;
+                };
+                answer(
+                    queue,
+                    &organisation,
+                    entry.item.reply,
+                    chosen,
+                    balancer,
+                    now,
+                );
+            }
+        }
+    }
+
+    /// Counts the end of a request that had a choice.
+    pub fn ended(&mut self, choice: &Choice) {
+        let (service, version, organisation) = choice.names();
+        let key = (service.clone(), version.cloned());
+        let organisation = organisation.clone();
+        self.queue(&key).ended(&organisation);
+    }
+
+    /// How many requests wait.
+    pub fn len(&self) -> usize {
+        self.queues.iter().map(|(_, queue)| queue.len()).sum()
+    }
+
+    fn names(&self, want: &Want) -> Option<(Key, name::Organisation)> {
+        let service = self.config.services.get(want.service)?.name.clone();
+        let version = match want.version {
+            Some(version) => Some(self.config.versions.get(version)?.name.clone()),
+            None => None,
+        };
+        let organisation = self.config.organisations.get(want.organisation)?;
+        Some(((service, version), organisation.name.clone()))
+    }
+
+    fn queue(&mut self, key: &Key) -> &mut Queue<Waiter> {
+        let found = self.queues.binary_search_by(|(other, _)| other.cmp(key));
+        let index = found.unwrap_or_else(|index| {
+            let mut queue = Queue::new(self.bound);
+            set_shares(&mut queue, &self.config, &self.own, &self.live);
+            self.queues.insert(index, (key.clone(), queue));
+            index
+        });
+        &mut self.queues[index].1
+    }
+}
+
+fn set_shares(
+    queue: &mut Queue<Waiter>,
+    config: &Config,
+    own: &name::Instance,
+    live: &[name::Instance],
+) {
+    for organisation in config.organisations.values() {
+        let share = reserve::share(&organisation.name, organisation.reserve, own, live);
+        queue.set(&organisation.name, organisation.weight, share);
+    }
+}
+
+/// Answers a request. One whose asker has gone gives its choice back.
+fn answer(
+    queue: &mut Queue<Waiter>,
+    organisation: &name::Organisation,
+    reply: Reply,
+    chosen: Result<Choice, Refusal>,
+    balancer: &mut Balancer,
+    now: Moment,
+) {
+    let chose = chosen.is_ok();
+    match reply.send(chosen) {
+        Ok(()) if chose => queue.began(organisation),
+        Err(Ok(choice)) => {
+            balancer.finish(choice, routing::Outcome::Cancelled, now);
+        }
+        Ok(()) | Err(Err(_)) => {}
+    }
+}
+
+/// Whether waiting helps against a reason.
+fn passes_in_time(reason: Reason) -> bool {
+    matches!(reason, Reason::Full | Reason::Cold | Reason::Failing)
+}
+
+fn refuse(shed: Shed<Waiter>) {
+    let refusal = Refusal {
+        reason: Reason::Full,
+        retry_after: Some(shed.retry_after),
+    };
+    let _ = shed.entry.item.reply.send(Err(refusal));
+}
+
+fn stale() -> Refusal {
+    Refusal {
+        reason: Reason::Generation,
+        retry_after: None,
+    }
+}
+
+fn cost(want: &Want) -> u32 {
+    let units = want.prompt.0.div_ceil(COST_BYTES).max(1);
+    u32::try_from(units).unwrap_or(u32::MAX)
+}
+
+fn query(want: &Want) -> Query<'_> {
+    Query {
+        generation: want.generation,
+        service: want.service,
+        version: want.version,
+        organisation: want.organisation,
+        prompt: want.prompt,
+        prefix: want.prefix,
+        priority: want.priority,
+        excluded: &want.excluded,
+        deadline: want.deadline,
+    }
+}
