Measure a zone's return under three loads, with a plot

Cause: one load at half of what engines can do says little about the edge. Change: two more loads, one that three zones can't carry, and a time line.

--- a/crates/routing/examples/zone.rs
+++ b/crates/routing/examples/zone.rs
@@ -1,6 +1,6 @@
 //! An availability zone is taken out under load and comes back with cold engines.
 //!
-//! `cargo run --release -p routing --example zone`
+//! `cargo run --release -p routing --example zone [PLOT.svg]`
 
 mod model;
 
@@ -11,13 +11,15 @@
 use model::fleet::{Fleet, Record};
 use model::policy::{Baseline, Policy, Product, Rule, config};
 use model::{Engine, Load, quantile, spread};
+use plotters::prelude::*;
 
 const ZONES: usize = 4;
 const ENGINES: usize = 12;
 const INSTANCES: usize = 6;
 
-/// Requests a second.
-const RATE: f64 = 90.0;
+/// Requests a second, and prefixes that they share: about half of what the engines can do, the same
+/// without shared prefixes, and more than three zones can do.
+const LOADS: [(f64, usize); 3] = [(90.0, 400), (75.0, 0), (150.0, 400)];
 
 /// Quiet service, then the zone is out, then it is back.
 const PHASE: Span = Span::from_secs(60);
@@ -43,12 +45,16 @@
     (0..INSTANCES).map(policy).collect()
 }
 
-fn run(rule: Option<Rule>, seed: u64) -> (Moment, Vec<Record>, u32, usize) {
+fn run(
+    (rate, prefixes): (f64, usize),
+    rule: Option<Rule>,
+    seed: u64,
+) -> (Moment, Vec<Record>, u32) {
     let load = Load {
-        rates: vec![RATE],
+        rates: vec![rate],
         instances: INSTANCES,
         skew: 0.0,
-        prefixes: 400,
+        prefixes,
         heavy: false,
         deadline: Span::from_secs(30),
     };
@@ -73,7 +79,7 @@
     fleet.run(PHASE);
     fleet.settle(Span::from_secs(40));
     let fallen = fleet.engines.iter().map(|engine| engine.fallen).sum();
-    (begun, fleet.records, fallen, fleet.tries)
+    (begun, fleet.records, fallen)
 }
 
 /// The 99th percentile of first-token times in milliseconds of requests that arrived in a span.
@@ -88,41 +94,81 @@
     quantile(&times, 0.99)
 }
 
+/// Draws the 99th percentile of each five seconds, one line for each policy, on a scale from 100 ms
+/// to 10 s; vertical lines where the zone leaves and returns. Without text, so that no font is needed.
+fn plot(path: &str) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(path, (720, 360)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .build_cartesian_2d(0.0..180.0, (100.0..10_000.0).log_scale())?;
+    for x in [60.0, 120.0] {
+        chart.draw_series(LineSeries::new(
+            [(x, 100.0), (x, 10_000.0)],
+            &BLACK.mix(0.4),
+        ))?;
+    }
+    for y in [100.0, 1000.0, 10_000.0] {
+        chart.draw_series(LineSeries::new([(0.0, y), (180.0, y)], &BLACK.mix(0.2)))?;
+    }
+    let colours = [RED, BLUE, GREEN, MAGENTA];
+    for ((_, rule), colour) in POLICIES.into_iter().zip(colours) {
+        let (begun, records, ..) = run(LOADS[0], rule, SEEDS.start);
+        let start = begun - PHASE;
+        let bin = Span::from_secs(5);
+        let mut points = Vec::new();
+        for index in 0..36 {
+            let from = start + Span::from_secs(5 * index);
+            points.push((
+                5.0 * index as f64 + 2.5,
+                slowest(&records, from, from + bin),
+            ));
+        }
+        chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
+    }
+    area.present()?;
+    Ok(())
+}
+
 fn main() {
-    println!("{ZONES} zones, {ENGINES} engines, {INSTANCES} instances, {RATE} requests/s");
-    println!(
-        "policy | quiet p99 ms | out p99 ms | back p99 ms | ratio | failed | shed | falls | tries"
-    );
-    for (name, rule) in POLICIES {
-        let mut columns: Vec<Vec<f64>> = vec![Vec::new(); 8];
-        for seed in SEEDS {
-            let (begun, records, fallen, tries) = run(rule, seed);
-            let quiet = slowest(&records, begun - Span::from_secs(40), begun);
-            let out = slowest(&records, begun, begun + PHASE);
-            let back = slowest(&records, begun + PHASE, begun + PHASE + PHASE);
-            let worst = slowest(&records, begun, begun + PHASE + PHASE);
-            let failed = records.iter().filter(|record| record.failed).count() as f64;
-            let missed = records.iter().filter(|record| record.first_token.is_none());
-            let shed = missed.count() as f64 - failed;
-            let tries = tries as f64 / records.len() as f64;
-            let row = [
-                quiet,
-                out,
-                back,
-                worst / quiet,
-                failed,
-                shed,
-                f64::from(fallen),
-                tries,
-            ];
-            for (column, value) in columns.iter_mut().zip(row) {
-                column.push(value);
-            }
+    if let Some(path) = std::env::args().nth(1) {
+        plot(&path).expect("the plot is written");
+        return;
+    }
+    println!("{ZONES} zones, {ENGINES} engines, {INSTANCES} instances; p99 of the first token, ms");
+    println!("policy | quiet | zone out | zone back | worst to quiet | failed | shed | falls");
+    for load in LOADS {
+        println!("{} requests/s, {} shared prefixes", load.0, load.1);
+        for (name, rule) in POLICIES {
+            let rows: Vec<[f64; 7]> = SEEDS.map(|seed| figures(load, rule, seed)).collect();
+            let column = |index: usize| -> Vec<f64> { rows.iter().map(|row| row[index]).collect() };
+            let cell = |index| spread(&column(index));
+            let cells = (0..7)
+                .map(cell)
+                .map(|(mean, sd)| format!("{mean:.2} ± {sd:.2}"));
+            println!("{name} | {}", cells.collect::<Vec<String>>().join(" | "));
         }
-        let cells = columns.iter().map(|column| spread(column));
-        let cells: Vec<String> = cells
-            .map(|(mean, sd)| format!("{mean:.2} ± {sd:.2}"))
-            .collect();
-        println!("{name} | {}", cells.join(" | "));
     }
 }
+
+/// What one run shows: the columns of the table.
+fn figures(load: (f64, usize), rule: Option<Rule>, seed: u64) -> [f64; 7] {
+    let (begun, records, fallen) = run(load, rule, seed);
+    let back = begun + PHASE;
+    let end = back + PHASE;
+    let quiet = slowest(&records, begun - Span::from_secs(40), begun);
+    let failed = records.iter().filter(|record| record.failed).count() as f64;
+    let missed = records
+        .iter()
+        .filter(|record| record.first_token.is_none())
+        .count() as f64;
+    [
+        quiet,
+        slowest(&records, begun, back),
+        slowest(&records, back, end),
+        slowest(&records, begun, end) / quiet,
+        failed,
+        missed - failed,
+        f64::from(fallen),
+    ]
+}
