--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -9,13 +9,13 @@
 use crate::retry;
 use crate::score::{self, Affinity, Place};
 use crate::slots::{Bounds, Ceased, Claim, Members, Views};
-use crate::state::State;
+use crate::states::States;
 use config::Config;
-use entity::id::{self, Id};
+use entity::id;
 use entity::name;
 use entity::time::Span;
 use entity::unit::Bytes;
-use entity::{Generation, Map, Moment};
+use entity::{Generation, Moment};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
@@ -54,11 +54,7 @@
     generation: Generation,
     views: Views,
     pools: Pools,
-    /// What is known of the upstreams in use, and of others while choices of them are unfinished;
-    /// by name.
-    states: Vec<State>,
-    /// Where the state of an upstream is, if it has one.
-    places: Map<id::Upstream, Option<u32>>,
+    states: States,
     budget: retry::Budget,
     tickets: u64,
     /// Moving average of the sizes of prompts, in bytes.
@@ -84,8 +80,7 @@
             config: Arc::default(),
             generation: Generation::default(),
             pools: Pools::default(),
-            states: Vec::new(),
-            places: Map::default(),
+            states: States::default(),
             budget: retry::Budget::new(Moment(0)),
             tickets: 0,
             mean_prompt: 0.0,
@@ -98,7 +93,7 @@
         debug_assert!(generation >= self.generation);
         let old = std::mem::replace(&mut self.config, Arc::clone(config));
         self.generation = generation;
-        for state in &mut self.states {
+        for state in self.states.iter_mut() {
             let name = state.name.as_str();
             let was = old.upstream(name).is_some_and(|id| old.in_service(id));
             let is = config
@@ -137,7 +132,7 @@
             return None;
         }
         let mut running = Vec::new();
-        for state in &self.states {
+        for state in self.states.iter() {
             let held = state.slots.held.iter();
             running.extend(held.map(|held| (state.name.clone(), held.number)));
         }
@@ -149,7 +144,7 @@
 
     /// Takes in a load report of an upstream.
     pub fn load(&mut self, upstream: &name::Upstream, load: Load, now: Moment) {
-        if let Some(state) = self.state_mut(upstream) {
+        if let Some(state) = self.states.named_mut(upstream) {
             state.report(load, now);
         }
     }
@@ -168,7 +163,7 @@
     /// Suspicions of cold start that no load report has settled yet, of this and other instances.
     pub fn suspicions(&self) -> Vec<Suspicion> {
         let mut suspicions = Vec::new();
-        for state in &self.states {
+        for state in self.states.iter() {
             let Some(since) = state.suspected() else {
                 continue;
             };
@@ -182,7 +177,7 @@
 
     /// Takes in a suspicion of another instance.
     pub fn suspect(&mut self, suspicion: &Suspicion) {
-        if let Some(state) = self.state_mut(&suspicion.upstream) {
+        if let Some(state) = self.states.named_mut(&suspicion.upstream) {
             state.suspect(suspicion.since);
         }
     }
@@ -215,7 +210,10 @@
     /// Applies every filter to a choice again, immediately before its dispatch.
     pub fn recheck(&self, choice: &Choice, now: Moment) -> Result<(), Refusal> {
         let (work, upstream) = self.translate(choice).map_err(refusal)?;
-        let state = self.state(&choice.upstream);
+        let state = self
+            .states
+            .named(&choice.upstream)
+            .expect("a state is kept while choices of it are unfinished");
         let held = Some((choice.grant, choice.ticket));
         let sharers = self.sharers(upstream);
         let grant = self
@@ -236,7 +234,8 @@
         let id = config.upstream(choice.upstream.as_str());
         let limit = id.map_or(0, |id| config.upstreams[id].warm);
         let state = self
-            .state_mut(&choice.upstream)
+            .states
+            .named_mut(&choice.upstream)
             .expect("a state is kept while choices of it are unfinished");
         let suspected = state.end((choice.grant, choice.ticket), outcome, limit, now);
         suspected.then_some(Suspicion {
@@ -282,7 +281,7 @@
         let mut candidates = Vec::with_capacity(pool.used.len());
         let mut strongest = self.absence(work);
         for &upstream in &pool.used {
-            let state = self.state_of(upstream);
+            let state = self.states.used(upstream);
             let sharers = self.sharers(upstream);
             let grant = match filter.check(work, upstream, state, sharers, None) {
                 Ok(grant) => grant,
@@ -375,8 +374,9 @@
         self.tickets += 1;
         let ticket = self.tickets;
         let prompt = self.relative(query.prompt);
-        let place = self.places[candidate.upstream].expect("candidates have a state");
-        self.states[place as usize].begin(candidate.grant, ticket, prompt, now);
+        self.states
+            .used_mut(candidate.upstream)
+            .begin(candidate.grant, ticket, prompt, now);
         let upstream = &self.config.upstreams[candidate.upstream];
         Choice {
             upstream: upstream.name.clone(),
@@ -441,21 +441,6 @@
         self.pools.sharers(&self.config, upstream, live)
     }
 
-    fn state_of(&self, upstream: id::Upstream) -> &State {
-        let place = self.places[upstream].expect("upstreams in use have a state");
-        &self.states[place as usize]
-    }
-
-    fn state(&self, name: &name::Upstream) -> &State {
-        let found = self.states.binary_search_by(|state| state.name.cmp(name));
-        &self.states[found.expect("a state is kept while choices of it are unfinished")]
-    }
-
-    fn state_mut(&mut self, name: &name::Upstream) -> Option<&mut State> {
-        let found = self.states.binary_search_by(|state| state.name.cmp(name));
-        found.ok().map(|index| &mut self.states[index])
-    }
-
     /// Brings pools, states and claims in line with the configuration and the instance list.
     fn rebuild(&mut self, now: Moment) {
         let config = Arc::clone(&self.config);
@@ -468,46 +453,16 @@
         }
         let slotted: Vec<id::Upstream> = claims.iter().map(|(id, _)| *id).collect();
         self.pools = Pools::new(&self.own, &config, &slotted);
-        self.keep_states(now);
-        for state in &mut self.states {
+        self.states.keep(&config, &self.pools.used(), now);
+        for state in self.states.iter_mut() {
             state.slots.claims.clear();
         }
         for (id, owned) in claims {
-            let Some(place) = self.places[id] else {
-                continue;
-            };
-            self.states[place as usize].slots.claims = owned;
-        }
-    }
-
-    /// Adds states of upstreams that came into use and drops those out of use, but for those with
-    /// unfinished choices.
-    fn keep_states(&mut self, now: Moment) {
-        let config = Arc::clone(&self.config);
-        let used = self.pools.used();
-        let in_use = |state: &State| {
-            let id = config.upstream(state.name.as_str());
-            id.is_some_and(|id| used.binary_search(&id).is_ok())
-        };
-        self.states.retain(|state| in_use(state) || !state.unused());
-        for &id in &used {
-            let upstream = &config.upstreams[id];
-            let found = self
-                .states
-                .binary_search_by(|state| state.name.cmp(&upstream.name));
-            if let Err(index) = found {
-                let reports = !upstream.versions.is_empty();
-                let state = State::new(upstream.name.clone(), reports, now);
-                self.states.insert(index, state);
-            }
-        }
-        self.places = Map::filled(None, config.upstreams.len());
-        for (index, state) in self.states.iter().enumerate() {
-            if let Some(id) = config.upstream(state.name.as_str()) {
-                self.places[id] = Some(u32::try_from(index).expect("few upstreams"));
+            // An upstream out of service has slots, but no state.
+            if let Some(state) = self.states.get_mut(id) {
+                state.slots.claims = owned;
             }
         }
-        debug_assert!(used.iter().all(|id| id.index() < self.places.len()));
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod score;
 pub mod slots;
 pub mod state;
+pub mod states;
 pub mod subset;
 
 pub use balancer::Balancer;
