Tell when a choice was made, since it may have waited for one

Cause: the slack between a decision and its dispatch was measured from the question, which now includes the wait in a queue. Change: Choice::made.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -379,6 +379,7 @@
             .begin(candidate.grant, ticket, prompt, now);
         let upstream = &self.config.upstreams[candidate.upstream];
         Choice {
+            made: now,
             upstream: upstream.name.clone(),
             address: upstream.address,
             grant: candidate.grant,
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -50,6 +50,8 @@
     pub address: SocketAddr,
     /// On what ground the dispatch is allowed.
     pub grant: Grant,
+    /// When it was made; it is to be sent within the slack of the slots' bounds.
+    pub made: Moment,
     /// The moment after which the dispatch has to be ended, whatever its caller's deadline.
     pub end: Moment,
     pub(crate) ticket: u64,
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -129,9 +129,8 @@
     let mut ran = Ran::No;
     let mut last: Option<Failure> = None;
     for retry in 0..MAX_TRIES {
-        let asked = context.clock.now();
         let choice = choose(context, job, &excluded, last.as_ref(), ran).await?;
-        if context.clock.now().since(asked) > context.bounds.slack {
+        if context.clock.now().since(choice.made) > context.bounds.slack {
             // The process was paused: what was chosen may be another instance's slot by now.
             context.decider.finish(choice, Outcome::Cancelled).await;
             continue;
