Take one refusal of an upstream that reports no load for no sign of cold start

Change: two refusals in a row for those; one still suffices for engines, whose next report settles it. Ruled out: ignoring refusals, since a cold service has no other way to say so. Measured: routing 18 of 18 in filter.rs with the new test, which fails without the change; tests/failures.rs 10 of 10.

--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -25,6 +25,10 @@
 /// A refusal is a sign of cold start if the load was below this share of the limit.
 const UNEXPLAINED: f64 = 0.8;
 
+/// Refusals in a row that are a sign of cold start at an upstream that reports no load, so that no
+/// report can settle the suspicion.
+const SILENT_REFUSALS: u32 = 2;
+
 /// A first token this many times slower than usual, without load to explain it, is a sign of cold
 /// start.
 const SLOW: f64 = 6.0;
@@ -71,6 +75,8 @@
     recovered: bool,
     suspected: Option<Moment>,
     first_token_ms: Option<f64>,
+    /// Refusals in a row.
+    refusals: u32,
     /// Requests sent lately, each counting for less as time goes by.
     sent: f64,
     sent_at: Moment,
@@ -92,6 +98,7 @@
             recovered: false,
             suspected: None,
             first_token_ms: None,
+            refusals: 0,
             sent: 0.0,
             sent_at: now,
         }
@@ -259,12 +266,15 @@
         match outcome {
             Outcome::Done { first_token } => {
                 self.breaker.succeeded();
+                self.refusals = 0;
                 let slow = first_token.is_some_and(|time| self.slow(time));
                 grant == Grant::Warm && slow && light && self.suspect(now)
             }
             Outcome::Refused => {
                 self.breaker.unsettled(now);
-                grant == Grant::Warm && light && self.suspect(now)
+                self.refusals += 1;
+                let enough = self.reports || self.refusals >= SILENT_REFUSALS;
+                grant == Grant::Warm && light && enough && self.suspect(now)
             }
             Outcome::Failed => {
                 self.breaker.failed(now);
--- a/crates/routing/tests/filter.rs
+++ b/crates/routing/tests/filter.rs
@@ -7,6 +7,7 @@
 use entity::id::{self, Id};
 use entity::{Generation, Moment};
 use googletest::prelude::*;
+use routing::state::State;
 use routing::{Balancer, Grant, Outcome, Query, Reason};
 use std::sync::Arc;
 
@@ -305,3 +306,15 @@
     balancer.finish(choice, Outcome::Cancelled, START);
     expect_that!(FIRST, lt(SECOND));
 }
+
+#[gtest]
+fn one_refusal_of_an_upstream_that_reports_no_load_is_no_sign() {
+    let later = START + secs(60);
+    let mut state = State::new(engine(0), false, START);
+    let mut refused = |ticket| {
+        state.begin(Grant::Warm, ticket, 1.0, later);
+        state.end((Grant::Warm, ticket), Outcome::Refused, 32, later)
+    };
+    expect_that!(refused(1), eq(false));
+    expect_that!(refused(2), eq(true));
+}
