Trace reserved capacity to whoever reserved it

Cause: the bill had lines for reserves, but nothing wrote them. Change: the server accounts reserves (used, lent, idle) as requests begin and end and appends an interval for each organisation once a minute.

--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -8,6 +8,7 @@
 use entity::unit::{Bytes, Share, Tokens};
 use entity::{Generation, Moment, Span, id, name};
 use quality::{Judge, Plan, Rating, Summary, Verdict};
+use routing::reserve;
 use routing::slots::Ceased;
 use routing::{Balancer, Bounds, Choice, Load, Members, Outcome, Priority, Suspicion};
 use std::sync::Arc;
@@ -118,6 +119,7 @@
     News(Box<News>),
     Knowledge(oneshot::Sender<Knowledge>),
     Watched(oneshot::Sender<Vec<name::Upstream>>),
+    Reserves(oneshot::Sender<Vec<reserve::Usage>>),
     Leave,
 }
 
@@ -269,6 +271,15 @@
         self.ask(Message::Watched).await
     }
 
+    /// What became of each organisation's reserve at this instance since it started.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn reserves(&self) -> Result<Vec<reserve::Usage>, Closed> {
+        self.ask(Message::Reserves).await
+    }
+
     /// Gives up all slots of cold upstreams, at the begin of a shutdown.
     pub async fn leave(&self) {
         self.tell(Message::Leave).await;
@@ -368,7 +379,7 @@
             }
             Message::Choose(want, reply) => self.choose(want, now, reply),
             Message::Finish(choice, outcome) => {
-                self.waiting.ended(&choice);
+                self.waiting.ended(&choice, now);
                 self.balancer.finish(choice, outcome, now);
                 self.waiting.drain(&mut self.balancer, now);
             }
@@ -395,6 +406,9 @@
             Message::Watched(reply) => {
                 let _ = reply.send(self.watched());
             }
+            Message::Reserves(reply) => {
+                let _ = reply.send(self.waiting.reserves(now));
+            }
             Message::Leave => self.balancer.leave(now),
         }
     }
@@ -403,7 +417,7 @@
         self.balancer
             .configure(&snapshot.config, snapshot.generation, now);
         self.judge.configure(&snapshot.config, snapshot.generation);
-        self.waiting.configure(&snapshot.config);
+        self.waiting.configure(&snapshot.config, now);
         self.snapshot = Some(snapshot);
     }
 
@@ -411,7 +425,7 @@
         let live = u32::try_from(members.live.len()).unwrap_or(u32::MAX).max(1);
         self.judge
             .set_viewers(live.max(quality::judge::DEFAULT_VIEWERS));
-        self.waiting.members(members.live.clone());
+        self.waiting.members(members.live.clone(), ended);
         self.balancer.members(members, begun, ended);
     }
 
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -8,7 +8,7 @@
 use crate::front::{Desk, Front};
 use crate::links::Links;
 use crate::replica::Fellows;
-use crate::{configuration, digest, gossip, loads, members, verdicts};
+use crate::{configuration, digest, gossip, loads, members, reserves, verdicts};
 use adoption::Step;
 use anyhow::{Context as _, Result, ensure};
 use arc_swap::ArcSwap;
@@ -457,6 +457,7 @@
     run(Box::pin(couple_configuration(context.clone())) as Task);
     run(Box::pin(couple_members(context.clone(), committer)) as Task);
     run(Box::pin(couple_scores(context.clone(), scores)) as Task);
+    run(Box::pin(reserves::report(context.clone())) as Task);
 }
 
 type Task = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -23,6 +23,7 @@
 mod once;
 mod plain;
 mod replica;
+mod reserves;
 pub mod status;
 mod tries;
 mod verdicts;
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -25,6 +25,13 @@
 /// A pool of upstreams, by name, since ids change with the configuration.
 type Key = (name::Service, Option<name::Version>);
 
+/// Who is answered.
+struct Asker {
+    key: Key,
+    organisation: name::Organisation,
+    reply: Reply,
+}
+
 struct Waiter {
     want: Box<Want>,
     reply: Reply,
@@ -38,6 +45,8 @@
     config: Arc<Config>,
     own: name::Instance,
     live: Arc<[name::Instance]>,
+    /// Reserved capacity: used, lent and idle.
+    ledger: reserve::Ledger,
 }
 
 impl Waiting {
@@ -50,23 +59,42 @@
             config: Arc::default(),
             own,
             live,
+            ledger: reserve::Ledger::new(0, Moment(0)),
         }
     }
 
     /// Takes over weights and reserves of a configuration.
-    pub fn configure(&mut self, config: &Arc<Config>) {
+    pub fn configure(&mut self, config: &Arc<Config>, now: Moment) {
         self.config = config.clone();
-        for (_, queue) in &mut self.queues {
-            set_shares(queue, &self.config, &self.own, &self.live);
-        }
+        self.divide(now);
     }
 
     /// Takes over the instance list, over which reserves are divided.
-    pub fn members(&mut self, live: Arc<[name::Instance]>) {
+    pub fn members(&mut self, live: Arc<[name::Instance]>, now: Moment) {
         self.live = live;
+        self.divide(now);
+    }
+
+    /// Divides weights, reserves and capacity anew.
+    fn divide(&mut self, now: Moment) {
         for (_, queue) in &mut self.queues {
             set_shares(queue, &self.config, &self.own, &self.live);
         }
+        let limits = self.config.upstreams.iter();
+        let limits = limits.filter(|(id, _)| self.config.in_service(*id));
+        let capacity: u32 = limits.map(|(_, upstream)| upstream.warm).sum();
+        let instances = u32::try_from(self.live.len().max(1)).unwrap_or(u32::MAX);
+        self.ledger.resize(capacity / instances, now);
+        for organisation in self.config.organisations.values() {
+            let (name, whole) = (&organisation.name, organisation.reserve);
+            let share = reserve::share(name, whole, &self.own, &self.live);
+            self.ledger.set(name, share, now);
+        }
+    }
+
+    /// What became of each organisation's reserve at this instance since it started.
+    pub fn reserves(&mut self, now: Moment) -> Vec<reserve::Usage> {
+        self.ledger.usages(now).to_vec()
     }
 
     /// Gives a request its upstream, lets it wait for one, or refuses it at once.
@@ -80,7 +108,12 @@
             match balancer.choose(&query(&want), now) {
                 Err(refusal) if passes_in_time(refusal.reason) => {}
                 chosen => {
-                    answer(queue, &organisation, reply, chosen, balancer, now);
+                    let asker = Asker {
+                        key,
+                        organisation,
+                        reply,
+                    };
+                    self.answer(asker, chosen, balancer, now);
                     return;
                 }
             }
@@ -96,7 +129,7 @@
             deadline: want.deadline.min(now + wait),
             item: Waiter { want, reply },
         };
-        if let Some(shed) = queue.push(&organisation, entry, now) {
+        if let Some(shed) = self.queue(&key).push(&organisation, entry, now) {
             refuse(shed);
         }
     }
@@ -104,38 +137,68 @@
     /// Gives waiting requests the upstreams that have become free, and refuses those whose time is
     /// over.
     pub fn drain(&mut self, balancer: &mut Balancer, now: Moment) {
-        for (_, queue) in &mut self.queues {
+        for index in 0..self.queues.len() {
+            let (key, queue) = &mut self.queues[index];
+            let key = key.clone();
             for shed in queue.expire(now) {
                 refuse(shed);
             }
-            loop {
-                let place = |_: &name::Organisation, entry: &Entry<Waiter>| match balancer
-                    .choose(&query(&entry.item.want), now)
-                {
-                    Err(refusal) if passes_in_time(refusal.reason) => None,
-                    chosen => Some(chosen),
-                };
-                let Some((organisation, entry, chosen)) = queue.pop(now, place) else {
-                    break;
+            while let Some((organisation, entry, chosen)) = self.place(index, balancer, now) {
+                let (key, reply) = (key.clone(), entry.item.reply);
+                let asker = Asker {
+                    key,
+                    organisation,
+                    reply,
                 };
-                answer(
-                    queue,
-                    &organisation,
-                    entry.item.reply,
-                    chosen,
-                    balancer,
-                    now,
-                );
+                self.answer(asker, chosen, balancer, now);
+            }
+        }
+    }
+
+    /// Takes the next request out of a queue that gets an upstream, or for which waiting is no help.
+    fn place(
+        &mut self,
+        index: usize,
+        balancer: &mut Balancer,
+        now: Moment,
+    ) -> Option<(name::Organisation, Entry<Waiter>, Result<Choice, Refusal>)> {
+        let (_, queue) = &mut self.queues[index];
+        queue.pop(now, |_, entry| {
+            match balancer.choose(&query(&entry.item.want), now) {
+                Err(refusal) if passes_in_time(refusal.reason) => None,
+                chosen => Some(chosen),
+            }
+        })
+    }
+
+    /// Answers a request. One whose asker has gone gives its choice back.
+    fn answer(
+        &mut self,
+        asker: Asker,
+        chosen: Result<Choice, Refusal>,
+        balancer: &mut Balancer,
+        now: Moment,
+    ) {
+        let chose = chosen.is_ok();
+        match asker.reply.send(chosen) {
+            Ok(()) if chose => {
+                self.queue(&asker.key).began(&asker.organisation);
+                self.ledger.began(&asker.organisation, now);
+            }
+            Err(Ok(choice)) => {
+                balancer.finish(choice, routing::Outcome::Cancelled, now);
             }
+            Ok(()) | Err(Err(_)) => {}
         }
     }
 
     /// Counts the end of a request that had a choice.
-    pub fn ended(&mut self, choice: &Choice) {
+    pub fn ended(&mut self, choice: &Choice, now: Moment) {
         let (service, version, organisation) = choice.names();
         let key = (service.clone(), version.cloned());
         let organisation = organisation.clone();
         self.queue(&key).ended(&organisation);
+        self.ledger.ended(&organisation, now);
     }
 
     /// How many requests wait.
@@ -177,25 +240,6 @@
     }
 }
 
-/// Answers a request. One whose asker has gone gives its choice back.
-fn answer(
-    queue: &mut Queue<Waiter>,
-    organisation: &name::Organisation,
-    reply: Reply,
-    chosen: Result<Choice, Refusal>,
-    balancer: &mut Balancer,
-    now: Moment,
-) {
-    let chose = chosen.is_ok();
-    match reply.send(chosen) {
-        Ok(()) if chose => queue.began(organisation),
-        Err(Ok(choice)) => {
-            balancer.finish(choice, routing::Outcome::Cancelled, now);
-        }
-        Ok(()) | Err(Err(_)) => {}
-    }
-}
-
 /// Whether waiting helps against a reason.
 fn passes_in_time(reason: Reason) -> bool {
     matches!(reason, Reason::Full | Reason::Cold | Reason::Failing)
