Forget a leaving instance's word when its name comes back

Cause: a restarted instance may bear the name of one that left; the old word then shortened the wait for a slot on which the new process may run a request. Change: a word counts only while its sender is off the list, and is forgotten when the name is listed again. Conclusion: words have to be repeated until the sender ends.

--- a/crates/routing/src/slots/views.rs
+++ b/crates/routing/src/slots/views.rs
@@ -77,6 +77,10 @@
         } else if self.live() == &*members.live {
             return false;
         }
+        // A name that is back on the list is another process, of which no word is known.
+        let live = &members.live;
+        self.ceased
+            .retain(|word| live.binary_search(&word.instance).is_err());
         self.views.push(View {
             begun: now,
             live: members.live,
@@ -91,11 +95,24 @@
         let ended = |pair: &[View]| now.since(pair[1].begun) > wait;
         let old = self.views.windows(2).filter(|pair| ended(pair)).count();
         self.views.drain(..old);
+        let views = &self.views;
+        let named = |word: &Ceased| {
+            let listed = |view: &View| view.live.binary_search(&word.instance).is_ok();
+            views.iter().any(listed)
+        };
+        self.ceased.retain(named);
     }
 
     /// Takes in the word of an instance that takes no slots any more. Returns whether claims may
     /// have changed.
+    ///
+    /// Only instances that have gone off the list can have ended their use for good, and only those
+    /// that some view names matter. A leaving instance repeats its word, so it may be ignored.
     pub fn ceased(&mut self, word: Ceased) -> bool {
+        let listed = |live: &[name::Instance]| live.binary_search(&word.instance).is_ok();
+        if listed(self.live()) || !self.views.iter().any(|view| listed(&view.live)) {
+            return false;
+        }
         let found = self
             .ceased
             .binary_search_by(|known| known.instance.cmp(&word.instance));
@@ -104,13 +121,6 @@
             Ok(index) => self.ceased[index] = word,
             Err(index) => self.ceased.insert(index, word),
         }
-        // Words of instances that no view names any more decide nothing.
-        let views = &self.views;
-        self.ceased.retain(|word| {
-            views
-                .iter()
-                .any(|view| view.live.binary_search(&word.instance).is_ok())
-        });
         true
     }
 
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -662,3 +662,37 @@
     expect_that!(takeover(Span::from_secs(10)), eq(bounds.cleared()));
     expect_that!(takeover(Span::from_secs(70)), eq(bounds.settled()));
 }
+
+/// After a word, the name is that of a new process, which may use the slot and die without a word.
+#[gtest]
+fn a_word_does_not_outlive_the_process() {
+    let (mine, other) = (instance(0), instance(1));
+    let number = contested(1);
+    let mut views = Views::new(mine.clone(), Bounds::default());
+    let both = vec![mine.clone(), other.clone()];
+    let word = Ceased {
+        instance: other,
+        running: Vec::new(),
+    };
+    let mut now = Moment(0);
+    let lists = [
+        (both.clone(), 100),
+        (vec![mine.clone()], 20),
+        (both, 100),
+        (vec![mine], 1),
+    ];
+    for (version, (live, secs)) in lists.into_iter().enumerate() {
+        for second in 0..secs {
+            views.read(Members::new(version as u64, live.clone()), now, now);
+            // It says so in every digest while it leaves, and the last one comes late.
+            if version == 1 || version == 2 && second == 0 {
+                views.ceased(word.clone());
+            }
+            now = now + Span::from_secs(1);
+        }
+    }
+    let claims = views.claims(&upstream(), 64);
+    let claim = claims.iter().find(|claim| claim.number == number).unwrap();
+    let gained = now - Span::from_secs(1);
+    expect_that!(claim.from.since(gained), eq(Bounds::default().cleared()));
+}
