--- a/crates/quality/examples/cascade/main.rs
+++ b/crates/quality/examples/cascade/main.rs
@@ -1,2 +1,100 @@
-//! To come.
-fn main() {}
+//! Cost at the quality target: the judge's choice of version and cascades against fixed policies.
+//!
+//! Model. A day of eight hours at nine instances, which tell each other their totals every 10 s.
+//! There are two versions, at 0.1 and 1 credits for a thousand tokens; all answers have 400 tokens.
+//! Each kind of request is a service of its own, see the module `demand`. A request has a
+//! difficulty, uniform on 0 to 1; the small version's probability of a bad answer is proportional to
+//! it, and the large one's is 1 % to 4 %. From the third to the fourth hour the small version's
+//! probability is higher by 0.3. The rating service is out from hour 5 to hour 5.5. Qualities,
+//! ratings and their delays are those of the module `common`; a whole answer is held for its rating
+//! for up to 10 s. The rating of an answer costs nothing.
+//!
+//! Policies. Always large; always small; a fixed split of all requests whose mean quality over the
+//! day, known beforehand, just meets the target; the judge; and an oracle, which knows the versions'
+//! true distributions at every moment and uses the cheapest of small, large and the best cascade by
+//! itself, where that meets the target.
+//!
+//! With the argument `tuning` it runs on the seeds on which constants were tuned.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod demand;
+mod play;
+mod policy;
+
+use common::{Spread, each_seed};
+use demand::{Demand, VERMEULEN, WADI};
+use play::{Total, play};
+use policy::Kind;
+use std::ops::Range;
+
+const TUNING: Range<u64> = 0..8;
+const REPORT: Range<u64> = 2000..2020;
+
+/// What one policy does to one user's services over all seeds.
+fn totals(demands: &[Demand], kind: Kind, seeds: Range<u64>) -> Vec<Vec<Total>> {
+    each_seed(seeds, |seed| {
+        let mut totals = Vec::new();
+        for (index, demand) in demands.iter().enumerate() {
+            totals.push(play(demand, kind, seed * 16 + index as u64));
+        }
+        totals
+    })
+}
+
+fn cost(totals: &[Total]) -> f64 {
+    totals.iter().map(|total| total.cost).sum()
+}
+
+fn main() {
+    let tunes = std::env::args().any(|argument| argument == "tuning");
+    let seeds = if tunes { TUNING } else { REPORT };
+    for (user, demands) in [("Wadi", &WADI[..]), ("Vermeulen", &VERMEULEN[..])] {
+        println!("\n## {user}\n");
+        println!("| policy | cost, of always large | cost, of the oracle | services | bad |");
+        println!("| --- | --- | --- | --- | --- |");
+        let large: Vec<f64> = totals(demands, Kind::Large, seeds.clone())
+            .iter()
+            .map(|all| cost(all))
+            .collect();
+        let oracle: Vec<f64> = totals(demands, Kind::Oracle, seeds.clone())
+            .iter()
+            .map(|all| cost(all))
+            .collect();
+        for kind in Kind::ALL {
+            let all = totals(demands, kind, seeds.clone());
+            let relative = |others: &[f64]| {
+                let ratios: Vec<f64> = all
+                    .iter()
+                    .zip(others)
+                    .map(|(own, other)| cost(own) / other)
+                    .collect();
+                Spread::of(&ratios)
+            };
+            let (of_large, of_oracle) = (relative(&large), relative(&oracle));
+            let bad: u32 = all.iter().flatten().map(|total| total.bad).sum();
+            let answers: u32 = all.iter().flatten().map(|total| total.answers).sum();
+            print!(
+                "| {kind} | {:.3} ({:.3} to {:.3}) | {:.3} ({:.3} to {:.3}) |",
+                of_large.mean,
+                of_large.low,
+                of_large.high,
+                of_oracle.mean,
+                of_oracle.low,
+                of_oracle.high
+            );
+            for (index, demand) in demands.iter().enumerate() {
+                let means: Vec<f64> = all.iter().map(|totals| totals[index].mean()).collect();
+                let share: Vec<f64> = all.iter().map(|totals| totals[index].cost).collect();
+                print!(
+                    " {} {:.3} of {:.2}, {:.0} cr;",
+                    demand.name,
+                    Spread::of(&means).mean,
+                    demand.target,
+                    Spread::of(&share).mean,
+                );
+            }
+            println!(" | {:.2} % |", 100.0 * f64::from(bad) / f64::from(answers));
+        }
+    }
+}
--- a/crates/quality/examples/common/mod.rs
+++ b/crates/quality/examples/common/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! An answer has a latent quality from 0 to 1: with a probability that its version sets it is bad
 //! (uniform on 0.10 to 0.40), else good (uniform on 0.84 to 1.00). Its rating is that quality with
-//! normal noise, clamped to 0 to 1, and arrives half a second and an exponential time later.
+//! unbiased noise, normal but for a symmetric limit that keeps it within 0 to 1, and arrives half a
+//! second and an exponential time later.
 
 #![allow(dead_code)]
 
@@ -53,7 +54,8 @@
 
 /// The rating of an answer.
 pub fn score(rng: &mut impl Rng, quality: f64) -> f64 {
-    (quality + NOISE * normal(rng)).clamp(0.0, 1.0)
+    let most = quality.min(1.0 - quality);
+    (quality + (NOISE * normal(rng)).clamp(-most, most)).clamp(0.0, 1.0)
 }
 
 /// The delay of a rating, in seconds.
--- a/crates/quality/src/cascade.rs
+++ b/crates/quality/src/cascade.rs
@@ -6,19 +6,20 @@
 
 use crate::choice::Offer;
 use crate::histogram::{BINS, Split};
+use crate::posterior::BOUND_DEVIATIONS;
 use entity::{Moment, Span};
 
 /// A cascade is used where it costs at most this part of the cheapest version by itself.
 pub const WORTHWHILE: f64 = 0.95;
 
 /// Ratings of the cheap version without which no cascade is used.
-const MIN_RATINGS: f64 = 30.0;
+pub(crate) const MIN_RATINGS: f64 = 30.0;
 
 /// Ratings of escalated answers above which they stand for the dear version in a cascade.
 const MIN_ESCALATED: f64 = 20.0;
 
 /// The part of a difference between ratings that is assumed to be one of quality and not noise.
-const RELIABILITY: f64 = 0.8;
+const RELIABILITY: f64 = 0.95;
 
 /// Time that is set aside for rating the first answer.
 const RATING: Span = Span::from_millis(500);
@@ -38,7 +39,7 @@
     /// The cheapest cascade between two versions that meets a target, if there is one.
     pub fn between(cheap: &Offer<'_>, dear: &Offer<'_>, target: f64, now: Moment) -> Option<Self> {
         let histogram = &cheap.record.histogram;
-        if cheap.record.posterior.count(now) < MIN_RATINGS || !dear.meets(target, now) {
+        if cheap.record.posterior.count(now) < MIN_RATINGS || !dear.is_rated(now) {
             return None;
         }
         let second = escalated(dear, now);
@@ -77,14 +78,17 @@
     record.posterior.lower(now)
 }
 
-/// A cautious expectation of the rating of what is passed on.
+/// A lower bound of the mean rating of what is passed on: its mean, less 1.645 standard errors.
 ///
 /// Selection by a noisy rating overstates the quality of what it keeps, so the gain over the mean
 /// is shrunk.
 fn expected(cheap: &Offer<'_>, split: &Split, second: f64, now: Moment) -> f64 {
     let posterior = &cheap.record.posterior;
-    let mean = posterior.mean(now);
-    let kept = mean + RELIABILITY * (split.kept - mean).max(0.0);
-    let error = mean - posterior.lower(now);
-    (1.0 - split.below) * (kept - error) + split.below * second
+    let part = 1.0 - split.below;
+    let gain = (split.sum - part * posterior.mean(now)).max(0.0);
+    let kept = split.sum - (1.0 - RELIABILITY) * gain;
+    let mean = split.sum + split.below * second;
+    let square = split.squares + split.below * second * second;
+    let error = ((square - mean * mean).max(0.0) / posterior.count(now)).sqrt();
+    kept + split.below * second - BOUND_DEVIATIONS * error
 }
--- a/crates/quality/src/choice.rs
+++ b/crates/quality/src/choice.rs
@@ -13,6 +13,10 @@
 /// Share of requests that go to a version in order to rate it.
 pub const EXPLORATION: Share = Share::percent(4);
 
+/// Share of requests that go to a dearer version, so that it stays known as a fallback, and least
+/// share of those that go to one which seems to fall short, to notice if it recovers.
+pub const UPKEEP: Share = Share::percent(1);
+
 /// Ratings below which a version counts as unrated.
 pub const MIN_RATINGS: f64 = 5.0;
 
@@ -120,15 +124,16 @@
     cascades: impl Fn(&Offer<'_>, &Offer<'_>) -> bool,
 ) -> Option<Plan> {
     let direct = cheapest(offers.iter().filter(|offer| offer.meets(target, now)));
-    let Some(direct) = direct else {
-        return fallback(offers, now);
+    let (offer, reason) = match direct {
+        Some(offer) => (offer, Reason::Cheapest),
+        None => (fallback(offers, now)?, Reason::Fallback),
     };
     let mut best = Plan {
-        first: direct.version,
+        first: offer.version,
         escalate: None,
-        reason: Reason::Cheapest,
+        reason,
     };
-    let mut cost = direct.cost * cascade::WORTHWHILE;
+    let mut cost = offer.cost * cascade::WORTHWHILE;
     for cheap in offers {
         for dear in offers {
             if cheap.cost >= dear.cost || !cascades(cheap, dear) {
@@ -141,29 +146,48 @@
                 continue;
             }
             cost = found.cost;
-            best.first = cheap.version;
-            best.escalate = Some(Escalation {
-                version: dear.version,
-                threshold: found.threshold,
-            });
+            best = Plan {
+                first: cheap.version,
+                escalate: Some(Escalation {
+                    version: dear.version,
+                    threshold: found.threshold,
+                }),
+                reason: Reason::Cheapest,
+            };
         }
     }
     Some(best)
 }
 
-/// The version to explore: the least rated that may meet the target, other than the chosen one.
+/// What a service wants of its versions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Wanted {
+    /// The least mean rating, from 0 to 1.
+    pub target: f64,
+    /// Whether a version that falls short of it may still serve first in a cascade.
+    pub cascade: bool,
+}
+
+/// The version to explore for a request that draws a position: the least rated, other than the
+/// chosen one, whose share the position is below.
 pub fn explore(
     offers: &[Offer<'_>],
     chosen: id::Version,
-    target: f64,
+    wanted: Wanted,
+    drawn: Share,
     now: Moment,
 ) -> Option<id::Version> {
+    if drawn >= EXPLORATION {
+        return None;
+    }
+    let chosen = offers.iter().find(|offer| offer.version == chosen)?;
+    let count = |offer: &Offer<'_>| offer.record.posterior.count(now);
     let mut least: Option<&Offer<'_>> = None;
     for offer in offers {
-        if offer.version == chosen || !offer.may_meet(target, now) {
+        let share = exploration(chosen, offer, wanted, now);
+        if offer.version == chosen.version || drawn >= share {
             continue;
         }
-        let count = |offer: &Offer<'_>| offer.record.posterior.count(now);
         if least.is_none_or(|least| count(offer) < count(least)) {
             least = Some(offer);
         }
@@ -171,21 +195,40 @@
     least.map(|offer| offer.version)
 }
 
+/// The share of requests that may explore a version.
+///
+/// One that may meet the target, or whose part in a cascade is unknown, has the whole share, unless
+/// it is dearer and rated. One
+/// that seems to fall short has a share that costs at most half of the chosen version's margin over
+/// the target (Wu, Shariff, Lattimore and Szepesvari, "Conservative bandits", ICML 2016).
+fn exploration(chosen: &Offer<'_>, offer: &Offer<'_>, wanted: Wanted, now: Moment) -> Share {
+    if offer.cost > chosen.cost && offer.is_rated(now) {
+        return UPKEEP;
+    }
+    let posterior = &offer.record.posterior;
+    let cascades = wanted.cascade && posterior.count(now) < cascade::MIN_RATINGS;
+    if cascades || !offer.is_rated(now) || offer.may_meet(wanted.target, now) {
+        return EXPLORATION;
+    }
+    let margin = chosen.record.posterior.lower(now) - wanted.target;
+    let loss = chosen.record.posterior.mean(now) - posterior.mean(now);
+    if loss <= 0.0 {
+        return EXPLORATION;
+    }
+    Share::from_fraction(margin / (2.0 * loss)).clamp(UPKEEP, EXPLORATION)
+}
+
 fn cheapest<'a, 'b: 'a>(offers: impl Iterator<Item = &'a Offer<'b>>) -> Option<&'a Offer<'b>> {
     offers.min_by(|a, b| a.cost.total_cmp(&b.cost).then(a.version.cmp(&b.version)))
 }
 
 /// The rated version with the highest lower bound, or else the dearest.
-fn fallback(offers: &[Offer<'_>], now: Moment) -> Option<Plan> {
+fn fallback<'a, 'b>(offers: &'a [Offer<'b>], now: Moment) -> Option<&'a Offer<'b>> {
     let lower = |offer: &Offer<'_>| offer.record.posterior.lower(now);
     let rated = offers
         .iter()
         .filter(|offer| offer.is_rated(now))
         .max_by(|a, b| lower(a).total_cmp(&lower(b)));
     let dearest = offers.iter().max_by(|a, b| a.cost.total_cmp(&b.cost));
-    rated.or(dearest).map(|offer| Plan {
-        first: offer.version,
-        escalate: None,
-        reason: Reason::Fallback,
-    })
+    rated.or(dearest)
 }
--- a/crates/quality/src/lib.rs
+++ b/crates/quality/src/lib.rs
@@ -12,9 +12,11 @@
 pub mod record;
 pub mod rollout;
 pub mod standing;
+pub mod totals;
 pub mod verdict;
 
 pub use choice::{Class, Escalation, Plan, Query, Reason};
 pub use judge::{Judge, Rating, Summary};
 pub use posterior::Posterior;
+pub use totals::Telling;
 pub use verdict::Verdict;
--- a/crates/quality/src/posterior.rs
+++ b/crates/quality/src/posterior.rs
@@ -11,7 +11,7 @@
 pub const MEMORY_RATINGS: f64 = 400.0;
 
 /// Time in which a rating loses half of its weight.
-pub const HALF_LIFE: Span = Span::from_secs(3600);
+pub const HALF_LIFE: Span = Span::from_secs(1800);
 
 /// Ratings that age alone doesn't discount further: the last known is not forgotten.
 const FLOOR_RATINGS: f64 = 8.0;
@@ -26,7 +26,7 @@
 const PRIOR_SQUARE: f64 = 1.0 / 3.0;
 
 /// Standard deviations between the mean and a bound: 95 % on one side.
-const BOUND_DEVIATIONS: f64 = 1.645;
+pub(crate) const BOUND_DEVIATIONS: f64 = 1.645;
 
 /// The discounted ratings of one version for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -60,6 +60,18 @@
         debug_assert!(self.squares <= self.sum + 1e-9 && self.sum <= self.count + 1e-9);
     }
 
+    /// Adds so many ratings with these sums of scores and of their squares.
+    pub fn add_sums(&mut self, ratings: f64, scores: f64, squares: f64, at: Moment) {
+        debug_assert!(squares <= scores + 1e-6 && scores <= ratings + 1e-6);
+        let kept = self.kept(at) * memory(ratings);
+        // The ratings of a batch discount each other as well.
+        let weight = batch_weight(ratings);
+        self.count = self.count * kept + ratings * weight;
+        self.sum = self.sum * kept + scores * weight;
+        self.squares = self.squares * kept + squares * weight;
+        self.at = self.at.max(at);
+    }
+
     /// Ratings that still count at a moment.
     pub fn count(&self, now: Moment) -> f64 {
         self.count * self.kept(now)
@@ -71,13 +83,18 @@
         (self.sum * kept + PRIOR_RATINGS * PRIOR_MEAN) / (self.count * kept + PRIOR_RATINGS)
     }
 
-    /// The standard error of the mean, which grows while no ratings arrive.
-    pub fn error(&self, now: Moment) -> f64 {
+    /// The variance of a rating, with the prior's part.
+    pub fn variance(&self, now: Moment) -> f64 {
         let kept = self.kept(now);
         let count = self.count * kept + PRIOR_RATINGS;
         let square = (self.squares * kept + PRIOR_RATINGS * PRIOR_SQUARE) / count;
         let mean = self.mean(now);
-        ((square - mean * mean).max(0.0) / count).sqrt()
+        (square - mean * mean).max(0.0)
+    }
+
+    /// The standard error of the mean, which grows while no ratings arrive.
+    pub fn error(&self, now: Moment) -> f64 {
+        (self.variance(now) / (self.count(now) + PRIOR_RATINGS)).sqrt()
     }
 
     /// The mean rating is above this with a probability of 95 %.
@@ -97,3 +114,16 @@
         (-halves).exp2().max(floor)
     }
 }
+
+/// The part of earlier weight that is left after so many ratings.
+pub(crate) fn memory(ratings: f64) -> f64 {
+    (1.0 - 1.0 / MEMORY_RATINGS).powf(ratings)
+}
+
+/// The mean weight that the ratings of a batch have left at its end.
+pub(crate) fn batch_weight(ratings: f64) -> f64 {
+    if ratings <= 0.0 {
+        return 1.0;
+    }
+    (1.0 - memory(ratings)) * MEMORY_RATINGS / ratings
+}
--- a/crates/quality/src/record.rs
+++ b/crates/quality/src/record.rs
@@ -2,8 +2,9 @@
 
 use crate::histogram::Histogram;
 use crate::posterior::Posterior;
+use crate::totals::Totals;
 use entity::unit::Tokens;
-use entity::{Span, name};
+use entity::{Moment, Span, name};
 
 /// Weight of the newest measurement in a running average.
 const NEWEST: f64 = 0.05;
@@ -54,6 +55,10 @@
     pub escalated: Posterior,
     /// The distribution of ratings.
     pub histogram: Histogram,
+    /// This instance's own ratings of first answers.
+    pub own: Totals,
+    /// Number of them that others were told.
+    pub(crate) told: u32,
     /// Seconds for a whole answer.
     latency: Average,
     /// Generated tokens of an answer.
@@ -69,11 +74,28 @@
             posterior: Posterior::default(),
             escalated: Posterior::default(),
             histogram: Histogram::default(),
+            own: Totals::default(),
+            told: 0,
             latency: Average::default(),
             output: Average::default(),
         }
     }
 
+    /// Adds a rating of a first answer that this instance saw.
+    pub fn rate(&mut self, score: f64, weight: f64, at: Moment) {
+        self.posterior.add(score, weight, at);
+        self.histogram.add(score, weight);
+        self.own.add(score);
+    }
+
+    /// Adds ratings of first answers that other instances saw.
+    pub(crate) fn add(&mut self, totals: &Totals, at: Moment) {
+        let ratings = f64::from(totals.ratings);
+        self.posterior
+            .add_sums(ratings, totals.scores, totals.squares, at);
+        self.histogram.add_counts(&totals.counts);
+    }
+
     /// Adds how long a whole answer took and how many tokens it had.
     pub fn measure(&mut self, latency: Span, output: Tokens) {
         self.latency.add(latency.as_secs_f64());
--- a/crates/quality/src/rollout.rs
+++ b/crates/quality/src/rollout.rs
@@ -9,7 +9,7 @@
 
 /// Suspicion, as a natural logarithm, beyond which answers that can't be held for their rating stay
 /// with the version in service.
-const SUSPICION: f64 = 2.5;
+const SUSPICION: f64 = 1.0;
 
 /// Part of the beginning share that answers which can't be held keep under suspicion, where others
 /// are held: without any held request the evidence would never settle.
