quality, rating: hold no answers while the rating service is out

Cause: in an outage a cascade passed its unrated first answers on, which alone may fall short of the target.

--- a/crates/quality/examples/cascade/main.rs
+++ b/crates/quality/examples/cascade/main.rs
@@ -7,7 +7,7 @@
 //! it, and the large one's is 1 % to 4 %. From the third to the fourth hour the small version's
 //! probability is higher by 0.3. The rating service is out from hour 5 to hour 5.5. Qualities,
 //! ratings and their delays are those of the module `common`; a whole answer is held for its rating
-//! for up to 10 s. The rating of an answer costs nothing.
+//! for up to 10 s. An outage is noticed after 5 s. The rating of an answer costs nothing.
 //!
 //! Policies. Always large; always small; a fixed split of all requests whose mean quality over the
 //! day, known beforehand, just meets the target; the judge; and an oracle, which knows the versions'
@@ -85,9 +85,10 @@
             );
             for (index, demand) in demands.iter().enumerate() {
                 let means: Vec<f64> = all.iter().map(|totals| totals[index].mean()).collect();
+                let least = means.iter().copied().fold(1.0, f64::min);
                 let share: Vec<f64> = all.iter().map(|totals| totals[index].cost).collect();
                 print!(
-                    " {} {:.3} of {:.2}, {:.0} cr;",
+                    " {} {:.3}, least {least:.3}, of {:.2}, {:.0} cr;",
                     demand.name,
                     Spread::of(&means).mean,
                     demand.target,
--- a/crates/quality/examples/cascade/play.rs
+++ b/crates/quality/examples/cascade/play.rs
@@ -21,6 +21,9 @@
 /// Time between two tellings of totals, in seconds.
 const TELLING: f64 = 10.0;
 
+/// Time until the client of the rating service notices an outage or its end, in seconds.
+const NOTICING: f64 = 5.0;
+
 /// Part of escalated answers that are rated.
 const ESCALATED_SAMPLE: f64 = 0.5;
 
@@ -240,9 +243,9 @@
             position: Share::from_fraction(position),
             now: moment(at),
         };
-        self.judges[instance]
-            .plan(&query)
-            .expect("both versions are there")
+        let judge = &mut self.judges[instance];
+        judge.set_ratings_out(is_out(at - NOTICING));
+        judge.plan(&query).expect("both versions are there")
     }
 
     fn measure(&mut self, instance: usize, of: usize) {
--- a/crates/quality/src/judge.rs
+++ b/crates/quality/src/judge.rs
@@ -96,6 +96,7 @@
     rng: ChaCha8Rng,
     generation: Generation,
     viewers: u32,
+    ratings_out: bool,
     services: Map<id::Service, Policy>,
     prices: Map<id::Version, (f64, f64)>,
     /// By service and version; kept over generations.
@@ -116,6 +117,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             generation: Generation::default(),
             viewers: DEFAULT_VIEWERS,
+            ratings_out: false,
             services: Map::default(),
             prices: Map::default(),
             records: Vec::new(),
@@ -132,6 +134,12 @@
         self.viewers = viewers;
     }
 
+    /// Sets whether the rating service is out. No answer is then held for its rating, so that there
+    /// are no cascades either.
+    pub fn set_ratings_out(&mut self, out: bool) {
+        self.ratings_out = out;
+    }
+
     /// Takes over a configuration in force.
     pub fn configure(&mut self, config: &Config, generation: Generation) {
         assert!(
@@ -199,8 +207,9 @@
         let drawn = Share::from_ppm(self.rng.random_range(0..Share::WHOLE.ppm()));
         let policy = self.services.get(query.service)?;
         let offers = self.offers(policy, query);
-        let escalates =
-            |cheap: &Offer<'_>, dear: &Offer<'_>| policy.cascade && affordable(query, cheap, dear);
+        let escalates = |cheap: &Offer<'_>, dear: &Offer<'_>| {
+            policy.cascade && !self.ratings_out && affordable(query, cheap, dear)
+        };
         if let Some(split) = policy.rollout
             && let Some(to) = offers.iter().find(|offer| offer.version == split.to)
         {
--- a/crates/quality/tests/brake.rs
+++ b/crates/quality/tests/brake.rs
@@ -310,3 +310,38 @@
         prop_assert_eq!(mixed.all().ratings, whole.all().ratings);
     }
 }
+
+#[gtest]
+fn under_suspicion_only_answers_that_are_held_go_on() {
+    let mut judge = Judge::new(1, "i");
+    let config = config("80%", true, vec![rollout("4%", "40%", "1%")]);
+    judge.configure(&config, Generation(1));
+    for n in 0..200 {
+        rate(&mut judge, NEW, 0.95, second(f64::from(n)));
+    }
+    let candidates = [id(LARGE), id(NEW)];
+    let first = |judge: &mut Judge, position: &str, streamed: bool, at: f64| {
+        let query = quality::Query {
+            streamed,
+            ..query(&candidates, share(position), second(at))
+        };
+        judge.plan(&query).expect("a plan").first == id(NEW)
+    };
+    expect_true!(first(&mut judge, "39%", true, 200.0));
+    expect_true!(first(&mut judge, "39%", false, 200.0));
+    for n in 0..3 {
+        rate(&mut judge, NEW, 0.1, second(200.0 + f64::from(n)));
+    }
+    expect_false!(braked(&judge));
+    expect_true!(first(&mut judge, "39%", false, 203.0));
+    expect_false!(first(&mut judge, "1%", true, 203.0));
+    expect_true!(first(&mut judge, "0.9%", true, 203.0));
+    // Good ratings take the suspicion back.
+    for n in 0..10 {
+        rate(&mut judge, NEW, 0.95, second(203.0 + f64::from(n)));
+    }
+    expect_true!(first(&mut judge, "39%", true, 213.0));
+    // Without ratings for a while nothing is known any more.
+    expect_false!(first(&mut judge, "39%", true, 250.0));
+    expect_true!(first(&mut judge, "3%", true, 250.0));
+}
--- a/crates/quality/tests/choice.rs
+++ b/crates/quality/tests/choice.rs
@@ -44,6 +44,17 @@
     expect_that!(escalation.threshold, all!(gt(0.2), le(0.95)));
 }
 
+#[gtest]
+fn without_the_rating_service_nothing_is_held() {
+    let mut judge = mixed("80%");
+    judge.set_ratings_out(true);
+    let out = plan(&mut judge, |_| ());
+    expect_that!(out.first, eq(id(LARGE)));
+    expect_that!(out.escalate, none());
+    judge.set_ratings_out(false);
+    expect_that!(plan(&mut judge, |_| ()).first, eq(id(SMALL)));
+}
+
 #[gtest]
 fn a_streamed_answer_is_never_escalated() {
     for class in [Class::Interactive, Class::Batch] {
--- a/crates/rating/src/breaker.rs
+++ b/crates/rating/src/breaker.rs
@@ -22,7 +22,7 @@
     /// Whether a call may be made now. While the service is out, one call is let through at each
     /// probe time.
     pub fn allows(&mut self, now: Moment) -> bool {
-        if self.failures < FAILURES {
+        if !self.is_open() {
             return true;
         }
         if now < self.probe {
@@ -32,6 +32,11 @@
         true
     }
 
+    /// Whether the service counts as out.
+    pub fn is_open(&self) -> bool {
+        self.failures >= FAILURES
+    }
+
     /// A call succeeded.
     pub fn succeed(&mut self) {
         self.failures = 0;
--- a/crates/rating/src/client.rs
+++ b/crates/rating/src/client.rs
@@ -5,7 +5,7 @@
 use entity::{Span, name, request};
 use std::net::SocketAddr;
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
@@ -49,6 +49,7 @@
     urgent: mpsc::Sender<Job>,
     background: mpsc::Sender<Job>,
     timeout: Span,
+    out: watch::Receiver<bool>,
 }
 
 impl Client {
@@ -57,15 +58,22 @@
     pub fn open(address: SocketAddr, timeout: Span, cancel: CancellationToken) -> Self {
         let (urgent, urgent_jobs) = mpsc::channel(QUEUE);
         let (background, background_jobs) = mpsc::channel(QUEUE);
-        let task = Task::new(address, timeout, urgent_jobs, background_jobs);
+        let (out_sender, out) = watch::channel(false);
+        let task = Task::new(address, timeout, urgent_jobs, background_jobs, out_sender);
         tokio::spawn(task.run(cancel));
         Self {
             urgent,
             background,
             timeout,
+            out,
         }
     }
 
+    /// Whether the service counts as out, after several failures in a row and until a success.
+    pub fn is_out(&self) -> bool {
+        *self.out.borrow()
+    }
+
     /// Rates an answer that is held back until its score, from 0 to 1, is known. It goes before
     /// answers that were [submitted](Self::submit).
     ///
--- a/crates/rating/src/task.rs
+++ b/crates/rating/src/task.rs
@@ -6,7 +6,7 @@
 use crate::http::Endpoint;
 use entity::{Moment, Span};
 use std::net::SocketAddr;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
@@ -68,6 +68,7 @@
     background: mpsc::Receiver<Job>,
     calls: JoinSet<Result<f64, Error>>,
     breaker: Breaker,
+    out: watch::Sender<bool>,
     started: Instant,
 }
 
@@ -77,6 +78,7 @@
         timeout: Span,
         urgent: mpsc::Receiver<Job>,
         background: mpsc::Receiver<Job>,
+        out: watch::Sender<bool>,
     ) -> Self {
         Self {
             endpoint: Endpoint::new(address),
@@ -85,6 +87,7 @@
             background,
             calls: JoinSet::new(),
             breaker: Breaker::default(),
+            out,
             started: Instant::now(),
         }
     }
@@ -131,6 +134,7 @@
             Err(error) if error.is_outage() => self.breaker.fail(self.now()),
             _ => self.breaker.succeed(),
         }
+        self.out.send_replace(self.breaker.is_open());
     }
 
     fn now(&self) -> Moment {
--- a/crates/rating/tests/client.rs
+++ b/crates/rating/tests/client.rs
@@ -131,6 +131,7 @@
 async fn stops_calling_a_service_that_is_out() {
     let service = Service::bind(Behaviour::Answer(503, "")).await;
     let (client, _cancel) = open(&service, LONG);
+    assert_that!(client.is_out(), eq(false));
     let mut last = None;
     for _ in 0..50 {
         last = Some(client.rate(an_answer("a b c")).await);
@@ -138,6 +139,7 @@
     // Three failures, and then only probes; ten of them take over a minute.
     assert_that!(service.calls(), all!(ge(3), le(13)));
     assert_that!(last, some(err(anything())));
+    assert_that!(client.is_out(), eq(true));
 }
 
 #[tokio::test]
