--- /dev/null
+++ b/capacity/tests/fit.rs
@@ -0,0 +1,37 @@
+//! Tests of the fit.
+
+use capacity::fit::{Line, Spread};
+use googletest::prelude::*;
+
+#[gtest]
+fn a_line_goes_through_points_that_lie_on_it() {
+    let line = Line::through(&[(10.0, 25.0), (20.0, 45.0), (40.0, 85.0)]).unwrap();
+    expect_that!(line.slope, approx_eq(2.0));
+    expect_that!(line.intercept, approx_eq(5.0));
+    expect_that!(line.residual, near(0.0, 1e-9));
+    expect_that!(line.at(320.0), approx_eq(645.0));
+}
+
+#[gtest]
+fn the_residual_is_the_largest_distance() {
+    let line = Line::through(&[(0.0, 0.0), (1.0, 3.0), (2.0, 0.0)]).unwrap();
+    expect_that!(line.slope, near(0.0, 1e-9));
+    expect_that!(line.intercept, approx_eq(1.0));
+    expect_that!(line.residual, approx_eq(2.0));
+}
+
+#[gtest]
+fn one_size_gives_no_line() {
+    expect_that!(Line::through(&[]), none());
+    expect_that!(Line::through(&[(3.0, 1.0)]), none());
+    expect_that!(Line::through(&[(3.0, 1.0), (3.0, 2.0)]), none());
+}
+
+#[gtest]
+fn a_spread_has_least_median_and_most() {
+    let spread = Spread::of(&[3.0, 1.0, 2.0]).unwrap();
+    expect_that!(spread.least, eq(1.0));
+    expect_that!(spread.median, eq(2.0));
+    expect_that!(spread.most, eq(3.0));
+    expect_that!(Spread::of(&[]), none());
+}
