--- a/harness/src/lib.rs
+++ b/harness/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod http;
 mod process;
+pub mod soak;
 mod system;
 
 pub use http::{Http, Response};
--- a/harness/src/system.rs
+++ b/harness/src/system.rs
@@ -273,6 +273,16 @@
         })
     }
 
+    /// The program of the instances and of operators' commands.
+    pub fn program(&self) -> &Path {
+        &self.program
+    }
+
+    /// The folder of the settings and event logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// The settings of an instance.
     fn settings(&self, name: &str, zone: (&str, &str), events: &Path) -> Result<String> {
         let (zone, region) = zone;
