Tell engines the urgency of the queue, and fellows the totals of ratings

Cause: the fair queue's urgency, the state of the rating service and the totals that instances tell each other were decided but not wired. Change: X-Priority follows the queue; ratings-out reaches the judge; totals go to all fellows of a small system and to a few of a large one; what is told waits for nobody, so that a dead fellow can't hold up the rounds.

--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -38,9 +38,12 @@
   1: required list<binary> records,
 }
 
-/** Sums of the sender's ratings, for the instance that adds them up. */
+/** Ratings that the sender knows. */
 struct Evidence {
+  /** Its sums for roll-outs, told to the instances that add them up. */
   1: required list<binary> summaries,
+  /** Totals of versions that have grown since they were last told. */
+  2: required list<binary> totals,
 }
 
 /** Asks for the text in force where it is newer than a generation. */
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -415,16 +415,20 @@
 // Evidence
 //
 
-/// Sums of the sender's ratings, for the instance that adds them up.
+/// Ratings that the sender knows.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Evidence {
+  /// Its sums for roll-outs, told to the instances that add them up.
   pub summaries: Vec<Vec<u8>>,
+  /// Totals of versions that have grown since they were last told.
+  pub totals: Vec<Vec<u8>>,
 }
 
 impl Evidence {
-  pub fn new(summaries: Vec<Vec<u8>>) -> Evidence {
+  pub fn new(summaries: Vec<Vec<u8>>, totals: Vec<Vec<u8>>) -> Evidence {
     Evidence {
       summaries,
+      totals,
     }
   }
 }
@@ -433,6 +437,7 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Evidence> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<Vec<Vec<u8>>> = None;
+    let mut f_2: Option<Vec<Vec<u8>>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -450,6 +455,16 @@
           i_prot.read_list_end()?;
           f_1 = Some(val);
         },
+        2 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_4 = i_prot.read_bytes()?;
+            val.push(list_elem_4);
+          }
+          i_prot.read_list_end()?;
+          f_2 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -458,8 +473,10 @@
     }
     i_prot.read_struct_end()?;
     verify_required_field_exists("Evidence.summaries", &f_1)?;
+    verify_required_field_exists("Evidence.totals", &f_2)?;
     let ret = Evidence {
       summaries: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      totals: f_2.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -473,6 +490,13 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("totals", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.totals.len() as i32))?;
+    for e in &self.totals {
+      o_prot.write_bytes(e)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -906,8 +930,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Held> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_4 = Held::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_4);
+            let list_elem_5 = Held::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_5);
           }
           i_prot.read_list_end()?;
           f_1 = Some(val);
@@ -980,8 +1004,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_5 = i_prot.read_string()?;
-            val.push(list_elem_5);
+            let list_elem_6 = i_prot.read_string()?;
+            val.push(list_elem_6);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -60,7 +60,8 @@
     pub(crate) service: id::Service,
     pub(crate) version: Option<id::Version>,
     pub(crate) organisation: id::Organisation,
-    pub(crate) priority: Priority,
+    /// How urgent the upstream should take it to be.
+    pub priority: Priority,
 }
 
 impl Choice {
--- a/crates/server/src/answers.rs
+++ b/crates/server/src/answers.rs
@@ -8,8 +8,11 @@
 use billing::usage::Record;
 use entity::{Generation, name};
 use fellow::Handler;
-use fellow::message::{self, Assigned, Body, Digest, Done, Hold, Orphan, Refusal, Text, Verdicts};
+use fellow::message::{
+    self, Assigned, Body, Digest, Done, Evidence, Hold, Orphan, Refusal, Text, Verdicts,
+};
 use quality::Verdict;
+use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -24,6 +27,12 @@
     Body::Done(Done::new(count as i32))
 }
 
+/// Records that can be read; those of another release are left out.
+fn read_all<T: DeserializeOwned>(records: &[Vec<u8>]) -> Vec<T> {
+    let read = records.iter().map(|record| serde_json::from_slice(record));
+    read.filter_map(Result::ok).collect()
+}
+
 fn refusal(reason: &str) -> Body {
     Body::Refusal(Refusal::new(reason.to_owned()))
 }
@@ -88,22 +97,17 @@
         Body::Verdicts(Verdicts::new(records))
     }
 
-    fn evidence(&self, records: &[Vec<u8>]) -> Body {
-        let read = records
-            .iter()
-            .filter_map(|record| serde_json::from_slice(record).ok());
-        let summaries: Vec<_> = read.collect();
-        let count = summaries.len();
+    fn evidence(&self, evidence: &Evidence) -> Body {
+        let summaries: Vec<_> = read_all(&evidence.summaries);
+        let totals: Vec<_> = read_all(&evidence.totals);
+        let count = summaries.len() + totals.len();
+        let news = News {
+            summaries,
+            totals,
+            ..News::default()
+        };
         let context = self.context.clone();
-        self.later(async move {
-            context
-                .decider
-                .news(News {
-                    summaries,
-                    ..News::default()
-                })
-                .await;
-        });
+        self.later(async move { context.decider.news(news).await });
         done(count)
     }
 }
@@ -161,7 +165,7 @@
             Body::Digest(digest) => self.digest(&digest),
             Body::Pull(pull) => self.text(pull.newer_than),
             Body::Verdicts(verdicts) => self.verdicts(&verdicts),
-            Body::Evidence(evidence) => self.evidence(&evidence.summaries),
+            Body::Evidence(evidence) => self.evidence(&evidence),
             Body::Assign(assign) => {
                 let version = self.assignments.assign(&assign, self.context.clock.now());
                 Body::Assigned(Assigned::new(version.into_string()))
--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -12,7 +12,6 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use routing::{Choice, Outcome, Priority};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use timeline::{Counter, Kind, Timer};
 use tokio::sync::mpsc;
@@ -93,7 +92,7 @@
     }
 
     /// The body for an engine: the version in place of the service, and usage asked for.
-    fn call(&self, version: id::Version, end: Instant) -> upstream::Chat {
+    fn call(&self, version: id::Version, priority: Priority, end: Instant) -> upstream::Chat {
         let mut body = self.chat.body.clone();
         let name = self.snapshot.config.versions[version].name.as_str();
         body.insert("model".to_owned(), name.into());
@@ -102,11 +101,10 @@
             body.insert("stream_options".to_owned(), options);
         }
         let body = serde_json::to_vec(&body).unwrap_or_default().into();
-        let priority = u8::from(!self.request.live);
         upstream::Chat {
             id: self.request.id,
             body,
-            priority,
+            priority: priority.0,
             deadline: end,
         }
     }
@@ -306,9 +304,9 @@
 impl Dispatch for Complete<'_> {
     type Value = Completion;
 
-    async fn dispatch(&self, address: SocketAddr, end: Instant) -> Result<Completion, Failure> {
-        let call = self.run.call(self.version, end);
-        self.run.context.pool.complete(address, &call).await
+    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Completion, Failure> {
+        let call = self.run.call(self.version, choice.priority, end);
+        self.run.context.pool.complete(choice.address, &call).await
     }
 }
 
@@ -321,9 +319,9 @@
 impl Dispatch for Open<'_> {
     type Value = (upstream::Stream, Option<Chunk>);
 
-    async fn dispatch(&self, address: SocketAddr, end: Instant) -> Result<Self::Value, Failure> {
-        let call = self.run.call(self.version, end);
-        let mut stream = self.run.context.pool.stream(address, &call).await?;
+    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Self::Value, Failure> {
+        let call = self.run.call(self.version, choice.priority, end);
+        let mut stream = self.run.context.pool.stream(choice.address, &call).await?;
         let first = stream.next().await?;
         Ok((stream, first))
     }
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -7,6 +7,7 @@
 use adoption::Snapshot;
 use entity::unit::{Bytes, Share, Tokens};
 use entity::{Generation, Moment, Span, id, name};
+use quality::totals::Telling;
 use quality::{Judge, Plan, Rating, Summary, Verdict};
 use routing::reserve;
 use routing::slots::Ceased;
@@ -18,6 +19,8 @@
 
 /// Time between two looks at requests that wait, beside those when an upstream becomes free.
 const TICK: Duration = Duration::from_millis(20);
+/// Totals that are told at once.
+const TOLD_TOTALS: usize = 4;
 /// Messages that may wait.
 const QUEUE: usize = 4096;
 
@@ -100,6 +103,8 @@
     pub verdicts: Vec<Verdict>,
     /// Sums of ratings.
     pub summaries: Vec<Summary>,
+    /// Totals of a fellow's ratings.
+    pub totals: Vec<Telling>,
     /// What a leaving instance says of its slots.
     pub word: Option<Ceased>,
 }
@@ -119,6 +124,8 @@
     News(Box<News>),
     Knowledge(oneshot::Sender<Knowledge>),
     Watched(oneshot::Sender<Vec<name::Upstream>>),
+    RatingsOut(bool),
+    Totals(oneshot::Sender<Vec<Telling>>),
     Reserves(oneshot::Sender<Vec<reserve::Usage>>),
     Leave,
 }
@@ -271,6 +278,20 @@
         self.ask(Message::Watched).await
     }
 
+    /// Totals of this instance's ratings that have news, each told once.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn totals(&self) -> Result<Vec<Telling>, Closed> {
+        self.ask(Message::Totals).await
+    }
+
+    /// Takes in whether the rating service counts as out.
+    pub async fn ratings_out(&self, out: bool) {
+        self.tell(Message::RatingsOut(out)).await;
+    }
+
     /// What became of each organisation's reserve at this instance since it started.
     ///
     /// # Errors
@@ -393,7 +414,7 @@
             Message::Sampling(service, version, generation, reply) => {
                 let current = generation == self.generation();
                 let share = if current {
-                    self.judge.sampling(service, version)
+                    self.judge.sampling(service, version, now)
                 } else {
                     Share::NONE
                 };
@@ -406,6 +427,10 @@
             Message::Watched(reply) => {
                 let _ = reply.send(self.watched());
             }
+            Message::Totals(reply) => {
+                let _ = reply.send(self.judge.tell(TOLD_TOTALS));
+            }
+            Message::RatingsOut(out) => self.judge.set_ratings_out(out),
             Message::Reserves(reply) => {
                 let _ = reply.send(self.waiting.reserves(now));
             }
@@ -473,6 +498,9 @@
         for summary in &news.summaries {
             self.judge.merge(summary, now);
         }
+        for telling in &news.totals {
+            self.judge.hear(telling, now);
+        }
         if let Some(word) = &news.word {
             self.balancer.ceased(word.clone(), now);
         }
--- a/crates/server/src/gossip.rs
+++ b/crates/server/src/gossip.rs
@@ -23,6 +23,8 @@
 const PERIOD: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(2000));
 /// Fellows in one round.
 const FANOUT: usize = 2;
+/// Fellows up to which all are told totals of ratings.
+const SMALL: usize = 16;
 /// Instances that add up the ratings of one roll-out.
 const JUDGES: usize = 2;
 
@@ -82,6 +84,7 @@
     }
     while exchanges.join_next().await.is_some() {}
     send_evidence(context, list).await;
+    send_totals(context, &fellows).await;
 }
 
 /// Offers the own digest to a fellow and takes its in return, then what is newer there.
@@ -157,12 +160,44 @@
             let Ok(record) = serde_json::to_vec(summary) else {
                 continue;
             };
-            let body = Body::Evidence(Evidence::new(vec![record]));
-            let _ = context.links.get(home.address).ask(body).await;
+            let body = Body::Evidence(Evidence::new(vec![record], Vec::new()));
+            tell(context, home, body);
         }
     }
 }
 
+/// Tells fellows the totals that have news: all of them in a small system, else a few, since what
+/// one instance has rated matters the less the more there are.
+async fn send_totals(context: &Context, fellows: &[&Instance]) {
+    let Ok(totals) = context.decider.totals().await else {
+        return;
+    };
+    if totals.is_empty() {
+        return;
+    }
+    let records: Vec<_> = totals
+        .iter()
+        .filter_map(|telling| serde_json::to_vec(telling).ok())
+        .collect();
+    let count = if fellows.len() <= SMALL {
+        SMALL
+    } else {
+        FANOUT
+    };
+    let chosen: Vec<_> = fellows.sample(&mut rand::rng(), count).copied().collect();
+    for fellow in chosen {
+        let evidence = Evidence::new(Vec::new(), records.clone());
+        let body = Body::Evidence(evidence);
+        tell(context, fellow, body);
+    }
+}
+
+/// Tells a fellow something without waiting: one that is dead must not hold up the rounds.
+fn tell(context: &Context, fellow: &Instance, body: Body) {
+    let link = context.links.get(fellow.address);
+    tokio::spawn(async move { link.ask(body).await });
+}
+
 /// The live instance of a rank in the rendezvous order of a text (Thaler and Ravishankar, "Using
 /// name-based mappings to increase hit rates", 1998).
 pub fn home<'a>(list: &'a List, text: &str, rank: usize) -> Option<&'a Instance> {
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -46,6 +46,8 @@
 const CLAIM_PATIENCE: Span = Span::from_secs(3);
 /// When callers come back while the log is out.
 const LOG_WAIT: Span = Span::from_secs(5);
+/// Time between two looks at whether the rating service is out.
+const RATING_PERIOD: Duration = Duration::from_millis(500);
 /// Scores that may wait.
 const SCORES: usize = 256;
 /// How long an instance that is shut down answers with its readiness before it stops to listen.
@@ -458,6 +460,7 @@
     run(Box::pin(couple_members(context.clone(), committer)) as Task);
     run(Box::pin(couple_scores(context.clone(), scores)) as Task);
     run(Box::pin(reserves::report(context.clone())) as Task);
+    run(Box::pin(couple_ratings(context.clone())) as Task);
 }
 
 type Task = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
@@ -524,3 +527,18 @@
         context.decider.rated(rated).await;
     }
 }
+
+/// Tells the decider whether ratings come, so that no answer is held back for one in vain.
+async fn couple_ratings(context: Arc<Context>) {
+    let Some(rating) = &context.rating else {
+        return;
+    };
+    let mut out = false;
+    loop {
+        tokio::time::sleep(RATING_PERIOD).await;
+        if rating.is_out() != out {
+            out = rating.is_out();
+            context.decider.ratings_out(out).await;
+        }
+    }
+}
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -12,8 +12,7 @@
 use entity::{Moment, Span, id, name};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use routing::{Outcome, Priority};
-use std::net::SocketAddr;
+use routing::{Choice, Outcome, Priority};
 use std::sync::Arc;
 use tokio::time::Instant;
 use upstream::{Failure, Reply as Answer};
@@ -181,8 +180,11 @@
 impl Dispatch for Run<'_> {
     type Value = Answer;
 
-    async fn dispatch(&self, address: SocketAddr, end: Instant) -> Result<Answer, Failure> {
-        self.context.pool.call(address, &self.call(end)).await
+    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Answer, Failure> {
+        self.context
+            .pool
+            .call(choice.address, &self.call(end))
+            .await
     }
 }
 
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -9,7 +9,6 @@
 use entity::{Moment, Span, id, name};
 use hyper::StatusCode;
 use routing::{Choice, Outcome, Priority};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use timeline::{Counter, Kind};
 use tokio::time::Instant;
@@ -107,10 +106,10 @@
     /// What an upstream that takes it gives.
     type Value: Send;
 
-    /// Sends the request to an address; it has to end by an instant.
+    /// Sends the request to the upstream of a choice; it has to end by an instant.
     fn dispatch(
         &self,
-        address: SocketAddr,
+        choice: &Choice,
         end: Instant,
     ) -> impl Future<Output = Result<Self::Value, Failure>> + Send;
 }
@@ -150,7 +149,7 @@
             .record();
         let sent = Instant::now();
         let end = context.clock.instant(choice.end.min(job.deadline));
-        let failure = match dispatch.dispatch(choice.address, end).await {
+        let failure = match dispatch.dispatch(&choice, end).await {
             Ok(value) => {
                 return Ok(Taken {
                     value,
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -179,6 +179,11 @@
         balancer: &mut Balancer,
         now: Moment,
     ) {
+        let mut chosen = chosen;
+        if let Ok(choice) = &mut chosen {
+            let queue = self.queue(&asker.key);
+            choice.priority = queue.urgency(&asker.organisation, choice.priority);
+        }
         let chose = chosen.is_ok();
         match asker.reply.send(chosen) {
             Ok(()) if chose => {
