quality: split the plan of a roll-out from the choice

Cause: the function that plans a request had grown to fifty lines. Change: the roll-out's part and the condition for holding an answer are functions of their own. Conclusion: no change in behaviour.

--- a/crates/quality/src/judge.rs
+++ b/crates/quality/src/judge.rs
@@ -207,29 +207,8 @@
         let drawn = Share::from_ppm(self.rng.random_range(0..Share::WHOLE.ppm()));
         let policy = self.services.get(query.service)?;
         let offers = self.offers(policy, query);
-        let escalates = |cheap: &Offer<'_>, dear: &Offer<'_>| {
-            policy.cascade && !self.ratings_out && affordable(query, cheap, dear)
-        };
-        if let Some(split) = policy.rollout
-            && let Some(to) = offers.iter().find(|offer| offer.version == split.to)
-        {
-            let from = offers.iter().find(|offer| offer.version == split.from);
-            let guard = from.filter(|from| escalates(to, from));
-            let delivery = match guard {
-                Some(_) => Delivery::Held,
-                None if policy.cascade => Delivery::Direct,
-                None => Delivery::Bare,
-            };
-            if query.position < self.split_share(split, delivery, query.now) {
-                return Some(Plan {
-                    first: split.to,
-                    escalate: guard.map(|from| Escalation {
-                        version: from.version,
-                        threshold: policy.target * TRIAL_THRESHOLD,
-                    }),
-                    reason: Reason::Rollout,
-                });
-            }
+        if let Some(plan) = self.trial_plan(policy, query, &offers) {
+            return Some(plan);
         }
         let new = policy.rollout.map(|split| split.to);
         // Where only the new version is allowed, nothing else can serve.
@@ -237,7 +216,9 @@
         if offers.len() > 1 {
             old.retain(|offer| Some(offer.version) != new);
         }
-        let plan = choice::choose(&old, policy.target, query.now, escalates)?;
+        let plan = choice::choose(&old, policy.target, query.now, |cheap, dear| {
+            self.may_hold(policy, query, cheap, dear)
+        })?;
         let wanted = Wanted {
             target: policy.target,
             cascade: policy.cascade,
@@ -252,6 +233,41 @@
         })
     }
 
+    /// The plan for a request whose session falls into the share of a roll-out.
+    fn trial_plan(&self, policy: &Policy, query: &Query<'_>, offers: &[Offer<'_>]) -> Option<Plan> {
+        let split = policy.rollout?;
+        let to = offers.iter().find(|offer| offer.version == split.to)?;
+        let from = offers.iter().find(|offer| offer.version == split.from);
+        let guard = from.filter(|from| self.may_hold(policy, query, to, from));
+        let delivery = match guard {
+            Some(_) => Delivery::Held,
+            None if policy.cascade => Delivery::Direct,
+            None => Delivery::Bare,
+        };
+        if query.position >= self.split_share(split, delivery, query.now) {
+            return None;
+        }
+        Some(Plan {
+            first: split.to,
+            escalate: guard.map(|from| Escalation {
+                version: from.version,
+                threshold: policy.target * TRIAL_THRESHOLD,
+            }),
+            reason: Reason::Rollout,
+        })
+    }
+
+    /// Whether an answer may be held for its rating and be escalated to another version.
+    fn may_hold(
+        &self,
+        policy: &Policy,
+        query: &Query<'_>,
+        first: &Offer<'_>,
+        second: &Offer<'_>,
+    ) -> bool {
+        policy.cascade && !self.ratings_out && affordable(query, first, second)
+    }
+
     /// The share of a service's new sessions, of those whose answers are held for their rating
     /// where the service allows it, that begin on the new version of its roll-out; nothing without
     /// one.
