--- a/capacity/src/adoption.rs
+++ b/capacity/src/adoption.rs
@@ -9,7 +9,7 @@
 /// Instances of each size.
 const SIZES: [usize; 3] = [10, 40, 160];
 /// Changes under each condition.
-const CHANGES: usize = 3;
+const CHANGES: usize = 2;
 /// Time between looks at the instances.
 const LOOK: Duration = Duration::from_millis(5);
 /// Longest time that a change is watched.
--- a/capacity/src/change.rs
+++ b/capacity/src/change.rs
@@ -4,7 +4,7 @@
 use crate::gauge::thread_cpu;
 use crate::text::text;
 use ::adoption::{Fold, Id, Page, Publication, Record, Snapshot};
-use anyhow::{Context, Result};
+use anyhow::Result;
 use entity::{Generation, Moment, Offset};
 use quality::Judge;
 use routing::{Balancer, Bounds};
@@ -15,9 +15,12 @@
 /// Versions of all sizes.
 const VERSIONS: usize = 25;
 /// Repeats of each size.
-const REPEATS: u64 = 9;
+const REPEATS: u64 = 7;
+/// Changes of one repeat, since the kernel's account of a running thread advances by ticks.
+const CHANGES: u64 = 40;
 
 /// Processor time of one change, in milliseconds.
+#[derive(Default)]
 struct Cost {
     /// Decode, parse and fold.
     fold: f64,
@@ -27,6 +30,25 @@
     configure: f64,
 }
 
+impl Cost {
+    /// The cost of one change, of the sum over those of a repeat.
+    fn of_one(&self) -> Self {
+        Self {
+            fold: self.fold / CHANGES as f64,
+            parse: self.parse / CHANGES as f64,
+            configure: self.configure / CHANGES as f64,
+        }
+    }
+}
+
+fn page(change: u64, record: &[u8]) -> Page<'_> {
+    Page {
+        first: Offset(1),
+        next: Offset(change + 2),
+        records: vec![(Offset(change + 1), record)],
+    }
+}
+
 fn milliseconds(work: impl FnOnce()) -> f64 {
     let before = thread_cpu();
     work();
@@ -58,33 +80,41 @@
     let mut balancer = Balancer::new(own, "zone-a".parse()?, Bounds::default(), 1);
     let mut judge = Judge::new(1, "entry-1/1");
     let (mut costs, mut bytes) = (Vec::new(), 0);
-    for change in 0..REPEATS {
-        let text = text(&addresses, VERSIONS, change);
-        let record = publication(&text, change);
-        bytes = record.len();
-        let generation = Generation(change + 1);
-        let parse = milliseconds(|| drop(Snapshot::parse(generation, "capacity", &text)));
-        let page = Page {
-            first: Offset(1),
-            next: Offset(change + 2),
-            records: vec![(Offset(change + 1), record.as_slice())],
-        };
-        let mut steps = Vec::new();
-        let mut read = Ok(());
-        let folded = milliseconds(|| read = fold.read(&page, &mut steps));
-        read.context("the fold")?;
-        let snapshot = fold.in_force().context("nothing is in force")?.clone();
-        anyhow::ensure!(snapshot.generation == generation, "the change was rejected");
-        let now = Moment(change * 1_000_000);
-        let configure = milliseconds(|| {
-            balancer.configure(&snapshot.config, generation, now);
-            judge.configure(&snapshot.config, generation);
+    for repeat in 0..REPEATS {
+        let mut sum = Cost::default();
+        let changes: Vec<_> = (repeat * CHANGES..(repeat + 1) * CHANGES)
+            .map(|change| (change, text(&addresses, VERSIONS, change)))
+            .collect();
+        sum.parse = milliseconds(|| {
+            for (change, text) in &changes {
+                drop(Snapshot::parse(Generation(change + 1), "capacity", text));
+            }
         });
-        costs.push(Cost {
-            fold: folded,
-            parse,
-            configure,
+        let records: Vec<_> = changes
+            .iter()
+            .map(|(change, text)| (*change, publication(text, *change)))
+            .collect();
+        bytes = records[0].1.len();
+        let mut snapshots = Vec::new();
+        sum.fold = milliseconds(|| {
+            for (change, record) in &records {
+                let _ = fold.read(&page(*change, record), &mut Vec::new());
+                snapshots.extend(fold.in_force().cloned());
+            }
+        });
+        anyhow::ensure!(
+            fold.generation() == Generation((repeat + 1) * CHANGES),
+            "a change was rejected"
+        );
+        sum.configure = milliseconds(|| {
+            for snapshot in &snapshots {
+                let generation = snapshot.generation;
+                let now = Moment(generation.0 * 1_000_000);
+                balancer.configure(&snapshot.config, generation, now);
+                judge.configure(&snapshot.config, generation);
+            }
         });
+        costs.push(sum.of_one());
     }
     Ok((bytes, costs))
 }
--- a/capacity/src/meter.rs
+++ b/capacity/src/meter.rs
@@ -94,7 +94,8 @@
         tokio::spawn(async move {
             tokio::select! {
                 () = pass(stream, target, &count) => {}
-                _ = is_open.wait_for(|open| !open) => {}
+                // A meter that was dropped can't be closed any more, and stays open.
+                Ok(_) = is_open.wait_for(|open| !open) => {}
             }
         });
     }
--- a/capacity/src/requests.rs
+++ b/capacity/src/requests.rs
@@ -53,7 +53,13 @@
         let path = "/v1/chat/completions";
         running.spawn(async move {
             let answer = http.send(Method::POST, caller, path, &[], &body).await;
-            answer.is_ok_and(|answer| answer.status.is_success())
+            let Ok(answer) = answer else {
+                return false;
+            };
+            if !answer.status.is_success() && index == 0 {
+                println!("  refused: {} {}", answer.status, answer.text());
+            }
+            answer.status.is_success()
         });
     }
     while let Some(one) = running.join_next().await {
