--- a/capacity/src/lib.rs
+++ b/capacity/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod gauge;
 pub mod instances;
 pub mod meter;
+pub mod process;
 pub mod requests;
 pub mod stage;
 pub mod text;
--- a/capacity/src/main.rs
+++ b/capacity/src/main.rs
@@ -40,7 +40,7 @@
         change::run()?;
     }
     if all || what == "requests" {
-        requests::run().await?;
+        requests::run(&arguments.program).await?;
     }
     if all || what == "instances" {
         instances::run().await?;
--- a/capacity/src/requests.rs
+++ b/capacity/src/requests.rs
@@ -2,6 +2,7 @@
 
 use crate::fit::{Line, Spread};
 use crate::gauge;
+use crate::process::Process;
 use crate::stage::{Size, Stage, instance_runtime};
 use crate::text::ORGANISATION;
 use anyhow::{Context, Result};
@@ -9,6 +10,8 @@
 use harness::Http;
 use hyper::Method;
 use serde_json::json;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -20,9 +23,11 @@
 /// Answers of each length.
 const ANSWERS: usize = 200;
 /// Streams that are open at once.
-const STREAMS: [usize; 4] = [0, 100, 200, 400];
+const STREAMS: [usize; 4] = [0, 25, 50, 100];
 /// Requests under way at once.
 const PARALLEL: usize = 8;
+/// Time for upstreams to have reported.
+const READY: Duration = Duration::from_secs(4);
 /// Time for usage records to be appended.
 const SETTLE: Duration = Duration::from_millis(500);
 
@@ -39,10 +44,13 @@
     value.to_string()
 }
 
+fn own(stage: &Stage) -> SocketAddr {
+    stage.instances[0].addresses().caller
+}
+
 /// Sends requests and returns how many were answered.
-async fn load(stage: &Stage, count: usize, tokens: usize, stream: bool, wide: usize) -> usize {
+async fn load(caller: SocketAddr, count: usize, tokens: usize, stream: bool, wide: usize) -> usize {
     let http = Arc::new(Http::new(&harness::key(ORGANISATION)));
-    let caller = stage.instances[0].addresses().caller;
     let mut running = JoinSet::new();
     let mut answered = 0;
     for index in 0..count {
@@ -74,7 +82,7 @@
         let mut costs = Vec::new();
         for _ in 0..3 {
             let before = gauge::instance_cpu();
-            let answered = load(stage, count, 24, false, PARALLEL).await;
+            let answered = load(own(stage), count, 24, false, PARALLEL).await;
             let cost = (gauge::instance_cpu() - before).as_secs_f64() * 1e3;
             if answered < count {
                 println!("  {answered} of {count} were answered");
@@ -96,7 +104,7 @@
     for tokens in TOKENS {
         for _ in 0..3 {
             let before = gauge::instance_cpu();
-            let answered = load(stage, ANSWERS, tokens, true, PARALLEL).await;
+            let answered = load(own(stage), ANSWERS, tokens, true, PARALLEL).await;
             let cost = (gauge::instance_cpu() - before).as_secs_f64() * 1e3;
             println!("tokens {tokens}: {answered} of {ANSWERS} answered, {cost:.1} core ms");
             points.push((tokens as f64, cost / ANSWERS as f64));
@@ -107,31 +115,35 @@
     }
 }
 
-/// Resident memory of this process, which holds callers, instance and engines, by open stream.
-async fn per_stream(stage: &Stage) {
+/// Resident memory of one real process, by open stream.
+async fn per_stream(stage: &Stage, program: &Path) -> Result<()> {
+    let process = Process::spawn(stage, program).await?;
+    let caller = process.caller()?;
+    tokio::time::sleep(READY).await;
     let mut points = Vec::new();
     for streams in STREAMS {
-        let mut most = gauge::resident_kb("self");
+        let mut most = process.resident_kb();
         if streams > 0 {
-            let mut load = Box::pin(load(stage, streams, 1024, true, streams));
+            let mut load = Box::pin(load(caller, streams, 256, true, streams));
             loop {
                 tokio::select! {
                     answered = &mut load => {
                         println!("streams {streams}: {answered} answered");
                         break;
                     }
-                    () = tokio::time::sleep(Duration::from_millis(50)) => {
-                        most = most.max(gauge::resident_kb("self"));
+                    () = tokio::time::sleep(Duration::from_millis(20)) => {
+                        most = most.max(process.resident_kb());
                     }
                 }
             }
         }
-        println!("streams {streams}: {most:.0} KiB resident, callers and engines included");
+        println!("streams {streams}: {most:.0} KiB resident");
         points.push((streams as f64, most));
     }
     if let Some(line) = Line::through(&points) {
-        println!("KiB by open stream, callers and engines included: {line}");
+        println!("KiB of a process by open stream: {line}");
     }
+    process.kill().await
 }
 
 /// Records and bytes of the usage stream, by append and by request.
@@ -163,7 +175,7 @@
 /// # Errors
 ///
 /// The stage did not start, or the usage stream can't be read.
-pub async fn run() -> Result<()> {
+pub async fn run(program: &Path) -> Result<()> {
     let runtime = instance_runtime()?;
     let size = Size {
         instances: 1,
@@ -171,12 +183,12 @@
         versions: 5,
     };
     let stage = Stage::open(size, &runtime).await?;
-    tokio::time::sleep(Duration::from_secs(4)).await;
-    load(&stage, 200, 24, false, PARALLEL).await;
+    tokio::time::sleep(READY).await;
+    load(own(&stage), 200, 24, false, PARALLEL).await;
     per_request(&stage).await;
     per_token(&stage).await;
-    per_stream(&stage).await;
     usage(&stage).await?;
+    per_stream(&stage, program).await?;
     stage.close();
     runtime.shutdown_background();
     Ok(())
