Compare sendings with edits in force, and draw edits more often in the randomised run

Edits are drawn four times in 21, two that race are put in and taken back together, and the output says how many sendings were compared.

--- a/harness/src/soak/audit.rs
+++ b/harness/src/soak/audit.rs
@@ -54,6 +54,45 @@
     }
 }
 
+/// An edit that was in the text from one time to another, in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    bars: Bar,
+    begin: u64,
+    end: u64,
+}
+
+/// Sendings while an edit was in force for long enough.
+#[derive(Debug, Default)]
+pub(super) struct Barred {
+    /// How many there were, once for each edit.
+    pub(super) compared: usize,
+    /// Those that the edit bars.
+    pub(super) found: Vec<Breach>,
+}
+
+impl Barred {
+    fn check(&mut self, span: Span, event: &Event, version: &str) {
+        let upstream = event.fields["upstream"].as_str().unwrap_or_default();
+        let barred = match span.bars {
+            Bar::Version(name) => version == name,
+            Bar::Upstreams(names) => names.contains(&upstream),
+            Bar::Nothing => false,
+        };
+        if !barred {
+            return;
+        }
+        let late = event.at - span.begin;
+        self.found.push(Breach {
+            rule: "barred-work",
+            detail: format!(
+                "{} sent {} to {upstream} {version} {late} ms after the edit {:?}",
+                event.instance, event.request, span.bars
+            ),
+        });
+    }
+}
+
 /// The events of all instances, in the order of time.
 #[derive(Debug, Default)]
 pub(super) struct Events(Vec<Event>);
@@ -92,61 +131,48 @@
         generations
     }
 
-    /// Sendings to an upstream or of a version that had been barred for long enough.
-    pub(super) fn barred(&self, caused: &[Caused]) -> Vec<Breach> {
+    /// Compares all sendings with the edits that were in force for long enough.
+    pub(super) fn barred(&self, caused: &[Caused]) -> Barred {
         let generations = self.generations();
-        let mut found = Vec::new();
+        let mut barred = Barred::default();
         for (bit, edit) in ALL.iter().enumerate() {
             for (begin, end) in spans(&generations, bit) {
-                self.check_span(edit.bars, begin, end, caused, &mut found);
+                let span = Span {
+                    bars: edit.bars,
+                    begin,
+                    end,
+                };
+                self.check_span(span, caused, &mut barred);
             }
         }
-        found
+        barred
     }
 
-    fn check_span(
-        &self,
-        bars: Bar,
-        begin: u64,
-        end: u64,
-        caused: &[Caused],
-        found: &mut Vec<Breach>,
-    ) {
+    fn check_span(&self, span: Span, caused: &[Caused], barred: &mut Barred) {
+        // The version of a request; an escalation does not tell the one that it asks.
         let mut versions: Vec<(&str, &str)> = Vec::new();
         for event in &self.0 {
             match &*event.kind {
-                "routed" | "escalated" => {
+                "routed" => {
                     let version = event.fields["version"].as_str().unwrap_or_default();
                     versions.retain(|entry| entry.0 != event.request);
                     versions.push((&event.request, version));
                     continue;
                 }
-                "answered" | "refused" | "cancelled" => {
+                "escalated" | "answered" | "refused" | "cancelled" => {
                     versions.retain(|entry| entry.0 != event.request);
                     continue;
                 }
                 "sent" => {}
                 _ => continue,
             }
-            let upstream = event.fields["upstream"].as_str().unwrap_or_default();
-            let version = versions.iter().find(|entry| entry.0 == event.request);
-            let version = version.map_or("", |entry| entry.1);
-            let barred = match bars {
-                Bar::Version(name) => version == name,
-                Bar::Upstreams(names) => names.contains(&upstream),
-                Bar::Nothing => false,
-            };
-            let known = reachable_since(begin, &event.instance, caused);
-            if barred && event.at > known.saturating_add(FOLLOW_MS) && event.at < end {
-                let late = event.at - begin;
-                found.push(Breach {
-                    rule: "barred-work",
-                    detail: format!(
-                        "{} sent {} to {upstream} {version} {late} ms after the edit {bars:?}",
-                        event.instance, event.request
-                    ),
-                });
+            let known = reachable_since(span.begin, &event.instance, caused);
+            if event.at <= known.saturating_add(FOLLOW_MS) || event.at >= span.end {
+                continue;
             }
+            barred.compared += 1;
+            let version = versions.iter().find(|entry| entry.0 == event.request);
+            barred.check(span, event, version.map_or("", |entry| entry.1));
         }
     }
 
--- a/harness/src/soak/driver.rs
+++ b/harness/src/soak/driver.rs
@@ -21,6 +21,10 @@
 /// Time between two looks at a replacement.
 const READY_POLL: Duration = Duration::from_millis(100);
 
+/// How far apart two edits that race are among all edits; neighbours would take both zones of a
+/// region out.
+const RACE_STRIDE: usize = 2;
+
 /// A fault as it was caused, with times in milliseconds since the Unix epoch.
 #[derive(Clone, Debug)]
 pub(super) struct Caused {
@@ -173,15 +177,15 @@
         Some(switches)
     }
 
-    /// Two commands at once: this edit, and the next one the other way round and back.
+    /// Two commands at once put an edit and another one in, or take both back.
     fn race(&mut self, edit: usize, on: bool) {
         let publisher = self.publisher.clone();
         self.edits
             .spawn(async move { publisher.set(edit, on).await });
-        let other = (edit + 1) % ALL.len();
+        let other = (edit + RACE_STRIDE) % ALL.len();
         let publisher = self.publisher.clone();
         self.edits
-            .spawn(async move { publisher.set(other, !on).await });
+            .spawn(async move { publisher.set(other, on).await });
     }
 
     /// Puts a new instance in a slot and ends the old one. Returns the old one's name.
--- a/harness/src/soak/plan.rs
+++ b/harness/src/soak/plan.rs
@@ -25,6 +25,9 @@
 /// Probability that two faults begin together.
 const PAIR: f64 = 0.4;
 
+/// Draws of a kind; those beyond the listed ones are edits, which need the longest to be seen.
+const KINDS: usize = 21;
+
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
@@ -58,7 +61,7 @@
     LosesReplies(usize),
     /// The rating service is down.
     RatingDown,
-    /// Two operators race with an edit and the next one.
+    /// Two operators race with an edit and another one.
     Edit(usize),
 }
 
@@ -80,7 +83,7 @@
     fn random(rng: &mut ChaCha8Rng, slots: usize) -> Self {
         let slot = rng.random_range(0..slots);
         let engine = rng.random_range(0..ENGINES.len());
-        match rng.random_range(0..19) {
+        match rng.random_range(0..KINDS) {
             0 => Self::Kill(slot),
             1 | 2 => Self::Stop(slot),
             3 | 4 => Self::Terminate(slot),
--- a/harness/src/soak/run.rs
+++ b/harness/src/soak/run.rs
@@ -64,6 +64,8 @@
     pub refusals: Vec<(String, usize)>,
     /// Edits that were accepted, and all of them.
     pub edits: (usize, usize),
+    /// Sendings that were compared with edits in force, once for each edit.
+    pub compared: usize,
     /// What was broken.
     pub breaches: Vec<Breach>,
 }
@@ -72,13 +74,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "seed {}: {} faults, {} requests, {} answers, edits {}/{}, {} violations",
+            "seed {}: {} faults, {} requests, {} answers, edits {}/{}, \
+             {} sendings under edits, {} violations",
             self.seed,
             self.faults.len(),
             self.requests,
             self.answers,
             self.edits.0,
             self.edits.1,
+            self.compared,
             self.breaches.len()
         )?;
         let faults: Vec<String> = self.faults.iter().map(ToString::to_string).collect();
@@ -118,7 +122,8 @@
         found.push(breach);
     }
     let events = Events::read(&options.folder)?;
-    found.extend(events.barred(&driver.caused));
+    let barred = events.barred(&driver.caused);
+    found.extend(barred.found);
     found.extend(events.reverted());
     found.extend(events.cut_off(&history, &driver.caused));
     found.extend(audit::repeated(&history.calls));
@@ -131,7 +136,15 @@
     found.sort();
     found.dedup();
     let faults = driver.caused.iter().map(|caused| caused.fault).collect();
-    Ok(summary(options.seed, faults, edits, &history, found))
+    let outcome = Outcome {
+        seed: options.seed,
+        faults,
+        edits,
+        compared: barred.compared,
+        breaches: found,
+        ..Outcome::default()
+    };
+    Ok(summary(outcome, &history))
 }
 
 async fn start(
@@ -270,21 +283,9 @@
     Ok(())
 }
 
-fn summary(
-    seed: u64,
-    faults: Vec<Fault>,
-    edits: (usize, usize),
-    history: &History,
-    breaches: Vec<Breach>,
-) -> Outcome {
-    let mut outcome = Outcome {
-        seed,
-        faults,
-        requests: history.exchanges.len(),
-        edits,
-        breaches,
-        ..Outcome::default()
-    };
+/// Adds the counts of a history.
+fn summary(mut outcome: Outcome, history: &History) -> Outcome {
+    outcome.requests = history.exchanges.len();
     for exchange in &history.exchanges {
         for attempt in &exchange.attempts {
             let reason = match attempt {
