Test and describe the randomised run

Its plan and its checks of event logs had no tests, so that a check that finds nothing would not have been noticed.

--- a/harness/src/soak/audit.rs
+++ b/harness/src/soak/audit.rs
@@ -1,8 +1,7 @@
 //! Checks of a run's history beyond those of `standins::check`, from the event logs of instances.
 
-use super::driver::Caused;
 use super::edit::{ALL, Bar, mask_of};
-use super::plan::Fault;
+use super::plan::{Caused, Fault};
 use anyhow::{Context, Result};
 use serde_json::Value;
 use standins::check::{Call, History};
@@ -64,11 +63,11 @@
 
 /// Sendings while an edit was in force for long enough.
 #[derive(Debug, Default)]
-pub(super) struct Barred {
+pub struct Barred {
     /// How many there were, once for each edit.
-    pub(super) compared: usize,
+    pub compared: usize,
     /// Those that the edit bars.
-    pub(super) found: Vec<Breach>,
+    pub found: Vec<Breach>,
 }
 
 impl Barred {
@@ -95,11 +94,15 @@
 
 /// The events of all instances, in the order of time.
 #[derive(Debug, Default)]
-pub(super) struct Events(Vec<Event>);
+pub struct Events(Vec<Event>);
 
 impl Events {
-    /// Reads all event logs of a folder.
-    pub(super) fn read(folder: &Path) -> Result<Self> {
+    /// Reads all event logs of a folder, which are its files with the extension `jsonl`.
+    ///
+    /// # Errors
+    ///
+    /// The folder or a file can't be read.
+    pub fn read(folder: &Path) -> Result<Self> {
         let mut events = Vec::new();
         for entry in std::fs::read_dir(folder)? {
             let path = entry?.path();
@@ -132,7 +135,7 @@
     }
 
     /// Compares all sendings with the edits that were in force for long enough.
-    pub(super) fn barred(&self, caused: &[Caused]) -> Barred {
+    pub fn barred(&self, caused: &[Caused]) -> Barred {
         let generations = self.generations();
         let mut barred = Barred::default();
         for (bit, edit) in ALL.iter().enumerate() {
@@ -177,7 +180,7 @@
     }
 
     /// Generations that an instance adopted after a later one.
-    pub(super) fn reverted(&self) -> Vec<Breach> {
+    pub fn reverted(&self) -> Vec<Breach> {
         let mut last: Vec<(&str, u64)> = Vec::new();
         let mut found = Vec::new();
         for event in self.0.iter().filter(|event| event.kind == "adopted") {
@@ -198,7 +201,7 @@
     }
 
     /// Answers that broke off at instances that were shut down gracefully.
-    pub(super) fn cut_off(&self, history: &History, caused: &[Caused]) -> Vec<Breach> {
+    pub fn cut_off(&self, history: &History, caused: &[Caused]) -> Vec<Breach> {
         let mut found = Vec::new();
         for exchange in &history.exchanges {
             for attempt in &exchange.attempts {
@@ -265,7 +268,7 @@
 }
 
 /// Keys that ran more than once at plain services, whether or not a caller was told.
-pub(super) fn repeated(calls: &[Call]) -> Vec<Breach> {
+pub fn repeated(calls: &[Call]) -> Vec<Breach> {
     let mut counts: Vec<(&str, u64)> = Vec::new();
     for call in calls.iter().filter(|call| !call.key.is_empty()) {
         match counts.binary_search_by_key(&&*call.key, |entry| entry.0) {
--- a/harness/src/soak/driver.rs
+++ b/harness/src/soak/driver.rs
@@ -3,7 +3,7 @@
 use super::audit::Breach;
 use super::balancer::Balancer;
 use super::edit::{ALL, Publisher};
-use super::plan::{ENGINES, Fault, PLAIN, Step};
+use super::plan::{Caused, ENGINES, Fault, PLAIN, Step};
 use super::watch;
 use crate::{Instance, Process, Signal, Standin, System};
 use anyhow::Result;
@@ -25,17 +25,6 @@
 /// region out.
 const RACE_STRIDE: usize = 2;
 
-/// A fault as it was caused, with times in milliseconds since the Unix epoch.
-#[derive(Clone, Debug)]
-pub(super) struct Caused {
-    pub(super) begin: u64,
-    /// When it was lifted.
-    pub(super) end: u64,
-    pub(super) fault: Fault,
-    /// The instance that was signalled.
-    pub(super) instance: Option<String>,
-}
-
 /// Owns the system while faults are caused.
 pub(super) struct Driver {
     pub(super) system: System,
--- a/harness/src/soak/mod.rs
+++ b/harness/src/soak/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A seed decides the load and the plan of faults. The timing of the machine is not replayed.
 
-mod audit;
+pub mod audit;
 mod balancer;
 mod driver;
 mod edit;
--- a/harness/src/soak/plan.rs
+++ b/harness/src/soak/plan.rs
@@ -115,6 +115,19 @@
     pub fault: Fault,
 }
 
+/// A fault as it was caused, with times in milliseconds since the Unix epoch.
+#[derive(Clone, Debug)]
+pub struct Caused {
+    /// When it was caused.
+    pub begin: u64,
+    /// When it was lifted.
+    pub end: u64,
+    /// The fault.
+    pub fault: Fault,
+    /// The instance that was signalled.
+    pub instance: Option<String>,
+}
+
 /// The faults of a seed, in the order of their beginnings.
 pub fn plan(seed: u64, slots: usize, time: Duration) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ STREAM);
--- /dev/null
+++ b/harness/tests/soak.rs
@@ -0,0 +1,144 @@
+//! The plan of faults and the checks of event logs, without any process.
+
+use googletest::prelude::*;
+use harness::soak::audit::{Events, repeated};
+use harness::soak::plan::{Caused, Fault, plan};
+use serde_json::json;
+use standins::check::Call;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const TIME: Duration = Duration::from_secs(15);
+/// The mask of the edit that withdraws advisory-small/1.
+const WITHDRAWN: usize = 1;
+/// The mask of the edit that makes advice-1 leave.
+const LEAVING: usize = 1 << 4;
+
+/// An event log in a folder of its own.
+struct Log {
+    folder: PathBuf,
+    text: String,
+}
+
+impl Log {
+    fn new(test: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        std::fs::create_dir_all(&folder).expect("the folder can be made");
+        let text = String::new();
+        Self { folder, text }
+    }
+
+    fn add(&mut self, at: u64, kind: &str, fields: &serde_json::Value) {
+        let mut event =
+            json!({"instance": "entry-1", "clock": format!("{at}.00000"), "kind": kind});
+        for (name, value) in fields.as_object().expect("fields have names") {
+            event[name] = value.clone();
+        }
+        self.text.push_str(&format!("{event}\n"));
+    }
+
+    fn adopted(&mut self, at: u64, generation: u64, mask: usize) {
+        let author = format!("soak-{mask}");
+        let fields = json!({"generation": generation, "author": author});
+        self.add(at, "adopted", &fields);
+    }
+
+    fn sent(&mut self, at: u64, request: &str, version: &str, upstream: &str) {
+        let routed = json!({"request": request, "version": version});
+        self.add(at, "routed", &routed);
+        let sent = json!({"request": request, "upstream": upstream});
+        self.add(at, "sent", &sent);
+    }
+
+    fn events(&self) -> Events {
+        let path = self.folder.join("entry-1.jsonl");
+        std::fs::write(path, &self.text).expect("the file can be written");
+        Events::read(&self.folder).expect("the file can be read")
+    }
+}
+
+fn caused(fault: Fault, begin: u64, end: u64) -> Caused {
+    Caused {
+        begin,
+        end,
+        fault,
+        instance: Some("entry-1".to_owned()),
+    }
+}
+
+#[gtest]
+fn a_seed_decides_the_plan() {
+    expect_that!(plan(7, 3, TIME), eq(&plan(7, 3, TIME)));
+    expect_that!(plan(7, 3, TIME), not(eq(&plan(8, 3, TIME))));
+}
+
+#[gtest]
+fn plans_have_pairs_and_kills_and_edits() {
+    let mut steps = Vec::new();
+    for seed in 0..50 {
+        steps.extend(plan(seed, 3, TIME));
+    }
+    let pairs = steps.windows(2).filter(|two| two[0].begin == two[1].begin);
+    expect_that!(pairs.count(), gt(50));
+    let kills = steps
+        .iter()
+        .filter(|step| matches!(step.fault, Fault::Kill(_)));
+    expect_that!(kills.count(), gt(5));
+    let edits = steps
+        .iter()
+        .filter(|step| matches!(step.fault, Fault::Edit(_)));
+    expect_that!(edits.count(), gt(20));
+    expect_true!(steps.iter().all(|step| step.begin < step.end));
+}
+
+#[gtest]
+fn late_work_on_a_withdrawn_version_is_found() {
+    let mut log = Log::new("withdrawn");
+    log.adopted(1000, 2, WITHDRAWN);
+    log.sent(6000, "in-time", "advisory-small/1", "advisory-1");
+    log.sent(6001, "late", "advisory-small/1", "advisory-1");
+    log.sent(6002, "other", "advisory-large/1", "advisory-1");
+    log.adopted(8000, 3, 0);
+    log.sent(8001, "after", "advisory-small/1", "advisory-1");
+    let barred = log.events().barred(&[]);
+    expect_that!(barred.compared, eq(2));
+    expect_that!(barred.found.len(), eq(1));
+    expect_that!(barred.found[0].detail, contains_substring("late"));
+}
+
+#[gtest]
+fn an_outage_of_the_log_gives_more_time() {
+    let mut log = Log::new("outage");
+    log.adopted(1000, 2, LEAVING);
+    log.sent(9000, "known", "advice-small/3", "advice-1");
+    log.sent(15_000, "late", "advice-small/3", "advice-1");
+    let outage = caused(Fault::LogDown, 3000, 8000);
+    let barred = log.events().barred(&[outage]);
+    expect_that!(barred.found.len(), eq(1));
+    expect_that!(barred.found[0].detail, contains_substring("late"));
+    let unrelated = caused(Fault::RatingDown, 3000, 8000);
+    expect_that!(log.events().barred(&[unrelated]).found.len(), eq(2));
+}
+
+#[gtest]
+fn a_generation_that_reverts_is_found() {
+    let mut log = Log::new("reverted");
+    log.adopted(1000, 2, 0);
+    log.adopted(1001, 4, 0);
+    expect_that!(log.events().reverted(), is_empty());
+    log.adopted(1002, 3, 0);
+    expect_that!(log.events().reverted().len(), eq(1));
+}
+
+#[gtest]
+fn a_key_that_ran_at_two_services_is_found() {
+    let call = |key: &str| Call {
+        key: key.into(),
+        count: 1,
+        ..Call::default()
+    };
+    expect_that!(repeated(&[call("a"), call("b"), call("")]), is_empty());
+    let twice = repeated(&[call("a"), call("b"), call("a"), call(""), call("")]);
+    expect_that!(twice.len(), eq(1));
+    expect_that!(twice[0].detail, contains_substring("a ran 2 times"));
+}
