Report panics of instances in the randomised run

A failed assertion in a task of an instance does not end the process, so that the run would have passed over it. Standard error of its instances goes to files, and each panic there is a violation.

--- a/harness/src/process.rs
+++ b/harness/src/process.rs
@@ -44,11 +44,26 @@
     ///
     /// It did not start, or did not say in time that it listens.
     pub async fn spawn(name: &str, program: &Path, arguments: &[&str]) -> Result<Self> {
+        Self::spawn_with(name, program, arguments, Stdio::inherit()).await
+    }
+
+    /// Does the same, with standard error elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// It did not start, or did not say in time that it listens.
+    pub async fn spawn_with(
+        name: &str,
+        program: &Path,
+        arguments: &[&str],
+        stderr: Stdio,
+    ) -> Result<Self> {
         let mut command = Command::new(program);
         command
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            .stderr(stderr)
             .kill_on_drop(true);
         let mut child = command
             .spawn()
--- a/harness/src/soak/audit.rs
+++ b/harness/src/soak/audit.rs
@@ -267,6 +267,33 @@
     since
 }
 
+/// Panics that instances told on standard error, in files of a folder with the extension `stderr`.
+///
+/// # Errors
+///
+/// The folder or a file can't be read.
+pub fn panics(folder: &Path) -> Result<Vec<Breach>> {
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path
+            .extension()
+            .is_none_or(|extension| extension != "stderr")
+        {
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).context("standard error of an instance")?;
+        for line in text.lines().filter(|line| line.contains("panicked at")) {
+            let name = path.file_stem().unwrap_or_default().display();
+            found.push(Breach {
+                rule: "panicked",
+                detail: format!("{name}: {line}"),
+            });
+        }
+    }
+    Ok(found)
+}
+
 /// Keys that ran more than once at plain services, whether or not a caller was told.
 pub fn repeated(calls: &[Call]) -> Vec<Breach> {
     let mut counts: Vec<(&str, u64)> = Vec::new();
--- a/harness/src/soak/run.rs
+++ b/harness/src/soak/run.rs
@@ -127,6 +127,7 @@
     found.extend(events.reverted());
     found.extend(events.cut_off(&history, &driver.caused));
     found.extend(audit::repeated(&history.calls));
+    found.extend(audit::panics(&options.folder)?);
     for violation in check::violations(&history) {
         found.push(Breach {
             rule: "check",
@@ -156,6 +157,7 @@
     let program = options.programs.join("citrontrack");
     let text = options.text.replacen(DEMO_VERSIONS, SOAK_VERSIONS, 1);
     let mut system = System::start(&stage, &program, &text, &options.folder).await?;
+    system.keep_errors = true;
     let count = INSTANCES + usize::from(options.seed % 2 == 1);
     for _ in 0..count {
         system.start_instance().await?;
--- a/harness/src/system.rs
+++ b/harness/src/system.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use standins::client::Client;
 use standins::server::Handle;
+use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -183,6 +184,9 @@
     pub upstreams: Vec<Standin>,
     /// The instances.
     pub instances: Vec<Instance>,
+    /// Whether standard error of instances started from now on goes to files of the folder, named
+    /// `INSTANCE.stderr`.
+    pub keep_errors: bool,
     /// The configuration text as it was last published.
     pub text: String,
     generation: u64,
@@ -262,6 +266,7 @@
             rating,
             upstreams,
             instances: Vec::new(),
+            keep_errors: false,
             text,
             generation: 0,
             zones: vec![
@@ -316,7 +321,13 @@
         std::fs::write(&settings, self.settings(&name, zone, &events)?)?;
         let path = settings.to_str().context("a path in UTF-8")?;
         let program = &self.program;
-        let process = Process::spawn(&name, program, &["serve", "--settings", path]).await?;
+        let stderr = if self.keep_errors {
+            Stdio::from(File::create(self.folder.join(format!("{name}.stderr")))?)
+        } else {
+            Stdio::inherit()
+        };
+        let arguments = ["serve", "--settings", path];
+        let process = Process::spawn_with(&name, program, &arguments, stderr).await?;
         let entry = json!({
             "zone": zone.0,
             "region": zone.1,
--- a/harness/tests/soak.rs
+++ b/harness/tests/soak.rs
@@ -1,7 +1,7 @@
 //! The plan of faults and the checks of event logs, without any process.
 
 use googletest::prelude::*;
-use harness::soak::audit::{Events, repeated};
+use harness::soak::audit::{Events, panics, repeated};
 use harness::soak::plan::{Caused, Fault, plan};
 use serde_json::json;
 use standins::check::Call;
@@ -142,3 +142,16 @@
     expect_that!(twice.len(), eq(1));
     expect_that!(twice[0].detail, contains_substring("a ran 2 times"));
 }
+
+#[gtest]
+fn a_panic_of_an_instance_is_found() -> anyhow::Result<()> {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("panicked");
+    std::fs::create_dir_all(&folder)?;
+    std::fs::write(folder.join("entry-1.stderr"), "a warning\n")?;
+    expect_that!(panics(&folder)?, is_empty());
+    let text = "thread 'main' panicked at src/x.rs:1:1:\nassertion failed\n";
+    std::fs::write(folder.join("entry-2.stderr"), text)?;
+    expect_that!(panics(&folder)?.len(), eq(1));
+    std::fs::remove_dir_all(&folder)?;
+    Ok(())
+}
