--- a/harness/src/soak/audit.rs
+++ b/harness/src/soak/audit.rs
@@ -1,8 +1,7 @@
 //! Checks of a run's history beyond those of `standins::check`, from the event logs of instances.
 
-use super::driver::Caused;
 use super::edit::{ALL, Bar, mask_of};
-use super::plan::Fault;
+use super::plan::{Caused, Fault};
 use anyhow::{Context, Result};
 use serde_json::Value;
 use standins::check::{Call, History};
@@ -54,13 +53,56 @@
     }
 }
 
+/// An edit that was in the text from one time to another, in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    bars: Bar,
+    begin: u64,
+    end: u64,
+}
+
+/// Sendings while an edit was in force for long enough.
+#[derive(Debug, Default)]
+pub struct Barred {
+    /// How many there were, once for each edit.
+    pub compared: usize,
+    /// Those that the edit bars.
+    pub found: Vec<Breach>,
+}
+
+impl Barred {
+    fn check(&mut self, span: Span, event: &Event, version: &str) {
+        let upstream = event.fields["upstream"].as_str().unwrap_or_default();
+        let barred = match span.bars {
+            Bar::Version(name) => version == name,
+            Bar::Upstreams(names) => names.contains(&upstream),
+            Bar::Nothing => false,
+        };
+        if !barred {
+            return;
+        }
+        let late = event.at - span.begin;
+        self.found.push(Breach {
+            rule: "barred-work",
+            detail: format!(
+                "{} sent {} to {upstream} {version} {late} ms after the edit {:?}",
+                event.instance, event.request, span.bars
+            ),
+        });
+    }
+}
+
 /// The events of all instances, in the order of time.
 #[derive(Debug, Default)]
-pub(super) struct Events(Vec<Event>);
+pub struct Events(Vec<Event>);
 
 impl Events {
-    /// Reads all event logs of a folder.
-    pub(super) fn read(folder: &Path) -> Result<Self> {
+    /// Reads all event logs of a folder, which are its files with the extension `jsonl`.
+    ///
+    /// # Errors
+    ///
+    /// The folder or a file can't be read.
+    pub fn read(folder: &Path) -> Result<Self> {
         let mut events = Vec::new();
         for entry in std::fs::read_dir(folder)? {
             let path = entry?.path();
@@ -92,66 +134,53 @@
         generations
     }
 
-    /// Sendings to an upstream or of a version that had been barred for long enough.
-    pub(super) fn barred(&self, caused: &[Caused]) -> Vec<Breach> {
+    /// Compares all sendings with the edits that were in force for long enough.
+    pub fn barred(&self, caused: &[Caused]) -> Barred {
         let generations = self.generations();
-        let mut found = Vec::new();
+        let mut barred = Barred::default();
         for (bit, edit) in ALL.iter().enumerate() {
             for (begin, end) in spans(&generations, bit) {
-                self.check_span(edit.bars, begin, end, caused, &mut found);
+                let span = Span {
+                    bars: edit.bars,
+                    begin,
+                    end,
+                };
+                self.check_span(span, caused, &mut barred);
             }
         }
-        found
+        barred
     }
 
-    fn check_span(
-        &self,
-        bars: Bar,
-        begin: u64,
-        end: u64,
-        caused: &[Caused],
-        found: &mut Vec<Breach>,
-    ) {
+    fn check_span(&self, span: Span, caused: &[Caused], barred: &mut Barred) {
+        // The version of a request; an escalation does not tell the one that it asks.
         let mut versions: Vec<(&str, &str)> = Vec::new();
         for event in &self.0 {
             match &*event.kind {
-                "routed" | "escalated" => {
+                "routed" => {
                     let version = event.fields["version"].as_str().unwrap_or_default();
                     versions.retain(|entry| entry.0 != event.request);
                     versions.push((&event.request, version));
                     continue;
                 }
-                "answered" | "refused" | "cancelled" => {
+                "escalated" | "answered" | "refused" | "cancelled" => {
                     versions.retain(|entry| entry.0 != event.request);
                     continue;
                 }
                 "sent" => {}
                 _ => continue,
             }
-            let upstream = event.fields["upstream"].as_str().unwrap_or_default();
-            let version = versions.iter().find(|entry| entry.0 == event.request);
-            let version = version.map_or("", |entry| entry.1);
-            let barred = match bars {
-                Bar::Version(name) => version == name,
-                Bar::Upstreams(names) => names.contains(&upstream),
-                Bar::Nothing => false,
-            };
-            let known = reachable_since(begin, &event.instance, caused);
-            if barred && event.at > known.saturating_add(FOLLOW_MS) && event.at < end {
-                let late = event.at - begin;
-                found.push(Breach {
-                    rule: "barred-work",
-                    detail: format!(
-                        "{} sent {} to {upstream} {version} {late} ms after the edit {bars:?}",
-                        event.instance, event.request
-                    ),
-                });
+            let known = reachable_since(span.begin, &event.instance, caused);
+            if event.at <= known.saturating_add(FOLLOW_MS) || event.at >= span.end {
+                continue;
             }
+            barred.compared += 1;
+            let version = versions.iter().find(|entry| entry.0 == event.request);
+            barred.check(span, event, version.map_or("", |entry| entry.1));
         }
     }
 
     /// Generations that an instance adopted after a later one.
-    pub(super) fn reverted(&self) -> Vec<Breach> {
+    pub fn reverted(&self) -> Vec<Breach> {
         let mut last: Vec<(&str, u64)> = Vec::new();
         let mut found = Vec::new();
         for event in self.0.iter().filter(|event| event.kind == "adopted") {
@@ -172,7 +201,7 @@
     }
 
     /// Answers that broke off at instances that were shut down gracefully.
-    pub(super) fn cut_off(&self, history: &History, caused: &[Caused]) -> Vec<Breach> {
+    pub fn cut_off(&self, history: &History, caused: &[Caused]) -> Vec<Breach> {
         let mut found = Vec::new();
         for exchange in &history.exchanges {
             for attempt in &exchange.attempts {
@@ -238,8 +267,35 @@
     since
 }
 
+/// Panics that instances told on standard error, in files of a folder with the extension `stderr`.
+///
+/// # Errors
+///
+/// The folder or a file can't be read.
+pub fn panics(folder: &Path) -> Result<Vec<Breach>> {
+    let mut found = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path
+            .extension()
+            .is_none_or(|extension| extension != "stderr")
+        {
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).context("standard error of an instance")?;
+        for line in text.lines().filter(|line| line.contains("panicked at")) {
+            let name = path.file_stem().unwrap_or_default().display();
+            found.push(Breach {
+                rule: "panicked",
+                detail: format!("{name}: {line}"),
+            });
+        }
+    }
+    Ok(found)
+}
+
 /// Keys that ran more than once at plain services, whether or not a caller was told.
-pub(super) fn repeated(calls: &[Call]) -> Vec<Breach> {
+pub fn repeated(calls: &[Call]) -> Vec<Breach> {
     let mut counts: Vec<(&str, u64)> = Vec::new();
     for call in calls.iter().filter(|call| !call.key.is_empty()) {
         match counts.binary_search_by_key(&&*call.key, |entry| entry.0) {
--- a/harness/src/soak/driver.rs
+++ b/harness/src/soak/driver.rs
@@ -3,7 +3,7 @@
 use super::audit::Breach;
 use super::balancer::Balancer;
 use super::edit::{ALL, Publisher};
-use super::plan::{ENGINES, Fault, PLAIN, Step};
+use super::plan::{Caused, ENGINES, Fault, PLAIN, Step};
 use super::watch;
 use crate::{Instance, Process, Signal, Standin, System};
 use anyhow::Result;
@@ -21,16 +21,9 @@
 /// Time between two looks at a replacement.
 const READY_POLL: Duration = Duration::from_millis(100);
 
-/// A fault as it was caused, with times in milliseconds since the Unix epoch.
-#[derive(Clone, Debug)]
-pub(super) struct Caused {
-    pub(super) begin: u64,
-    /// When it was lifted.
-    pub(super) end: u64,
-    pub(super) fault: Fault,
-    /// The instance that was signalled.
-    pub(super) instance: Option<String>,
-}
+/// How far apart two edits that race are among all edits; neighbours would take both zones of a
+/// region out.
+const RACE_STRIDE: usize = 2;
 
 /// Owns the system while faults are caused.
 pub(super) struct Driver {
@@ -173,15 +166,15 @@
         Some(switches)
     }
 
-    /// Two commands at once: this edit, and the next one the other way round and back.
+    /// Two commands at once put an edit and another one in, or take both back.
     fn race(&mut self, edit: usize, on: bool) {
         let publisher = self.publisher.clone();
         self.edits
             .spawn(async move { publisher.set(edit, on).await });
-        let other = (edit + 1) % ALL.len();
+        let other = (edit + RACE_STRIDE) % ALL.len();
         let publisher = self.publisher.clone();
         self.edits
-            .spawn(async move { publisher.set(other, !on).await });
+            .spawn(async move { publisher.set(other, on).await });
     }
 
     /// Puts a new instance in a slot and ends the old one. Returns the old one's name.
