Test configuration, roll-outs and retries over whole processes

Cause: races of operators, the brake, fresh instances and retry storms were tested in pure packages only. Change: tests/control.rs; status tells whether a roll-out is braked by the text in force, as the judge has it, and no longer by any brake ever known.

--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -9,7 +9,7 @@
 use crate::members::Reading;
 use adoption::Snapshot;
 use arc_swap::ArcSwap;
-use entity::Generation;
+use entity::{Generation, name};
 use fellow::message;
 use journal::{claimer, usage};
 use quality::Verdict;
@@ -30,6 +30,8 @@
     pub digest: message::Digest,
     /// Verdicts on roll-outs that are known.
     pub verdicts: Vec<Verdict>,
+    /// Services whose roll-out is braked, by the text in force and those verdicts.
+    pub braked: Vec<name::Service>,
 }
 
 /// What all parts of an instance share.
@@ -117,6 +119,7 @@
         self.told.store(Arc::new(Told {
             digest,
             verdicts: known.verdicts,
+            braked: known.braked,
         }));
     }
 
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -88,6 +88,8 @@
     pub suspicions: Vec<Suspicion>,
     /// Verdicts on roll-outs.
     pub verdicts: Vec<Verdict>,
+    /// Services whose roll-out is braked.
+    pub braked: Vec<name::Service>,
     /// This instance's sums of ratings.
     pub summaries: Vec<Summary>,
     /// What a leaving instance says of its slots.
@@ -510,11 +512,24 @@
         Knowledge {
             suspicions: self.balancer.suspicions(),
             verdicts: self.judge.verdicts(),
+            braked: self.braked(),
             summaries: self.judge.summaries(now),
             word: self.balancer.word(),
         }
     }
 
+    fn braked(&self) -> Vec<name::Service> {
+        let Some(snapshot) = &self.snapshot else {
+            return Vec::new();
+        };
+        let config = &snapshot.config;
+        let rollouts = config.rollouts.iter();
+        let braked = rollouts.filter(|one| self.judge.braked(one.service, one.to));
+        braked
+            .map(|one| config.services[one.service].name.clone())
+            .collect()
+    }
+
     fn watched(&self) -> Vec<name::Upstream> {
         let Some(snapshot) = &self.snapshot else {
             return Vec::new();
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -301,6 +301,7 @@
     let told = ArcSwap::from_pointee(Told {
         digest,
         verdicts: Vec::new(),
+        braked: Vec::new(),
     });
     let bounds = bounds(&settings);
     let context = Arc::new(Context {
--- a/crates/server/src/status.rs
+++ b/crates/server/src/status.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use entity::{Generation, Span, name};
 use journal::usage::Stats;
-use quality::Verdict as RolloutVerdict;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -53,7 +52,7 @@
     pub to: name::Version,
     /// The share in the text.
     pub share: entity::unit::Share,
-    /// Whether a brake is known.
+    /// Whether it is braked.
     pub braked: bool,
 }
 
@@ -146,7 +145,7 @@
         held: usage.held,
         cold: cold.collect(),
         zones_out: zones_out(context),
-        rollouts: rollouts(context, &told.verdicts),
+        rollouts: rollouts(context, &told.braked),
     }
 }
 
@@ -163,7 +162,7 @@
     out
 }
 
-fn rollouts(context: &Context, verdicts: &[RolloutVerdict]) -> Vec<Rollout> {
+fn rollouts(context: &Context, braked: &[name::Service]) -> Vec<Rollout> {
     let Some(snapshot) = context.snapshot() else {
         return Vec::new();
     };
@@ -172,12 +171,7 @@
     for rollout in &config.rollouts {
         let service = config.services[rollout.service].name.clone();
         let to = config.versions[rollout.to].name.clone();
-        let braked = verdicts.iter().any(|verdict| match verdict {
-            RolloutVerdict::Brake(brake) => {
-                brake.rollout.service == service && brake.rollout.to == to
-            }
-            RolloutVerdict::Lift(_) => false,
-        });
+        let braked = braked.contains(&service);
         let from = config.versions[rollout.from].name.clone();
         rollouts.push(Rollout {
             service,
--- a/harness/src/system.rs
+++ b/harness/src/system.rs
@@ -545,6 +545,11 @@
         Ok(())
     }
 
+    /// The generation that was published last.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// The upstream of a name.
     ///
     /// # Panics
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,38 +2,21 @@
 //!
 //! The stand-ins run inside of the test, the instances as processes of their own.
 
+mod support;
+
 use anyhow::{Context, Result, ensure};
 use googletest::prelude::*;
-use harness::{Http, Response, Signal, Stage, System, key};
+use harness::{Http, Response, Signal, System, key};
 use hyper::Method;
 use serde_json::{Value, json};
-use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use support::{edited, system};
 
 /// Longest wait for something that takes seconds.
 const LIMIT: Duration = Duration::from_secs(30);
 /// Time between two looks.
 const PAUSE: Duration = Duration::from_millis(100);
 
-async fn system(test: &str, instances: usize) -> Result<System> {
-    let text = std::fs::read_to_string("examples/demo.ini")?;
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
-    let _ = std::fs::remove_dir_all(&folder);
-    let program = Path::new(env!("CARGO_BIN_EXE_citrontrack"));
-    let mut system = System::start(&Stage::Inside, program, &text, &folder).await?;
-    for _ in 0..instances {
-        system.start_instance().await?;
-    }
-    let text = system.text.clone();
-    system.publish(&text).await?;
-    for instance in 0..instances {
-        let what = "all instances to be listed";
-        let all = |status: &Value| status["listed"].as_u64() == Some(instances as u64);
-        system.wait_for(instance, what, all).await?;
-    }
-    Ok(system)
-}
-
 fn uuid(number: u64) -> String {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -100,16 +83,6 @@
     }
 }
 
-/// Edits the published text.
-fn edited(system: &System, section: &str, from: &str, to: &str) -> String {
-    let (before, rest) = system
-        .text
-        .split_once(section)
-        .expect("the text has the section");
-    let rest = rest.replacen(from, to, 1);
-    format!("{before}{section}{rest}")
-}
-
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_holder_leaves_at_most_one_run() -> Result<()> {
