Rate what was asked in order to be rated, and nothing twice

Cause: answers of exploration were sampled at a tenth, and an answer rated for a cascade was sampled again, which counts it twice. Change: both.

--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -130,10 +130,12 @@
                 version = escalation.version;
                 steps.push(second.step);
                 answer = second.completion;
-                self.sample(version, &answer.text, true).await;
             }
-        } else {
-            self.sample(version, &answer.text, false).await;
+        }
+        // An answer that was rated for the cascade is not rated again, which would count it twice.
+        if assignment.escalate.is_none() {
+            self.sample(version, &answer.text, assignment.explored)
+                .await;
         }
         self.bill(version, steps).await.map_err(GivenUp::Refused)?;
         Ok(Reply::Whole(Whole {
@@ -196,13 +198,12 @@
         }
     }
 
-    /// Has an answer rated in the background, if it falls into the sample.
-    async fn sample(&self, version: id::Version, text: &str, escalated: bool) {
+    /// Has an answer rated in the background, if it falls into the sample or was asked for that.
+    async fn sample(&self, version: id::Version, text: &str, explored: bool) {
         let Some(rating) = &self.context.rating else {
             return;
         };
-        // Answers to escalated requests are rated apart; their scores come by another way.
-        if escalated || text.len() > MAX_RATED {
+        if text.len() > MAX_RATED {
             return;
         }
         let generation = self.snapshot.generation;
@@ -211,7 +212,8 @@
             .decider
             .sampling(self.service, version, generation)
             .await;
-        if share.is_ok_and(|share| rating::is_sampled(self.request.id, share)) {
+        let sampled = share.is_ok_and(|share| rating::is_sampled(self.request.id, share));
+        if explored || sampled {
             let _ = rating.submit(self.answer(version, text), self.context.scores.clone());
         }
     }
@@ -284,6 +286,7 @@
             sent,
             first_token,
             events,
+            explored: assignment.explored,
             text: String::new(),
             parts: 0,
         };
@@ -346,6 +349,7 @@
     sent: Instant,
     first_token: Span,
     events: mpsc::Sender<Event>,
+    explored: bool,
     text: String,
     parts: u64,
 }
@@ -447,7 +451,7 @@
         let run = self.run_of();
         run.measured(self.version, Span::from(self.sent.elapsed()), usage)
             .await;
-        run.sample(self.version, &self.text, false).await;
+        run.sample(self.version, &self.text, self.explored).await;
         self.context.decider.finish(self.choice, outcome).await;
     }
 
--- a/crates/server/src/version.rs
+++ b/crates/server/src/version.rs
@@ -12,7 +12,7 @@
 use fellow::message::{Assign, Body};
 use hyper::StatusCode;
 use hyper::header::{HeaderName, HeaderValue};
-use quality::{Class, Escalation};
+use quality::{Class, Escalation, Reason};
 use session::{Resolution, Token, resolve};
 
 /// The version of a request.
@@ -22,6 +22,8 @@
     pub version: id::Version,
     /// Whether to rate its answer first, and what to do if it is poor.
     pub escalate: Option<Escalation>,
+    /// Whether the version was chosen in order to be rated.
+    pub explored: bool,
     /// Headers that tell the caller about its session.
     pub headers: Vec<(HeaderName, HeaderValue)>,
 }
@@ -58,6 +60,7 @@
 ) -> Result<Assignment, Refusal> {
     let standing = standing(context, admitted, request).await?;
     let mut escalate = None;
+    let mut explored = false;
     let version = match standing.kept {
         Some(version) => version,
         None => {
@@ -65,6 +68,7 @@
             let version = at_home(context, admitted, request, plan.first, &standing).await;
             if version == plan.first {
                 escalate = plan.escalate;
+                explored = plan.reason == Reason::Exploration;
             }
             version
         }
@@ -73,6 +77,7 @@
     Ok(Assignment {
         version,
         escalate,
+        explored,
         headers,
     })
 }
