--- a/src/command/publish.rs
+++ b/src/command/publish.rs
@@ -1,6 +1,6 @@
 //! `citrontrack publish`: a text into force.
 
-use crate::command::{block_on, code, log, print, read_or_input};
+use crate::command::{FAILED, FINDINGS, block_on, log, print, read_or_input};
 use anyhow::Result;
 use argh::FromArgs;
 use entity::{Generation, Span};
@@ -51,6 +51,10 @@
         let report =
             block_on(async { Ok(operator::publish(&log, &request, &mut rand::rng()).await?) })?;
         print(&report, self.json)?;
-        Ok(code(matches!(report, Report::Accepted { .. })))
+        Ok(match report {
+            Report::Accepted { .. } => ExitCode::SUCCESS,
+            Report::Invalid { .. } | Report::Moved { .. } => ExitCode::from(FINDINGS),
+            Report::Unknown { .. } => ExitCode::from(FAILED),
+        })
     }
 }
