--- a/capacity/src/adoption.rs
+++ b/capacity/src/adoption.rs
@@ -7,8 +7,8 @@
 use std::mem::ManuallyDrop;
 use std::time::{Duration, Instant};
 
-/// Instances of each size.
-const SIZES: [usize; 3] = [10, 40, 160];
+/// Instances of each size; links to fellows take four descriptors each, which bounds them.
+const SIZES: [usize; 3] = [10, 40, 64];
 /// Changes under each condition.
 const CHANGES: usize = 2;
 /// Time between looks at the instances.
--- a/capacity/src/stage.rs
+++ b/capacity/src/stage.rs
@@ -19,7 +19,7 @@
 /// Threads of each runtime.
 const THREADS: usize = 2;
 /// Most upstreams that are reached through a meter, which takes four descriptors a connection.
-const METERED: usize = 30;
+pub const METERED: usize = 30;
 /// Longest wait for a configuration to be in force.
 const LIMIT: Duration = Duration::from_secs(60);
 
--- a/capacity/src/upstreams.rs
+++ b/capacity/src/upstreams.rs
@@ -1,9 +1,9 @@
 //! What an idle instance costs, by the number of upstreams that it watches.
 
 use crate::fit::Line;
-use crate::instances::{print, sample};
+use crate::instances::{Sample, print, sample};
 use crate::process::Process;
-use crate::stage::{Size, Stage, instance_runtime};
+use crate::stage::{METERED, Size, Stage, instance_runtime};
 use anyhow::Result;
 use std::mem::ManuallyDrop;
 use std::path::Path;
@@ -18,9 +18,21 @@
 /// Time over which a process of its own is measured.
 const WINDOW: Duration = Duration::from_secs(8);
 
-/// Upstreams that an instance watches.
-pub fn watched(upstreams: usize, versions: usize) -> usize {
-    versions * (upstreams / versions).min(routing::subset::SIZE)
+/// Reports that an instance asks an upstream for, a second.
+const REPORTS: f64 = 2.0;
+
+/// Upstreams in the subsets of an instance that owns no slot of another one.
+pub fn subset(upstreams: usize, versions: usize) -> usize {
+    let serving = |version| (upstreams + versions - 1 - version) / versions;
+    let used = (0..versions).map(|version| serving(version).min(routing::subset::SIZE));
+    used.sum()
+}
+
+/// Upstreams that a listed instance watches, by the reports asked for through the meters. With few
+/// instances, each owns slots of most upstreams, and watches these besides its subsets.
+fn watched(sample: &Sample, upstreams: usize) -> f64 {
+    let metered = upstreams.min(METERED) as f64;
+    sample.peers[3].messages / REPORTS / metered * upstreams as f64
 }
 
 /// Runs one real process against the stand-ins; prints and returns its memory and core share.
@@ -54,15 +66,17 @@
         let stage = Stage::open(size, &runtime).await?;
         tokio::time::sleep(SETTLE).await;
         let samples = sample(&stage, 3).await;
-        let watched = watched(upstreams, versions);
-        println!("upstreams {upstreams}, versions {versions}, watched {watched}, per instance:");
+        let subset = subset(upstreams, versions);
+        println!("upstreams {upstreams}, versions {versions}, in subsets {subset}, per instance:");
         print(&samples);
         for sample in &samples {
-            cores.push((watched as f64, sample.core * 100.0));
+            let watched = watched(sample, upstreams);
+            println!("  watched {watched:.0}");
+            cores.push((watched, sample.core * 100.0));
         }
         let (memory, core) = real(&stage, program).await?;
-        memories.push((watched as f64, memory));
-        process_cores.push((watched as f64, core));
+        memories.push((subset as f64, memory));
+        process_cores.push((subset as f64, core));
         stage.close();
         ManuallyDrop::into_inner(runtime).shutdown_background();
     }
--- a/capacity/tests/fit.rs
+++ b/capacity/tests/fit.rs
@@ -35,3 +35,10 @@
     expect_that!(spread.most, eq(3.0));
     expect_that!(Spread::of(&[]), none());
 }
+
+#[gtest]
+fn a_subset_holds_at_most_sixteen_of_each_version() {
+    expect_that!(capacity::upstreams::subset(30, 5), eq(30));
+    expect_that!(capacity::upstreams::subset(30, 25), eq(30));
+    expect_that!(capacity::upstreams::subset(800, 25), eq(400));
+}
