Open a link again that the fellow closed, and close idle ones

Cause: a connection silent for a minute was closed by its fellow, and the next question on it failed: a digest counted as unanswered, which feeds the rule of isolation, and a usage record was not held. Change: a link asks once more on a new connection where the open one has broken, and closes after 15 s without a question; an instance goes by the list for at least three reads, where a poll above a second left it no fresh list at all. Measured: a_connection_that_the_fellow_closed_is_opened_again fails before (the second question) and passes after.

--- a/crates/fellow/src/link.rs
+++ b/crates/fellow/src/link.rs
@@ -5,12 +5,15 @@
 use crate::secret::Secret;
 use entity::Span;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 /// Most questions that wait for one fellow.
 const QUEUE: usize = 64;
+/// How long a connection is kept without a question; the fellow's own limit is longer.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
 
 /// Why there is no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -92,7 +95,17 @@
 
 impl Connection {
     async fn run(mut self, mut queue: mpsc::Receiver<Question>) {
-        while let Some(Question { body, reply }) = queue.recv().await {
+        loop {
+            let next = tokio::time::timeout(IDLE_LIMIT, queue.recv()).await;
+            let Question { body, reply } = match next {
+                Ok(Some(question)) => question,
+                Ok(None) => return,
+                // A large system has many fellows, each of which is rarely asked.
+                Err(_) => {
+                    self.stream = None;
+                    continue;
+                }
+            };
             if reply.is_closed() {
                 continue;
             }
@@ -107,12 +120,20 @@
         }
     }
 
+    /// Asks on the open connection, or on a new one where there is none or it has broken. Every
+    /// message may arrive twice: what it tells is the same, or is told apart by its ids.
     async fn exchange(&mut self, body: Body) -> Result<Body, Error> {
+        if let Some(stream) = self.stream.take()
+            && let Ok(answer) = self.ask_on(stream, body.clone()).await
+        {
+            return Ok(answer);
+        }
+        let stream = self.connect().await?;
+        self.ask_on(stream, body).await
+    }
+
+    async fn ask_on(&mut self, mut stream: TcpStream, body: Body) -> Result<Body, Error> {
         let failed = |error: frame::Error| Error::Connection(error.to_string().into());
-        let mut stream = match self.stream.take() {
-            Some(stream) => stream,
-            None => self.connect().await?,
-        };
         self.number += 1;
         let question = Envelope::new(self.number, body);
         frame::write(&mut stream, &self.secret, &question)
--- a/crates/fellow/tests/frames.rs
+++ b/crates/fellow/tests/frames.rs
@@ -101,6 +101,28 @@
     expect_that!(link.ask(pull(2)).await, ok(eq(&Body::Done(Done::new(2)))));
 }
 
+/// Answers one question on each connection and closes it.
+async fn forgetful(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let question = frame::read(&mut stream, &secret()).await.unwrap();
+        let answer = Envelope::new(question.number, question.body);
+        frame::write(&mut stream, &secret(), &answer).await.unwrap();
+    }
+}
+
+#[googletest::test]
+#[tokio::test]
+async fn a_connection_that_the_fellow_closed_is_opened_again() {
+    let cancel = CancellationToken::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = link(listener.local_addr().unwrap(), secret(), &cancel);
+    tokio::spawn(forgetful(listener));
+    for number in 0..3 {
+        expect_that!(link.ask(pull(number)).await, ok(eq(&pull(number))));
+    }
+}
+
 #[googletest::test]
 #[tokio::test]
 async fn a_frame_out_of_bounds_is_refused_unread() {
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -46,6 +46,8 @@
 const CLAIM_PATIENCE: Span = Span::from_secs(3);
 /// When callers come back while the log is out.
 const LOG_WAIT: Span = Span::from_secs(5);
+/// Reads of the instance list within the time that an instance goes by one of them.
+const READS_FRESH: u64 = 3;
 /// Time between two looks at whether the rating service is out.
 const RATING_PERIOD: Duration = Duration::from_millis(500);
 /// Scores that may wait.
@@ -249,10 +251,15 @@
     Server::bind(address, limits, handler, cancel.clone()).await
 }
 
+/// Bounds of the slot protocol. A list that is read rarely has to be gone by for longer, so that
+/// settings of the list are the same at all instances.
 fn bounds(settings: &Settings) -> Bounds {
+    let reads = Span::from_micros(READS_FRESH * settings.instances.poll.as_micros());
+    let default = Bounds::default();
     Bounds {
         lag: settings.instances.lag,
-        ..Bounds::default()
+        fresh: default.fresh.max(reads),
+        ..default
     }
 }
 
