--- a/crates/claims/src/fold.rs
+++ b/crates/claims/src/fold.rs
@@ -41,6 +41,8 @@
     Held(request::Id),
     /// The key was run and answered.
     Settled(&'a Answer),
+    /// A record that this release can't read is about the key: it may be held or settled.
+    Foreign,
 }
 
 #[derive(Clone, Debug)]
@@ -55,7 +57,10 @@
     key: Key,
     fingerprint: Option<Digest>,
     holder: Option<request::Id>,
-    answer: Option<Answer>,
+    /// Boxed, because most keys that are open have none.
+    answer: Option<Box<Answer>>,
+    /// Whether a record that this release can't read is about the key.
+    foreign: bool,
     /// Sendings up to this one can't win any more.
     excluded: Sending,
     /// Sorted by id. Each attempt is decided by its first record: later copies change nothing.
@@ -70,6 +75,7 @@
             fingerprint: None,
             holder: None,
             answer: None,
+            foreign: false,
             excluded: Sending::UNNUMBERED,
             attempts: Vec::new(),
             last_ms: 0,
@@ -87,7 +93,7 @@
         if mismatched {
             return Standing::Mismatched;
         }
-        if self.holder.is_some() || self.answer.is_some() {
+        if self.foreign || self.holder.is_some() || self.answer.is_some() {
             return Standing::Lost;
         }
         if self.excluded.is_numbered() && claim.sending <= self.excluded {
@@ -135,7 +141,7 @@
         // The claim itself may have expired from the log before this reader began.
         self.holder = Some(outcome.attempt);
         self.fingerprint = Some(outcome.fingerprint);
-        self.answer = Some(outcome.answer.clone());
+        self.answer = Some(Box::new(outcome.answer.clone()));
     }
 }
 
@@ -194,6 +200,7 @@
             Record::Claim(claim) => entry.claim(claim, at),
             Record::Release(release) => entry.release(release, at),
             Record::Outcome(outcome) => entry.settle(outcome),
+            Record::Foreign(_) => entry.foreign = true,
         }
     }
 
@@ -223,6 +230,9 @@
         if let Some(answer) = &entry.answer {
             return Status::Settled(answer);
         }
+        if entry.foreign {
+            return Status::Foreign;
+        }
         entry.holder.map_or(Status::Free, Status::Held)
     }
 
@@ -246,7 +256,7 @@
         let Some(entry) = self.get(key) else {
             return false;
         };
-        let unheld = entry.holder.is_none() && entry.answer.is_none();
+        let unheld = entry.holder.is_none() && entry.answer.is_none() && !entry.foreign;
         sending.is_numbered() && sending <= entry.excluded && unheld
     }
 
@@ -260,8 +270,8 @@
         self.len() == 0
     }
 
-    /// Drops keys whose last record is older than `before_ms`, which must not be after the log's
-    /// own bound of retention.
+    /// Drops keys whose last record is older than `before_ms`: the log's time less
+    /// [`Window::memory`](crate::Window::memory), so that no later claim of them is in its window.
     pub fn forget(&mut self, before_ms: u64) {
         for bucket in &mut self.buckets {
             bucket.retain(|entry| entry.last_ms >= before_ms);
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -50,6 +50,8 @@
     pub address: SocketAddr,
     /// On what ground the dispatch is allowed.
     pub grant: Grant,
+    /// When it was made; it is to be sent within the slack of the slots' bounds.
+    pub made: Moment,
     /// The moment after which the dispatch has to be ended, whatever its caller's deadline.
     pub end: Moment,
     pub(crate) ticket: u64,
@@ -58,7 +60,20 @@
     pub(crate) service: id::Service,
     pub(crate) version: Option<id::Version>,
     pub(crate) organisation: id::Organisation,
-    pub(crate) priority: Priority,
+    /// How urgent the upstream should take it to be.
+    pub priority: Priority,
+}
+
+impl Choice {
+    /// The service, the version if it is for one, and the organisation that it was made for.
+    pub fn names(&self) -> (&name::Service, Option<&name::Version>, &name::Organisation) {
+        (
+            &self.config.services[self.service].name,
+            self.version
+                .map(|version| &self.config.versions[version].name),
+            &self.config.organisations[self.organisation].name,
+        )
+    }
 }
 
 /// Why no upstream can take a request now; nothing of it has left the instance.
--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -12,7 +12,6 @@
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use routing::{Choice, Outcome, Priority};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use timeline::{Counter, Kind, Timer};
 use tokio::sync::mpsc;
@@ -93,7 +92,7 @@
     }
 
     /// The body for an engine: the version in place of the service, and usage asked for.
-    fn call(&self, version: id::Version, end: Instant) -> upstream::Chat {
+    fn call(&self, version: id::Version, priority: Priority, end: Instant) -> upstream::Chat {
         let mut body = self.chat.body.clone();
         let name = self.snapshot.config.versions[version].name.as_str();
         body.insert("model".to_owned(), name.into());
@@ -102,11 +101,10 @@
             body.insert("stream_options".to_owned(), options);
         }
         let body = serde_json::to_vec(&body).unwrap_or_default().into();
-        let priority = u8::from(!self.request.live);
         upstream::Chat {
             id: self.request.id,
             body,
-            priority,
+            priority: priority.0,
             deadline: end,
         }
     }
@@ -132,10 +130,12 @@
                 version = escalation.version;
                 steps.push(second.step);
                 answer = second.completion;
-                self.sample(version, &answer.text, true).await;
             }
-        } else {
-            self.sample(version, &answer.text, false).await;
+        }
+        // An answer that was rated for the cascade is not rated again, which would count it twice.
+        if assignment.escalate.is_none() {
+            self.sample(version, &answer.text, assignment.explored)
+                .await;
         }
         self.bill(version, steps).await.map_err(GivenUp::Refused)?;
         Ok(Reply::Whole(Whole {
@@ -198,13 +198,12 @@
         }
     }
 
-    /// Has an answer rated in the background, if it falls into the sample.
-    async fn sample(&self, version: id::Version, text: &str, escalated: bool) {
+    /// Has an answer rated in the background, if it falls into the sample or was asked for that.
+    async fn sample(&self, version: id::Version, text: &str, explored: bool) {
         let Some(rating) = &self.context.rating else {
             return;
         };
-        // Answers to escalated requests are rated apart; their scores come by another way.
-        if escalated || text.len() > MAX_RATED {
+        if text.len() > MAX_RATED {
             return;
         }
         let generation = self.snapshot.generation;
@@ -213,7 +212,8 @@
             .decider
             .sampling(self.service, version, generation)
             .await;
-        if share.is_ok_and(|share| rating::is_sampled(self.request.id, share)) {
+        let sampled = share.is_ok_and(|share| rating::is_sampled(self.request.id, share));
+        if explored || sampled {
             let _ = rating.submit(self.answer(version, text), self.context.scores.clone());
         }
     }
@@ -286,6 +286,7 @@
             sent,
             first_token,
             events,
+            explored: assignment.explored,
             text: String::new(),
             parts: 0,
         };
@@ -306,9 +307,9 @@
 impl Dispatch for Complete<'_> {
     type Value = Completion;
 
-    async fn dispatch(&self, address: SocketAddr, end: Instant) -> Result<Completion, Failure> {
-        let call = self.run.call(self.version, end);
-        self.run.context.pool.complete(address, &call).await
+    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Completion, Failure> {
+        let call = self.run.call(self.version, choice.priority, end);
+        self.run.context.pool.complete(choice.address, &call).await
     }
 }
 
@@ -321,9 +322,9 @@
 impl Dispatch for Open<'_> {
     type Value = (upstream::Stream, Option<Chunk>);
 
-    async fn dispatch(&self, address: SocketAddr, end: Instant) -> Result<Self::Value, Failure> {
-        let call = self.run.call(self.version, end);
-        let mut stream = self.run.context.pool.stream(address, &call).await?;
+    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Self::Value, Failure> {
+        let call = self.run.call(self.version, choice.priority, end);
+        let mut stream = self.run.context.pool.stream(choice.address, &call).await?;
         let first = stream.next().await?;
         Ok((stream, first))
     }
@@ -348,6 +349,7 @@
     sent: Instant,
     first_token: Span,
     events: mpsc::Sender<Event>,
+    explored: bool,
     text: String,
     parts: u64,
 }
@@ -449,7 +451,7 @@
         let run = self.run_of();
         run.measured(self.version, Span::from(self.sent.elapsed()), usage)
             .await;
-        run.sample(self.version, &self.text, false).await;
+        run.sample(self.version, &self.text, self.explored).await;
         self.context.decider.finish(self.choice, outcome).await;
     }
 
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -9,7 +9,7 @@
 use crate::members::Reading;
 use adoption::Snapshot;
 use arc_swap::ArcSwap;
-use entity::Generation;
+use entity::{Generation, name};
 use fellow::message;
 use journal::{claimer, usage};
 use quality::Verdict;
@@ -30,6 +30,8 @@
     pub digest: message::Digest,
     /// Verdicts on roll-outs that are known.
     pub verdicts: Vec<Verdict>,
+    /// Services whose roll-out is braked, by the text in force and those verdicts.
+    pub braked: Vec<name::Service>,
 }
 
 /// What all parts of an instance share.
@@ -91,11 +93,13 @@
     /// The digest to tell a fellow now.
     pub fn digest(&self) -> message::Digest {
         let mut digest = self.told.load().digest.clone();
-        digest.generation = self.generation().0 as i64;
+        // The age is read first: a later generation with an older age is true, the other way round
+        // would tell a fellow that this generation was the last one a moment ago.
         digest.log_age_ms = self
             .contact
             .log_age()
             .map(|age| (age.as_micros() / 1000) as i64);
+        digest.generation = self.generation().0 as i64;
         digest.clock = self.recorder.timestamp().to_bits() as i64;
         digest
     }
@@ -115,6 +119,7 @@
         self.told.store(Arc::new(Told {
             digest,
             verdicts: known.verdicts,
+            braked: known.braked,
         }));
     }
 
@@ -122,7 +127,9 @@
     pub async fn take(&self, heard: Heard) {
         // A fellow whose clock is far ahead is not followed; its news count all the same.
         let _ = self.recorder.observe(heard.clock);
-        if let Some(read) = heard.log {
+        // A fellow with a later generation knows that this instance has missed something.
+        let known = heard.generation <= self.generation();
+        if let Some(read) = heard.log.filter(|_| known) {
             self.contact.heard_log(read);
         }
         self.decider.news(heard.news).await;
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -3,16 +3,24 @@
 //! Requests ask by message, so that each decision is made on one state, and nothing is locked.
 
 use crate::clock::Clock;
+use crate::waiting::{Reply, Waiting};
 use adoption::Snapshot;
 use entity::unit::{Bytes, Share, Tokens};
 use entity::{Generation, Moment, Span, id, name};
+use quality::totals::Telling;
 use quality::{Judge, Plan, Rating, Summary, Verdict};
+use routing::reserve;
 use routing::slots::Ceased;
 use routing::{Balancer, Bounds, Choice, Load, Members, Outcome, Priority, Suspicion};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+/// Time between two looks at requests that wait, beside those when an upstream becomes free.
+const TICK: Duration = Duration::from_millis(20);
+/// Totals that are told at once.
+const TOLD_TOTALS: usize = 4;
 /// Messages that may wait.
 const QUEUE: usize = 4096;
 
@@ -80,6 +88,8 @@
     pub suspicions: Vec<Suspicion>,
     /// Verdicts on roll-outs.
     pub verdicts: Vec<Verdict>,
+    /// Services whose roll-out is braked.
+    pub braked: Vec<name::Service>,
     /// This instance's sums of ratings.
     pub summaries: Vec<Summary>,
     /// What a leaving instance says of its slots.
@@ -95,6 +105,8 @@
     pub verdicts: Vec<Verdict>,
     /// Sums of ratings.
     pub summaries: Vec<Summary>,
+    /// Totals of a fellow's ratings.
+    pub totals: Vec<Telling>,
     /// What a leaving instance says of its slots.
     pub word: Option<Ceased>,
 }
@@ -106,7 +118,6 @@
     Plan(Wish, oneshot::Sender<Option<Plan>>),
     Usable(id::Service, id::Version, Generation, oneshot::Sender<bool>),
     Choose(Box<Want>, oneshot::Sender<Result<Choice, routing::Refusal>>),
-    Recheck(Choice, oneshot::Sender<Result<Choice, routing::Refusal>>),
     Finish(Choice, Outcome),
     Retry(u32, Moment, oneshot::Sender<Option<Span>>),
     Rated(Rated),
@@ -115,6 +126,9 @@
     News(Box<News>),
     Knowledge(oneshot::Sender<Knowledge>),
     Watched(oneshot::Sender<Vec<name::Upstream>>),
+    RatingsOut(bool),
+    Totals(oneshot::Sender<Vec<Telling>>),
+    Reserves(oneshot::Sender<Vec<reserve::Usage>>),
     Leave,
 }
 
@@ -196,18 +210,6 @@
             .await
     }
 
-    /// Applies every filter to a choice again. A choice that is refused has been given back.
-    ///
-    /// # Errors
-    ///
-    /// The outer one: the instance is closing. The inner one: the choice no longer holds.
-    pub async fn recheck(
-        &self,
-        choice: Choice,
-    ) -> Result<Result<Choice, routing::Refusal>, Closed> {
-        self.ask(|reply| Message::Recheck(choice, reply)).await
-    }
-
     /// Gives a choice back.
     pub async fn finish(&self, choice: Choice, outcome: Outcome) {
         self.tell(Message::Finish(choice, outcome)).await;
@@ -278,6 +280,29 @@
         self.ask(Message::Watched).await
     }
 
+    /// Totals of this instance's ratings that have news, each told once.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn totals(&self) -> Result<Vec<Telling>, Closed> {
+        self.ask(Message::Totals).await
+    }
+
+    /// Takes in whether the rating service counts as out.
+    pub async fn ratings_out(&self, out: bool) {
+        self.tell(Message::RatingsOut(out)).await;
+    }
+
+    /// What became of each organisation's reserve at this instance since it started.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn reserves(&self) -> Result<Vec<reserve::Usage>, Closed> {
+        self.ask(Message::Reserves).await
+    }
+
     /// Gives up all slots of cold upstreams, at the begin of a shutdown.
     pub async fn leave(&self) {
         self.tell(Message::Leave).await;
@@ -296,6 +321,8 @@
     pub bounds: Bounds,
     /// Seed of its random choices.
     pub seed: u64,
+    /// Most requests that wait for one pool of upstreams.
+    pub queue: usize,
     /// The clock.
     pub clock: Clock,
     /// Takes verdicts that were reached here.
@@ -306,6 +333,7 @@
 pub fn spawn(parts: Parts, cancel: CancellationToken) -> Handle {
     let (messages, queue) = mpsc::channel(QUEUE);
     let task = Task {
+        waiting: Waiting::new(parts.own.clone(), parts.queue),
         balancer: Balancer::new(parts.own, parts.zone, parts.bounds, parts.seed),
         judge: Judge::new(parts.seed, &parts.life),
         snapshot: None,
@@ -322,6 +350,7 @@
 }
 
 struct Task {
+    waiting: Waiting,
     balancer: Balancer,
     judge: Judge,
     snapshot: Option<Arc<Snapshot>>,
@@ -331,8 +360,18 @@
 
 impl Task {
     async fn run(mut self, mut queue: mpsc::Receiver<Message>) {
-        while let Some(message) = queue.recv().await {
-            self.take(message);
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = queue.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = ticks.tick(), if self.waiting.len() > 0 => {
+                    self.waiting.drain(&mut self.balancer, self.clock.now());
+                }
+            }
             for verdict in self.judge.take_verdicts() {
                 let _ = self.verdicts.send(verdict);
             }
@@ -350,7 +389,10 @@
         match message {
             Message::Configure(snapshot) => self.configure(snapshot, now),
             Message::Members(members, begun, ended) => self.members(members, begun, ended),
-            Message::Load(upstream, load) => self.balancer.load(&upstream, load, now),
+            Message::Load(upstream, load) => {
+                self.balancer.load(&upstream, load, now);
+                self.waiting.drain(&mut self.balancer, now);
+            }
             Message::Plan(wish, reply) => {
                 let _ = reply.send(self.plan(&wish, now));
             }
@@ -358,10 +400,11 @@
                 let current = generation == self.generation();
                 let _ = reply.send(current && !self.judge.braked(service, version));
             }
-            Message::Choose(want, reply) => self.choose(&want, now, reply),
-            Message::Recheck(choice, reply) => self.recheck(choice, now, reply),
+            Message::Choose(want, reply) => self.choose(want, now, reply),
             Message::Finish(choice, outcome) => {
+                self.waiting.ended(&choice, now);
                 self.balancer.finish(choice, outcome, now);
+                self.waiting.drain(&mut self.balancer, now);
             }
             Message::Retry(retry, deadline, reply) => {
                 let _ = reply.send(self.balancer.retry(retry, deadline, now));
@@ -373,7 +416,7 @@
             Message::Sampling(service, version, generation, reply) => {
                 let current = generation == self.generation();
                 let share = if current {
-                    self.judge.sampling(service, version)
+                    self.judge.sampling(service, version, now)
                 } else {
                     Share::NONE
                 };
@@ -386,6 +429,13 @@
             Message::Watched(reply) => {
                 let _ = reply.send(self.watched());
             }
+            Message::Totals(reply) => {
+                let _ = reply.send(self.judge.tell(TOLD_TOTALS));
+            }
+            Message::RatingsOut(out) => self.judge.set_ratings_out(out),
+            Message::Reserves(reply) => {
+                let _ = reply.send(self.waiting.reserves(now));
+            }
             Message::Leave => self.balancer.leave(now),
         }
     }
@@ -394,6 +444,7 @@
         self.balancer
             .configure(&snapshot.config, snapshot.generation, now);
         self.judge.configure(&snapshot.config, snapshot.generation);
+        self.waiting.configure(&snapshot.config, now);
         self.snapshot = Some(snapshot);
     }
 
@@ -401,6 +452,7 @@
         let live = u32::try_from(members.live.len()).unwrap_or(u32::MAX).max(1);
         self.judge
             .set_viewers(live.max(quality::judge::DEFAULT_VIEWERS));
+        self.waiting.members(members.live.clone(), ended);
         self.balancer.members(members, begun, ended);
     }
 
@@ -420,47 +472,11 @@
         })
     }
 
-    fn choose(
-        &mut self,
-        want: &Want,
-        now: Moment,
-        reply: oneshot::Sender<Result<Choice, routing::Refusal>>,
-    ) {
+    fn choose(&mut self, want: Box<Want>, now: Moment, reply: Reply) {
         if want.excluded.is_empty() {
             self.balancer.request(now);
         }
-        let query = routing::Query {
-            generation: want.generation,
-            service: want.service,
-            version: want.version,
-            organisation: want.organisation,
-            prompt: want.prompt,
-            prefix: want.prefix,
-            priority: want.priority,
-            excluded: &want.excluded,
-            deadline: want.deadline,
-        };
-        let chosen = self.balancer.choose(&query, now);
-        // An asker that has gone can't give its choice back.
-        if let Err(Ok(choice)) = reply.send(chosen) {
-            self.balancer.finish(choice, Outcome::Cancelled, now);
-        }
-    }
-
-    fn recheck(
-        &mut self,
-        choice: Choice,
-        now: Moment,
-        reply: oneshot::Sender<Result<Choice, routing::Refusal>>,
-    ) {
-        if let Err(refusal) = self.balancer.recheck(&choice, now) {
-            self.balancer.finish(choice, Outcome::Cancelled, now);
-            let _ = reply.send(Err(refusal));
-            return;
-        }
-        if let Err(Ok(choice)) = reply.send(Ok(choice)) {
-            self.balancer.finish(choice, Outcome::Cancelled, now);
-        }
+        self.waiting.choose(want, reply, &mut self.balancer, now);
     }
 
     fn rated(&mut self, rated: &Rated, now: Moment) {
@@ -484,6 +500,9 @@
         for summary in &news.summaries {
             self.judge.merge(summary, now);
         }
+        for telling in &news.totals {
+            self.judge.hear(telling, now);
+        }
         if let Some(word) = &news.word {
             self.balancer.ceased(word.clone(), now);
         }
@@ -493,11 +512,24 @@
         Knowledge {
             suspicions: self.balancer.suspicions(),
             verdicts: self.judge.verdicts(),
+            braked: self.braked(),
             summaries: self.judge.summaries(now),
             word: self.balancer.word(),
         }
     }
 
+    fn braked(&self) -> Vec<name::Service> {
+        let Some(snapshot) = &self.snapshot else {
+            return Vec::new();
+        };
+        let config = &snapshot.config;
+        let rollouts = config.rollouts.iter();
+        let braked = rollouts.filter(|one| self.judge.braked(one.service, one.to));
+        braked
+            .map(|one| config.services[one.service].name.clone())
+            .collect()
+    }
+
     fn watched(&self) -> Vec<name::Upstream> {
         let Some(snapshot) = &self.snapshot else {
             return Vec::new();
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -8,9 +8,9 @@
 use crate::front::{Desk, Front};
 use crate::links::Links;
 use crate::replica::Fellows;
-use crate::{configuration, digest, gossip, loads, members, verdicts};
+use crate::{configuration, digest, gossip, loads, members, reserves, verdicts};
 use adoption::Step;
-use anyhow::{Context as _, Result};
+use anyhow::{Context as _, Result, ensure};
 use arc_swap::ArcSwap;
 use caller::{Handler, Limits, Server};
 use claims::window::Window;
@@ -46,6 +46,10 @@
 const CLAIM_PATIENCE: Span = Span::from_secs(3);
 /// When callers come back while the log is out.
 const LOG_WAIT: Span = Span::from_secs(5);
+/// Reads of the instance list within the time that an instance goes by one of them.
+const READS_FRESH: u64 = 3;
+/// Time between two looks at whether the rating service is out.
+const RATING_PERIOD: Duration = Duration::from_millis(500);
 /// Scores that may wait.
 const SCORES: usize = 256;
 /// How long an instance that is shut down answers with its readiness before it stops to listen.
@@ -247,10 +251,15 @@
     Server::bind(address, limits, handler, cancel.clone()).await
 }
 
+/// Bounds of the slot protocol. A list that is read rarely has to be gone by for longer, so that
+/// settings of the list are the same at all instances.
 fn bounds(settings: &Settings) -> Bounds {
+    let reads = Span::from_micros(READS_FRESH * settings.instances.poll.as_micros());
+    let default = Bounds::default();
     Bounds {
         lag: settings.instances.lag,
-        ..Bounds::default()
+        fresh: default.fresh.max(reads),
+        ..default
     }
 }
 
@@ -289,7 +298,7 @@
         usage::Policy::default(),
         stopping.clone(),
     );
-    let claims = open_claims(&settings, &log, &committer, stopping);
+    let claims = open_claims(&settings, &log, &committer, stopping)?;
     let (scores, scored) = mpsc::channel(SCORES);
     let rating = settings
         .rating
@@ -299,6 +308,7 @@
     let told = ArcSwap::from_pointee(Told {
         digest,
         verdicts: Vec::new(),
+        braked: Vec::new(),
     });
     let bounds = bounds(&settings);
     let context = Arc::new(Context {
@@ -347,26 +357,27 @@
     log: &logs::Client,
     committer: &committer::Handle,
     stopping: &CancellationToken,
-) -> claimer::Handle<logs::Client> {
+) -> Result<claimer::Handle<logs::Client>> {
     // A key lives for less than the retention by more than the clocks may differ.
     let margin = Span::from_micros(2 * KEY_SKEW.as_micros());
-    let retention = settings
-        .log
-        .retention
-        .max(Span::from_micros(2 * margin.as_micros()));
+    let retention = settings.log.retention;
+    ensure!(
+        margin < retention,
+        "[log] retention = {retention} is too short: claims on keys need more than {margin}"
+    );
     let policy = claimer::Policy {
         window: Window::new(retention, margin, KEY_SKEW),
         patience: CLAIM_PATIENCE,
         retry_after: LOG_WAIT,
     };
     let own = settings.instance.name.clone();
-    claimer::open(
+    Ok(claimer::open(
         log.clone(),
         committer.clone(),
         own,
         policy,
         stopping.clone(),
-    )
+    ))
 }
 
 fn follow_configuration(
@@ -391,12 +402,6 @@
 
 fn note(recorder: &Recorder, step: &Step) {
     match step {
-        Step::Accepted { snapshot, .. } => {
-            let draft = recorder
-                .event(Kind::Adopted)
-                .count("generation", snapshot.generation.0);
-            draft.text("author", &snapshot.author).record();
-        }
         Step::Rejected { offset, author, .. } => {
             let draft = recorder.event(Kind::Rejected).count("offset", offset.0);
             draft.text("author", author).record();
@@ -415,7 +420,18 @@
                 .text("failure", "two sources disagree about a generation")
                 .record();
         }
-        Step::Malformed { .. } | Step::Started { .. } | Step::Restarted { .. } => {}
+        Step::Restarted { first } => {
+            let draft = recorder.event(Kind::Outage).count("first", first.0);
+            draft
+                .text("failure", "records of the configuration expired unread")
+                .record();
+        }
+        Step::Malformed { offset } => {
+            let draft = recorder.event(Kind::Rejected).count("offset", offset.0);
+            draft.text("failure", "not a record").record();
+        }
+        // What is in force is recorded when it changes, whoever told it.
+        Step::Accepted { .. } | Step::Started { .. } => {}
     }
 }
 
@@ -432,6 +448,7 @@
         zone: own.zone.clone(),
         life: format!("{}/{seed:016x}", own.name).into(),
         bounds: bounds(settings),
+        queue: settings.limits.queue as usize,
         seed,
         clock,
         verdicts: reached,
@@ -450,6 +467,8 @@
     run(Box::pin(couple_configuration(context.clone())) as Task);
     run(Box::pin(couple_members(context.clone(), committer)) as Task);
     run(Box::pin(couple_scores(context.clone(), scores)) as Task);
+    run(Box::pin(reserves::report(context.clone())) as Task);
+    run(Box::pin(couple_ratings(context.clone())) as Task);
 }
 
 type Task = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
@@ -459,6 +478,11 @@
     loop {
         let snapshot = in_force.borrow_and_update().clone();
         if let Some(snapshot) = snapshot {
+            let draft = context.recorder.event(Kind::Adopted);
+            draft
+                .count("generation", snapshot.generation.0)
+                .text("author", &snapshot.author)
+                .record();
             context.decider.configure(snapshot).await;
             context.refresh_digest().await;
         }
@@ -511,3 +535,18 @@
         context.decider.rated(rated).await;
     }
 }
+
+/// Tells the decider whether ratings come, so that no answer is held back for one in vain.
+async fn couple_ratings(context: Arc<Context>) {
+    let Some(rating) = &context.rating else {
+        return;
+    };
+    let mut out = false;
+    loop {
+        tokio::time::sleep(RATING_PERIOD).await;
+        if rating.is_out() != out {
+            out = rating.is_out();
+            context.decider.ratings_out(out).await;
+        }
+    }
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -23,9 +23,11 @@
 mod once;
 mod plain;
 mod replica;
+mod reserves;
 pub mod status;
 mod tries;
 mod verdicts;
 mod version;
+mod waiting;
 
 pub use instance::Instance;
