Append through a few writers in a large system

Cause: with 320 instances each would be left one append a second, over all streams, so that claims would wait for close to their patience of 3 s (read from the code in docs/CAPACITY.md); the log takes several hundred appends a second. Change: above 16 live instances, 8 writers found by rendezvous hashing commit the batches of the others with their own; a batch that takes too long is given up by the writer and tried again by its owner, at the next writer. Weighed: a stream for each writer (readers would follow eight times as many), and fewer claim partitions (does nothing for usage). An answer that a closing link lost no longer counts as not sent.

--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -98,6 +98,17 @@
   1: required string owner,
 }
 
+/** Asks a writer to append a batch of records, which is a JSON array. */
+struct Append {
+  1: required string stream,
+  2: required binary batch,
+}
+
+/** Where a batch was appended, together with those of others. */
+struct Appended {
+  1: required i64 offset,
+}
+
 struct Done {
   1: required i32 count,
 }
@@ -119,6 +130,8 @@
   10: Verdicts verdicts,
   11: Evidence evidence,
   12: Orphan orphan,
+  13: Append append,
+  14: Appended appended,
 }
 
 /** One message; an answer bears the number of its question. */
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -1100,6 +1100,132 @@
   }
 }
 
+//
+// Append
+//
+
+/// Asks a writer to append a batch of records, which is a JSON array.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Append {
+  pub stream: String,
+  pub batch: Vec<u8>,
+}
+
+impl Append {
+  pub fn new(stream: String, batch: Vec<u8>) -> Append {
+    Append {
+      stream,
+      batch,
+    }
+  }
+}
+
+impl TSerializable for Append {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Append> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_bytes()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Append.stream", &f_1)?;
+    verify_required_field_exists("Append.batch", &f_2)?;
+    let ret = Append {
+      stream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      batch: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Append");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("stream", TType::String, 1))?;
+    o_prot.write_string(&self.stream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("batch", TType::String, 2))?;
+    o_prot.write_bytes(&self.batch)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Appended
+//
+
+/// Where a batch was appended, together with those of others.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Appended {
+  pub offset: i64,
+}
+
+impl Appended {
+  pub fn new(offset: i64) -> Appended {
+    Appended {
+      offset,
+    }
+  }
+}
+
+impl TSerializable for Appended {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Appended> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Appended.offset", &f_1)?;
+    let ret = Appended {
+      offset: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Appended");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("offset", TType::I64, 1))?;
+    o_prot.write_i64(self.offset)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Done
 //
@@ -1230,6 +1356,8 @@
   Verdicts(Verdicts),
   Evidence(Evidence),
   Orphan(Orphan),
+  Append(Append),
+  Appended(Appended),
 }
 
 impl TSerializable for Body {
@@ -1328,6 +1456,20 @@
           }
           received_field_count += 1;
         },
+        13 => {
+          let val = Append::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::Append(val));
+          }
+          received_field_count += 1;
+        },
+        14 => {
+          let val = Appended::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Body::Appended(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1422,6 +1564,16 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Body::Append(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("append", TType::Struct, 13))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
+      Body::Appended(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("appended", TType::Struct, 14))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/fellow/src/link.rs
+++ b/crates/fellow/src/link.rs
@@ -18,7 +18,7 @@
 /// Why there is no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
-    /// Too many questions wait already, or the link was closed.
+    /// Too many questions wait already, or the link was closed: this one was not sent.
     #[error("the link takes no question")]
     Busy,
     /// The fellow did not answer in time.
@@ -81,7 +81,9 @@
         self.questions
             .try_send(Question { body, reply })
             .map_err(|_| Error::Busy)?;
-        answer.await.unwrap_or(Err(Error::Busy))
+        // A link that closed meanwhile may have sent the question.
+        let closed = || Err(Error::Connection("the link was closed".into()));
+        answer.await.unwrap_or_else(|_| closed())
     }
 }
 
--- a/crates/server/src/answers.rs
+++ b/crates/server/src/answers.rs
@@ -3,19 +3,24 @@
 use crate::assignments::Assignments;
 use crate::context::Context;
 use crate::decider::News;
-use crate::{digest, gossip};
+use crate::{digest, gossip, writers};
 use adoption::FORMAT;
 use billing::usage::Record;
 use entity::{Generation, name};
 use fellow::Handler;
 use fellow::message::{
-    self, Assigned, Body, Digest, Done, Evidence, Hold, Orphan, Refusal, Text, Verdicts,
+    self, Append, Appended, Assigned, Body, Digest, Done, Evidence, Hold, Orphan, Refusal, Text,
+    Verdicts,
 };
 use quality::Verdict;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
+/// Longest time for an append for a fellow; below the time that it waits for an answer.
+const APPEND_LIMIT: Duration = Duration::from_millis(600);
+
 /// Answers fellows.
 pub struct Answers {
     context: Arc<Context>,
@@ -113,6 +118,19 @@
 }
 
 impl Answers {
+    /// Appends a batch for a fellow. One that takes too long is given up, so that its sender, which
+    /// tries again, does not fill the queue in an outage; it may be on the log all the same.
+    async fn append(&self, append: Append) -> Body {
+        let Some(entries) = writers::entries(append.batch) else {
+            return refusal("not a batch");
+        };
+        let appended = self.context.committer.append(&append.stream, entries);
+        match tokio::time::timeout(APPEND_LIMIT, appended).await {
+            Ok(Ok(offset)) => Body::Appended(Appended::new(offset.0 as i64)),
+            Ok(Err(_)) | Err(_) => refusal("not appended in time"),
+        }
+    }
+
     /// Holds records, all of them or none.
     async fn hold(&self, hold: &Hold) -> Body {
         let Some(owner) = hold.records.first().map(|held| held.owner.as_str()) else {
@@ -173,9 +191,12 @@
             Body::Hold(hold) => self.hold(&hold).await,
             Body::Drop(drop) => self.drop_held(&drop).await,
             Body::Orphan(orphan) => self.orphan(&orphan).await,
-            Body::Text(_) | Body::Done(_) | Body::Refusal(_) | Body::Assigned(_) => {
-                refusal("not a question")
-            }
+            Body::Append(append) => self.append(append).await,
+            Body::Appended(_)
+            | Body::Text(_)
+            | Body::Done(_)
+            | Body::Refusal(_)
+            | Body::Assigned(_) => refusal("not a question"),
         }
     }
 }
--- a/crates/server/src/context.rs
+++ b/crates/server/src/context.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use entity::{Generation, name};
 use fellow::message;
-use journal::{claimer, usage};
+use journal::{claimer, committer, usage};
 use quality::Verdict;
 use routing::Bounds;
 use session::Signer;
@@ -54,6 +54,8 @@
     pub claims: claimer::Handle<logs::Client>,
     /// Usage records, its own and those held for fellows.
     pub usage: usage::Handle,
+    /// Appends of this instance, and of others while it is a writer.
+    pub committer: committer::Handle,
     /// Streams that are passed on to callers.
     pub streams: TaskTracker,
     /// Bounds of the slot protocol of cold upstreams.
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -8,13 +8,13 @@
 use crate::front::{Desk, Front};
 use crate::links::Links;
 use crate::replica::Fellows;
+use crate::writers::{self, Writers};
 use crate::{configuration, digest, gossip, loads, members, reserves, verdicts};
 use adoption::Step;
 use anyhow::{Context as _, Result, ensure};
 use arc_swap::ArcSwap;
 use caller::{Handler, Limits, Server};
 use claims::window::Window;
-use entity::unit::Rate;
 use entity::{Generation, Span, name};
 use instances::State;
 use journal::{claimer, committer, usage};
@@ -34,8 +34,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Part of the log's rate that the instances of a system share for usage and claims.
-const LOG_RATE: u64 = 300;
 /// Longest time for a head or a body of a caller to arrive.
 const READ_LIMIT: Span = Span::from_secs(10);
 /// Longest wait for the rating of an answer that is held back.
@@ -269,11 +267,7 @@
     stopping: &CancellationToken,
 ) -> Result<(Arc<Context>, Arc<Fellows>, Wiring)> {
     let own = settings.instance.clone();
-    let sink = match &settings.timeline {
-        Sink::Stderr => timeline::Sink::Writer(Box::new(std::io::stderr())),
-        Sink::File(path) => timeline::Sink::File(path.clone()),
-    };
-    let recorder = Recorder::open(&own.name, sink).context("time line")?;
+    let recorder = open_recorder(&settings)?;
     let metric = Metric::open(&own.name, settings.statsd).context("metrics")?;
     let clock = Clock::start();
     let contact = Arc::new(Tracker::new(clock, settings.limits.isolation));
@@ -290,7 +284,13 @@
         members: members.clone(),
         links: links.clone(),
     });
-    let committer = committer::spawn(log.clone(), commit_policy(&settings), stopping.clone());
+    let writers = Writers::new(
+        log.clone(),
+        own.name.clone(),
+        members.clone(),
+        links.clone(),
+    );
+    let committer = committer::spawn(writers, commit_policy(&settings), stopping.clone());
     let usage = usage::open(
         committer.clone(),
         fellows.clone(),
@@ -320,6 +320,7 @@
         links,
         claims,
         usage,
+        committer: committer.clone(),
         streams: TaskTracker::new(),
         bounds,
         rating,
@@ -345,6 +346,14 @@
     Ok((context, fellows, wiring))
 }
 
+fn open_recorder(settings: &Settings) -> Result<Recorder> {
+    let sink = match &settings.timeline {
+        Sink::Stderr => timeline::Sink::Writer(Box::new(std::io::stderr())),
+        Sink::File(path) => timeline::Sink::File(path.clone()),
+    };
+    Recorder::open(&settings.instance.name, sink).context("time line")
+}
+
 fn commit_policy(settings: &Settings) -> committer::Policy {
     committer::Policy {
         linger: settings.limits.usage_delay,
@@ -506,7 +515,7 @@
         context
             .contact
             .listed(u32::try_from(count).unwrap_or(u32::MAX));
-        committer.set_rate(Rate((LOG_RATE / count as u64).max(1)));
+        committer.set_rate(writers::rate(&context.settings.instance.name, &live));
         let members = Members {
             version: reading.list.version,
             live: live.into(),
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -29,5 +29,6 @@
 mod verdicts;
 mod version;
 mod waiting;
+pub mod writers;
 
 pub use instance::Instance;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -418,3 +418,30 @@
     }
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_system_appends_through_few_writers() -> Result<()> {
+    // More instances than append by themselves.
+    let system = system("writers", 18).await?;
+    let mut answered = Vec::new();
+    for instance in 0..18 {
+        let id = uuid(100 + instance as u64);
+        let done = rollover(&system, instance, &id, 1).await?;
+        expect_that!(done.status.as_u16(), eq(200), "{}", done.text());
+        answered.push(done.header("x-request-id").to_owned());
+        let again = rollover(&system, (instance + 7) % 18, &id, 2).await?;
+        expect_that!(
+            again.header("idempotency-replayed"),
+            eq("true"),
+            "{}",
+            again.text()
+        );
+        expect_that!(runs(&system, &id).await?, eq(1));
+    }
+    let billed = wait_billed(&system, &answered).await?;
+    for id in &answered {
+        expect_that!(billed.iter().filter(|other| *other == id).count(), ge(1));
+    }
+    Ok(())
+}
