--- a/harness/src/soak/run.rs
+++ b/harness/src/soak/run.rs
@@ -63,7 +63,8 @@
     pub answers: usize,
     /// Sendings that were refused or lost, by `run code`.
     pub refusals: Vec<(String, usize)>,
-    /// Edits that were accepted, and all of them.
+    /// Edits that were accepted, or found as wanted, and all of them; putting in and taking back
+    /// count apart.
     pub edits: (usize, usize),
     /// Sendings that were compared with edits in force, once for each edit.
     pub compared: usize,
