Look a request at anew where decisions have moved on; one type for a call on its way

While reading: where the decider had taken over a newer text than the request's, a session's version counted as braked, so that the session moved, and a plan as missing, so that the caller was refused with no-version.

--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -115,8 +115,13 @@
     Configure(Arc<Snapshot>),
     Members(Members, Moment, Moment),
     Load(name::Upstream, Load),
-    Plan(Wish, oneshot::Sender<Option<Plan>>),
-    Usable(id::Service, id::Version, Generation, oneshot::Sender<bool>),
+    Plan(Wish, oneshot::Sender<Result<Option<Plan>, Stale>>),
+    Usable(
+        id::Service,
+        id::Version,
+        Generation,
+        oneshot::Sender<Result<bool, Stale>>,
+    ),
     Choose(Box<Want>, oneshot::Sender<Result<Choice, routing::Refusal>>),
     Finish(Choice, Outcome),
     Retry(u32, Moment, oneshot::Sender<Option<Span>>),
@@ -138,6 +143,11 @@
     messages: mpsc::Sender<Message>,
 }
 
+/// The question is about another configuration than the one that decisions go by now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the configuration changed")]
+pub struct Stale;
+
 /// The task has ended, because the instance is being shut down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the instance is closing")]
@@ -180,8 +190,8 @@
     ///
     /// # Errors
     ///
-    /// The instance is closing.
-    pub async fn plan(&self, wish: Wish) -> Result<Option<Plan>, Closed> {
+    /// The outer one: the instance is closing. The inner one: the ids are of another configuration.
+    pub async fn plan(&self, wish: Wish) -> Result<Result<Option<Plan>, Stale>, Closed> {
         self.ask(|reply| Message::Plan(wish, reply)).await
     }
 
@@ -189,13 +199,13 @@
     ///
     /// # Errors
     ///
-    /// The instance is closing.
+    /// The outer one: the instance is closing. The inner one: the ids are of another configuration.
     pub async fn usable(
         &self,
         service: id::Service,
         version: id::Version,
         generation: Generation,
-    ) -> Result<bool, Closed> {
+    ) -> Result<Result<bool, Stale>, Closed> {
         self.ask(|reply| Message::Usable(service, version, generation, reply))
             .await
     }
@@ -398,7 +408,8 @@
             }
             Message::Usable(service, version, generation, reply) => {
                 let current = generation == self.generation();
-                let _ = reply.send(current && !self.judge.braked(service, version));
+                let usable = || !self.judge.braked(service, version);
+                let _ = reply.send(if current { Ok(usable()) } else { Err(Stale) });
             }
             Message::Choose(want, reply) => self.choose(want, now, reply),
             Message::Finish(choice, outcome) => {
@@ -456,11 +467,11 @@
         self.balancer.members(members, begun, ended);
     }
 
-    fn plan(&mut self, wish: &Wish, now: Moment) -> Option<Plan> {
+    fn plan(&mut self, wish: &Wish, now: Moment) -> Result<Option<Plan>, Stale> {
         if wish.generation != self.generation() {
-            return None;
+            return Err(Stale);
         }
-        self.judge.plan(&quality::Query {
+        Ok(self.judge.plan(&quality::Query {
             service: wish.service,
             candidates: &wish.candidates,
             class: wish.class,
@@ -469,7 +480,7 @@
             budget: wish.budget,
             position: wish.position,
             now,
-        })
+        }))
     }
 
     fn choose(&mut self, want: Box<Want>, now: Moment, reply: Reply) {
--- a/crates/server/src/front.rs
+++ b/crates/server/src/front.rs
@@ -1,6 +1,7 @@
 //! Takes requests of callers: who asks, what for, and until when.
 
 use crate::auth::Authenticator;
+use crate::call::Call;
 use crate::context::Context;
 use crate::tries::{GivenUp, closing};
 use crate::{chat, plain, status};
@@ -18,7 +19,7 @@
 use timeline::{Counter, Timer};
 
 /// How often a request is looked at anew because the configuration changed under it.
-const MAX_GENERATIONS: u32 = 5;
+const MAX_GENERATIONS: u32 = 20;
 /// When to come back to an instance that can't serve yet.
 const WAIT: Span = Span::from_secs(2);
 
@@ -68,7 +69,7 @@
         Ok(snapshot)
     }
 
-    async fn answer(&self, request: &Request) -> Result<Reply, Refusal> {
+    async fn answer(&self, request: &Arc<Request>) -> Result<Reply, Refusal> {
         for _ in 0..MAX_GENERATIONS {
             let unclaimed = |refusal: Refusal| refusal.unclaimed(request.idempotency.as_ref());
             let snapshot = self.serving().map_err(unclaimed)?;
@@ -94,7 +95,11 @@
         let _ = tokio::time::timeout(std::time::Duration::from_millis(5), newer).await;
     }
 
-    async fn attempt(&self, request: &Request, snapshot: Arc<Snapshot>) -> Result<Reply, GivenUp> {
+    async fn attempt(
+        &self,
+        request: &Arc<Request>,
+        snapshot: Arc<Snapshot>,
+    ) -> Result<Reply, GivenUp> {
         let refused =
             |refusal: Refusal| GivenUp::Refused(refusal.unclaimed(request.idempotency.as_ref()));
         let organisation = self.organisation(request, &snapshot).map_err(refused)?;
@@ -103,38 +108,36 @@
             Target::Chat(body) => {
                 let service = service(&snapshot, organisation, &body.service, Kind::Chat);
                 let service = service.map_err(refused)?;
-                let deadline = self.deadline(request, &snapshot, service);
-                let context = &self.context;
-                let run = chat::Run {
-                    context,
-                    snapshot,
-                    organisation,
-                    service,
-                    request,
-                    chat: body,
-                    deadline,
-                };
-                run.run().await
+                let call = self.call(request, snapshot, organisation, service);
+                let chat = Arc::new(body.clone());
+                chat::Run { call, chat }.run().await
             }
-            Target::Plain(body) => {
-                let service = service(&snapshot, organisation, &body.service, Kind::Plain);
+            Target::Plain(plain) => {
+                let service = service(&snapshot, organisation, &plain.service, Kind::Plain);
                 let service = service.map_err(refused)?;
-                let deadline = self.deadline(request, &snapshot, service);
-                let context = &self.context;
-                let run = plain::Run {
-                    context,
-                    snapshot,
-                    organisation,
-                    service,
-                    request,
-                    plain: body,
-                    deadline,
-                };
-                run.run().await
+                let call = self.call(request, snapshot, organisation, service);
+                plain::Run { call, plain }.run().await
             }
         }
     }
 
+    fn call(
+        &self,
+        request: &Arc<Request>,
+        snapshot: Arc<Snapshot>,
+        organisation: id::Organisation,
+        service: id::Service,
+    ) -> Call {
+        Call {
+            deadline: self.deadline(request, &snapshot, service),
+            context: self.context.clone(),
+            snapshot,
+            organisation,
+            service,
+            request: request.clone(),
+        }
+    }
+
     fn organisation(
         &self,
         request: &Request,
@@ -215,6 +218,7 @@
 
 impl Handler for Front {
     async fn handle(&self, request: Request) -> Reply {
+        let request = Arc::new(request);
         let context = &self.context;
         context.metric.count(Counter::Requests);
         context
--- a/crates/server/src/once.rs
+++ b/crates/server/src/once.rs
@@ -35,25 +35,27 @@
     /// It was given up.
     pub async fn once(&self, route: &Route) -> Result<Reply, GivenUp> {
         let attempt = self.attempt().map_err(|refusal| {
-            GivenUp::Refused(refusal.unclaimed(self.request.idempotency.as_ref()))
+            GivenUp::Refused(refusal.unclaimed(self.call.request.idempotency.as_ref()))
         })?;
-        self.context.metric.count(Counter::Claims);
-        self.context
+        self.call.context.metric.count(Counter::Claims);
+        self.call
+            .context
             .recorder
             .event(Kind::Claimed)
-            .request(self.request.id)
+            .request(self.call.request.id)
             .record();
-        let deadline = self.context.clock.instant(self.deadline);
-        let verdict = self.context.claims.claim(attempt, deadline).await;
+        let deadline = self.call.context.clock.instant(self.call.deadline);
+        let verdict = self.call.context.claims.claim(attempt, deadline).await;
         match verdict {
             Verdict::Won(permit) => self.won(route, permit).await,
             Verdict::Done(answer) => Ok(replay(answer)),
             other => {
                 let kind = Kind::Conflicted;
-                self.context
+                self.call
+                    .context
                     .recorder
                     .event(kind)
-                    .request(self.request.id)
+                    .request(self.call.request.id)
                     .record();
                 Err(GivenUp::Refused(refusal(&other)))
             }
@@ -63,7 +65,7 @@
     fn attempt(&self) -> Result<Attempt, Refusal> {
         let bad =
             |code, message: &'static str| Refusal::not_run(StatusCode::BAD_REQUEST, code, message);
-        let idempotency = self.request.idempotency.as_ref().ok_or_else(|| {
+        let idempotency = self.call.request.idempotency.as_ref().ok_or_else(|| {
             bad(
                 "key-required",
                 "Idempotency-Key is missing: this call runs at most once a key",
@@ -80,7 +82,7 @@
                 "Idempotency-Key is a UUIDv7, or Idempotency-Created says its time",
             )
         })?;
-        let organisations = &self.snapshot.config.organisations;
+        let organisations = &self.call.snapshot.config.organisations;
         let plain = self.plain;
         let parts = [
             plain.method.as_str().as_bytes(),
@@ -88,20 +90,21 @@
             &plain.body[..],
         ];
         Ok(Attempt {
-            organisation: organisations[self.organisation].name.clone(),
+            organisation: organisations[self.call.organisation].name.clone(),
             key: key.clone(),
             created: Created(created),
             sending: Sending::new(*sending),
-            request: self.request.id,
+            request: self.call.request.id,
             fingerprint: Digest::of(&parts),
         })
     }
 
     async fn won(&self, route: &Route, permit: Permit) -> Result<Reply, GivenUp> {
-        self.context
+        self.call
+            .context
             .recorder
             .event(Kind::Granted)
-            .request(self.request.id)
+            .request(self.call.request.id)
             .record();
         // From here on the call counts as sent, whatever becomes of this process.
         let run = permit.dispatch();
@@ -113,12 +116,13 @@
                 let content_type = plain::media_type(called.answer.content_type.as_ref());
                 let answer = Answer::new(called.answer.status, content_type, &called.answer.body);
                 let settled = run.settle(answer);
-                let deadline = self.context.clock.instant(self.deadline);
+                let deadline = self.call.context.clock.instant(self.call.deadline);
                 if let Ok(Ok(())) = tokio::time::timeout_at(deadline, settled).await {
-                    self.context
+                    self.call
+                        .context
                         .recorder
                         .event(Kind::Settled)
-                        .request(self.request.id)
+                        .request(self.call.request.id)
                         .record();
                 }
                 Ok(plain::reply(called.answer))
@@ -126,10 +130,11 @@
             Err(given_up) if plain::ran(&given_up) == Ran::No => {
                 let until = Instant::now() + RELEASE_WAIT;
                 let ran = run.not_run().release(until).await;
-                self.context
+                self.call
+                    .context
                     .recorder
                     .event(Kind::Released)
-                    .request(self.request.id)
+                    .request(self.call.request.id)
                     .record();
                 Err(said(given_up, ran))
             }
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -1,38 +1,27 @@
 //! Calls of plain services: those that may be repeated, and those that run at most once.
 
-use crate::context::Context;
+use crate::call::Call;
 use crate::once;
 use crate::tries::{self, Dispatch, GivenUp, Job, Taken};
 use adoption::Snapshot;
 use billing::usage;
-use caller::{Plain, Refusal, Reply, Request, Whole};
+use caller::{Plain, Refusal, Reply, Whole};
 use config::{Repeat, Route};
 use entity::request::Ran;
-use entity::unit::Bytes;
-use entity::{Moment, Span, id, name};
+use entity::unit::{Bytes, Tokens};
+use entity::{Span, id, name};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use routing::{Choice, Outcome, Priority};
-use std::sync::Arc;
+use routing::{Choice, Outcome};
 use tokio::time::Instant;
 use upstream::{Failure, Reply as Answer};
 
 /// One call on its way.
 pub struct Run<'a> {
-    /// What the instance shares.
-    pub context: &'a Arc<Context>,
-    /// The configuration that the ids belong to.
-    pub snapshot: Arc<Snapshot>,
-    /// Who asks.
-    pub organisation: id::Organisation,
-    /// What is asked for.
-    pub service: id::Service,
     /// The request.
-    pub request: &'a Request,
-    /// What of it is about the call.
+    pub call: Call,
+    /// What of it is about the plain service.
     pub plain: &'a Plain,
-    /// When the whole answer is due.
-    pub deadline: Moment,
 }
 
 /// The route of a call.
@@ -75,9 +64,10 @@
     ///
     /// It was given up.
     pub async fn run(&self) -> Result<Reply, GivenUp> {
-        let route = route(&self.snapshot, self.service, self.plain).map_err(|refusal| {
-            GivenUp::Refused(refusal.unclaimed(self.request.idempotency.as_ref()))
-        })?;
+        let route =
+            route(&self.call.snapshot, self.call.service, self.plain).map_err(|refusal| {
+                GivenUp::Refused(refusal.unclaimed(self.call.request.idempotency.as_ref()))
+            })?;
         match route.repeat {
             Repeat::Safe => self.repeatable(route).await,
             Repeat::Never => self.once(route).await,
@@ -86,17 +76,10 @@
 
     /// The job of this call.
     pub fn job(&self, repeatable: bool) -> Job {
+        let size = Bytes(self.plain.body.len() as u64);
         Job {
-            id: self.request.id,
-            snapshot: self.snapshot.clone(),
-            service: self.service,
-            version: None,
-            organisation: self.organisation,
-            prompt: Bytes(self.plain.body.len() as u64),
-            prefix: None,
-            priority: Priority(u8::from(!self.request.live)),
-            deadline: self.deadline,
             repeatable,
+            ..self.call.job(None, size)
         }
     }
 
@@ -106,7 +89,7 @@
     ///
     /// It was given up.
     pub async fn dispatch(&self, job: &Job) -> Result<Called, GivenUp> {
-        let taken = tries::run(self.context, job, self).await?;
+        let taken = tries::run(&self.call.context, job, self).await?;
         let Taken {
             value,
             choice,
@@ -114,7 +97,8 @@
         } = taken;
         let upstream = choice.upstream.clone();
         let first_token = Some(Span::from(sent.elapsed()));
-        self.context
+        self.call
+            .context
             .decider
             .finish(choice, Outcome::Done { first_token })
             .await;
@@ -124,12 +108,13 @@
         })
     }
 
-    fn call(&self, end: Instant) -> upstream::Plain {
-        let organisations = &self.snapshot.config.organisations;
+    fn body(&self, end: Instant) -> upstream::Plain {
+        let organisations = &self.call.snapshot.config.organisations;
         upstream::Plain {
-            id: self.request.id,
-            organisation: organisations[self.organisation].name.clone(),
+            id: self.call.request.id,
+            organisation: organisations[self.call.organisation].name.clone(),
             key: self
+                .call
                 .request
                 .idempotency
                 .as_ref()
@@ -156,24 +141,15 @@
     ///
     /// Neither the log nor fellows took it in time.
     pub async fn bill(&self, route: &Route, upstream: &name::Upstream) -> Result<(), Refusal> {
-        let config = &self.snapshot.config;
         let target = once::target(route);
         let step = usage::Step {
             target: target.clone(),
             upstream: upstream.clone(),
-            tokens_in: entity::unit::Tokens(0),
-            tokens_out: entity::unit::Tokens(0),
+            tokens_in: Tokens(0),
+            tokens_out: Tokens(0),
             cost: route.price,
         };
-        let record = usage::Record {
-            request: self.request.id,
-            organisation: config.organisations[self.organisation].name.clone(),
-            service: config.services[self.service].name.clone(),
-            target,
-            steps: vec![step],
-            lender: None,
-        };
-        crate::bill::commit(self.context, record).await
+        self.call.bill(target, vec![step]).await
     }
 }
 
@@ -181,9 +157,10 @@
     type Value = Answer;
 
     async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Answer, Failure> {
-        self.context
+        self.call
+            .context
             .pool
-            .call(choice.address, &self.call(end))
+            .call(choice.address, &self.body(end))
             .await
     }
 }
--- a/crates/server/src/version.rs
+++ b/crates/server/src/version.rs
@@ -1,11 +1,10 @@
 //! Which version a chat request runs on: its session's, else one by the judge's plan.
 
-use crate::context::Context;
-use crate::decider::Wish;
+use crate::call::Call;
+use crate::decider::{Stale, Wish};
 use crate::gossip;
-use crate::tries::closing;
-use adoption::Snapshot;
-use caller::{Chat, Refusal, Request, headers};
+use crate::tries::{GivenUp, closing};
+use caller::{Chat, Refusal, headers};
 use entity::request::Ran;
 use entity::unit::Share;
 use entity::{Span, id};
@@ -28,17 +27,6 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
 }
 
-/// A request whose organisation and service are known.
-#[derive(Clone, Copy, Debug)]
-pub struct Admitted<'a> {
-    /// The configuration that the ids belong to.
-    pub snapshot: &'a Snapshot,
-    /// Who asks.
-    pub organisation: id::Organisation,
-    /// What is asked for.
-    pub service: id::Service,
-}
-
 /// What is known of a session before a version is planned.
 struct Standing {
     kept: Option<id::Version>,
@@ -50,22 +38,16 @@
 ///
 /// # Errors
 ///
-/// No version may serve the request.
-pub async fn assign(
-    context: &Context,
-    admitted: Admitted<'_>,
-    request: &Request,
-    chat: &Chat,
-    budget: Span,
-) -> Result<Assignment, Refusal> {
-    let standing = standing(context, admitted, request).await?;
+/// No version may serve the request, or the configuration changed.
+pub async fn assign(call: &Call, chat: &Chat) -> Result<Assignment, GivenUp> {
+    let standing = standing(call).await?;
     let mut escalate = None;
     let mut explored = false;
     let version = match standing.kept {
         Some(version) => version,
         None => {
-            let plan = plan(context, admitted, request, chat, budget).await?;
-            let version = at_home(context, admitted, request, plan.first, &standing).await;
+            let plan = plan(call, chat).await?;
+            let version = at_home(call, plan.first, &standing).await?;
             if version == plan.first {
                 escalate = plan.escalate;
                 explored = plan.reason == Reason::Exploration;
@@ -73,7 +55,7 @@
             version
         }
     };
-    let headers = session_headers(context, admitted, request, version, standing.lost.is_some());
+    let headers = session_headers(call, version, standing.lost.is_some());
     Ok(Assignment {
         version,
         escalate,
@@ -82,51 +64,37 @@
     })
 }
 
-async fn usable(
-    context: &Context,
-    admitted: Admitted<'_>,
-    version: id::Version,
-) -> Result<bool, Refusal> {
-    let generation = admitted.snapshot.generation;
-    let usable = context
+async fn usable(call: &Call, version: id::Version) -> Result<bool, GivenUp> {
+    let generation = call.snapshot.generation;
+    let usable = call
+        .context
         .decider
-        .usable(admitted.service, version, generation)
+        .usable(call.service, version, generation)
         .await;
-    usable.map_err(|_| closing(Ran::No))
+    let usable = usable.map_err(|_| GivenUp::Refused(closing(Ran::No)))?;
+    usable.map_err(|Stale| GivenUp::Stale)
 }
 
 /// Reads the session's token. A withdrawn, braked or no longer allowed version wins over it.
-async fn standing(
-    context: &Context,
-    admitted: Admitted<'_>,
-    request: &Request,
-) -> Result<Standing, Refusal> {
+async fn standing(call: &Call) -> Result<Standing, GivenUp> {
     let none = Standing {
         kept: None,
         lost: None,
     };
-    let Some(text) = &request.session.token else {
+    let Some(text) = &call.request.session.token else {
         return Ok(none);
     };
-    let token = context.signer.verify(text).map_err(|error| {
-        Refusal::not_run(
-            StatusCode::BAD_REQUEST,
-            "bad-session-token",
-            error.to_string(),
-        )
+    let token = call.context.signer.verify(text).map_err(|error| {
+        let status = StatusCode::BAD_REQUEST;
+        let refusal = Refusal::not_run(status, "bad-session-token", error.to_string());
+        GivenUp::Refused(refusal)
     })?;
-    let config = &admitted.snapshot.config;
-    let session = request.session.id.as_deref();
-    let resolution = resolve(
-        &token,
-        session,
-        config,
-        admitted.organisation,
-        admitted.service,
-    );
+    let config = &call.snapshot.config;
+    let session = call.request.session.id.as_deref();
+    let resolution = resolve(&token, session, config, call.organisation, call.service);
     let lost = Some(token.version.as_str().into());
     Ok(match resolution {
-        Resolution::Kept(version) if usable(context, admitted, version).await? => Standing {
+        Resolution::Kept(version) if usable(call, version).await? => Standing {
             kept: Some(version),
             lost: None,
         },
@@ -135,18 +103,14 @@
     })
 }
 
-async fn plan(
-    context: &Context,
-    admitted: Admitted<'_>,
-    request: &Request,
-    chat: &Chat,
-    budget: Span,
-) -> Result<quality::Plan, Refusal> {
-    let Admitted {
+async fn plan(call: &Call, chat: &Chat) -> Result<quality::Plan, GivenUp> {
+    let Call {
         snapshot,
         organisation,
         service,
-    } = admitted;
+        ..
+    } = call;
+    let (organisation, service) = (*organisation, *service);
     let config = &snapshot.config;
     let versions = config.services[service].versions.iter().copied();
     let candidates: Vec<_> = versions
@@ -156,36 +120,35 @@
         generation: snapshot.generation,
         service,
         candidates,
-        class: if request.live {
+        class: if call.request.live {
             Class::Interactive
         } else {
             Class::Batch
         },
         streamed: chat.stream,
         prompt: chat.prompt,
-        budget,
-        position: position(admitted, request),
+        budget: call.left(),
+        position: position(call),
     };
-    let plan = context
-        .decider
-        .plan(wish)
-        .await
-        .map_err(|_| closing(Ran::No))?;
+    let planned = call.context.decider.plan(wish).await;
+    let planned = planned.map_err(|_| GivenUp::Refused(closing(Ran::No)))?;
+    let plan = planned.map_err(|Stale| GivenUp::Stale)?;
     plan.ok_or_else(|| {
         let message = "no version that the organisation may use is in service";
-        Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-version", message)
-            .after(Span::from_secs(1))
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let refusal = Refusal::not_run(status, "no-version", message);
+        GivenUp::Refused(refusal.after(Span::from_secs(1)))
     })
 }
 
 /// Where the session falls in the split of a roll-out.
-fn position(admitted: Admitted<'_>, request: &Request) -> Share {
-    let config = &admitted.snapshot.config;
-    let Some(rollout) = config.rollout(admitted.service) else {
+fn position(call: &Call) -> Share {
+    let config = &call.snapshot.config;
+    let Some(rollout) = config.rollout(call.service) else {
         return Share::WHOLE;
     };
-    let own = request.id.to_string();
-    let session = request.session.id.as_deref().unwrap_or(&own);
+    let own = call.request.id.to_string();
+    let session = call.request.session.id.as_deref().unwrap_or(&own);
     let position = session::split::position(session, config, rollout);
     Share::from_ppm(
         u32::try_from(position)
@@ -197,66 +160,62 @@
 /// Asks the session's home for its version, where the caller named a session but returned no usable
 /// token. Without an answer the own plan stands.
 async fn at_home(
-    context: &Context,
-    admitted: Admitted<'_>,
-    request: &Request,
+    call: &Call,
     planned: id::Version,
     standing: &Standing,
-) -> id::Version {
-    let Some(session) = &request.session.id else {
-        return planned;
+) -> Result<id::Version, GivenUp> {
+    let Some(session) = &call.request.session.id else {
+        return Ok(planned);
     };
-    let config = &admitted.snapshot.config;
-    let list = context.members.borrow().list.clone();
+    let config = &call.snapshot.config;
+    let list = call.context.members.borrow().list.clone();
     let Some(home) = gossip::home(&list, session, 0) else {
-        return planned;
+        return Ok(planned);
     };
     let assign = |lost: &str| Assign {
         session: session.to_string(),
-        service_name: config.services[admitted.service].name.to_string(),
-        organisation: config.organisations[admitted.organisation].name.to_string(),
+        service_name: config.services[call.service].name.to_string(),
+        organisation: config.organisations[call.organisation].name.to_string(),
         version: config.versions[planned].name.to_string(),
         lost: lost.to_owned(),
     };
-    let link = context.links.get(home.address);
+    let link = call.context.links.get(home.address);
     let mut lost: Box<str> = standing.lost.clone().unwrap_or_default();
     // The second question replaces a version that turned out to be lost.
     for _ in 0..2 {
         let answer = link.ask(Body::Assign(assign(&lost))).await;
         let Ok(Body::Assigned(assigned)) = answer else {
-            return planned;
+            return Ok(planned);
         };
         let version = config.version(&assigned.version);
-        let allowed = version
-            .filter(|version| config.allows(admitted.organisation, admitted.service, *version));
+        let allowed =
+            version.filter(|version| config.allows(call.organisation, call.service, *version));
         if let Some(version) = allowed
-            && matches!(usable(context, admitted, version).await, Ok(true))
+            && usable(call, version).await?
         {
-            return version;
+            return Ok(version);
         }
         lost = assigned.version.into();
     }
-    planned
+    Ok(planned)
 }
 
 fn session_headers(
-    context: &Context,
-    admitted: Admitted<'_>,
-    request: &Request,
+    call: &Call,
     version: id::Version,
     moved: bool,
 ) -> Vec<(HeaderName, HeaderValue)> {
-    let config = &admitted.snapshot.config;
-    let own = request.id.to_string();
-    let session: Box<str> = request.session.id.as_deref().unwrap_or(&own).into();
+    let config = &call.snapshot.config;
+    let own = call.request.id.to_string();
+    let session: Box<str> = call.request.session.id.as_deref().unwrap_or(&own).into();
     let token = Token {
         session,
-        service: config.services[admitted.service].name.clone(),
+        service: config.services[call.service].name.clone(),
         version: config.versions[version].name.clone(),
-        generation: admitted.snapshot.generation,
+        generation: call.snapshot.generation,
     };
     let mut headers = Vec::new();
-    if let Ok(value) = HeaderValue::from_str(&context.signer.sign(&token)) {
+    if let Ok(value) = HeaderValue::from_str(&call.context.signer.sign(&token)) {
         headers.push((headers::SESSION_TOKEN, value));
     }
     if moved {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -248,3 +248,60 @@
     }
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_keeps_its_version_through_edits_that_leave_it_alone() -> Result<()> {
+    let mut system = system("edits", 2).await?;
+    let callers: Vec<_> = system
+        .instances
+        .iter()
+        .map(|instance| instance.caller)
+        .collect();
+    let http = Http::new(&key("vermeulen-namur"));
+    let first = http
+        .chat(callers[0], "advice", false, &[], "Renew at what rate?")
+        .await?;
+    let version = first.json()["model"].clone();
+    let token = first.header("x-session-token").to_owned();
+    let done = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let mut asking = tokio::task::JoinSet::new();
+    for number in 0..PARALLEL {
+        let (http, token, version, done) =
+            (http.clone(), token.clone(), version.clone(), done.clone());
+        let caller = callers[number % callers.len()];
+        asking.spawn(async move {
+            let mut asked = 0;
+            while !done.load(std::sync::atomic::Ordering::Relaxed) {
+                let headers = [("x-session-token", &*token)];
+                let answer = http
+                    .chat(caller, "advice", false, &headers, "And now?")
+                    .await?;
+                ensure!(answer.status.as_u16() == 200, "{}", answer.text());
+                ensure!(answer.json()["model"] == version, "the session moved");
+                ensure!(
+                    answer.header("x-session-moved").is_empty(),
+                    "the session moved"
+                );
+                asked += 1;
+            }
+            Ok(asked)
+        });
+    }
+    for price in 10..40 {
+        let from = system.text.clone();
+        let line = from
+            .lines()
+            .find(|line| line.starts_with("price-in"))
+            .context("a price")?;
+        let text = from.replacen(line, &format!("price-in = 0.{price}cr"), 1);
+        system.publish(&text).await?;
+    }
+    done.store(true, std::sync::atomic::Ordering::Relaxed);
+    let mut asked = 0;
+    while let Some(result) = asking.join_next().await {
+        asked += result??;
+    }
+    expect_that!(asked, gt(PARALLEL));
+    system.stop().await
+}
