Split the composition of an instance, and drop what nothing uses

Cause: read as a newcomer: instance.rs had the start, the wiring and the couplings in one file; most manifests declared crates that their package does not use; the package weights was an empty stub; six READMEs had one line.

--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -4,6 +4,7 @@
 //! outlive the process.
 
 mod answers;
+mod assembly;
 mod assignments;
 mod auth;
 mod bill;
@@ -13,6 +14,7 @@
 mod configuration;
 mod contact;
 mod context;
+mod couplings;
 mod decider;
 mod digest;
 mod front;
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -19,7 +19,7 @@
     pub instances: Instances,
     /// `[rating] address`: the answer-rating service; without it no answer is rated.
     pub rating: Option<SocketAddr>,
-    /// `[weights] address`: the weight store; without it no order to load weights is given.
+    /// `[weights] address`: the weight store; no order to load weights is given yet.
     pub weights: Option<SocketAddr>,
     /// `[metrics] statsd`: where metrics go over UDP; without it they go nowhere.
     pub statsd: Option<SocketAddr>,
--- a/crates/weights/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Client of the weight store.
