--- a/crates/rating/src/task.rs
+++ b/crates/rating/src/task.rs
@@ -81,7 +81,7 @@
         out: watch::Sender<bool>,
     ) -> Self {
         Self {
-            endpoint: Endpoint::new(address),
+            endpoint: Endpoint::new(address, timeout),
             timeout,
             urgent,
             background,
