--- a/crates/claims/src/holder.rs
+++ b/crates/claims/src/holder.rs
@@ -24,15 +24,7 @@
 use crate::key::{Created, Sending};
 use crate::record::{Answer, Claim, Outcome, Record, Release};
 use crate::window::{Phase, Window};
-
-/// What a refusal may say about the runs of a key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ran {
-    /// No sending of the key up to this one ran or will run.
-    NotRun,
-    /// A sending of the key may have run, or may still run.
-    MayHaveRun,
-}
+use entity::request::Ran;
 
 /// The claim is on its way to the log, or was appended and not yet read.
 #[derive(Debug)]
@@ -139,11 +131,11 @@
     fn excluded(&self, fold: &Fold) -> Ran {
         let claim = &self.claim;
         if !fold.excludes(claim.key, claim.sending) {
-            return Ran::MayHaveRun;
+            return Ran::Maybe;
         }
         let standing = fold.standing(claim.key, claim.attempt);
         if standing.is_some_and(|(_, at)| self.remembered(fold, at)) {
-            return Ran::NotRun;
+            return Ran::No;
         }
         self.first_sending()
     }
@@ -151,9 +143,9 @@
     /// What the caller's own statement proves, where the log says nothing.
     fn first_sending(&self) -> Ran {
         if self.claim.sending == Sending::FIRST {
-            return Ran::NotRun;
+            return Ran::No;
         }
-        Ran::MayHaveRun
+        Ran::Maybe
     }
 }
 
@@ -212,7 +204,7 @@
     /// Whether a sending up to this one may have run.
     pub fn ran(&self, fold: &Fold) -> Ran {
         if self.standing != Standing::Excluded {
-            return Ran::MayHaveRun;
+            return Ran::Maybe;
         }
         self.pending.excluded(fold)
     }
--- a/crates/claims/tests/fold.rs
+++ b/crates/claims/tests/fold.rs
@@ -1,11 +1,12 @@
 //! Fold, window and keys on single cases.
 
 use claims::fold::{Position, Standing, Status};
-use claims::holder::{NotRun, Pending, Ran, Reading, Won};
+use claims::holder::{NotRun, Pending, Reading, Won};
 use claims::key::{Created, Sending};
 use claims::record::{self, Answer, Claim, MAX_BODY_BYTES, Record};
 use claims::window::Phase;
 use claims::{Digest, Fold, Key, Window};
+use entity::request::Ran;
 use entity::{Offset, Span, request};
 use googletest::prelude::*;
 
@@ -65,7 +66,7 @@
         panic!("the key was settled");
     };
     expect_that!(lost.answer(&fold), some(eq(&answer)));
-    expect_that!(lost.ran(&fold), eq(Ran::MayHaveRun));
+    expect_that!(lost.ran(&fold), eq(Ran::Maybe));
 }
 
 #[gtest]
@@ -93,7 +94,7 @@
         Reading::Lost(lost) => lost,
         other => panic!("the key is held, read {other:?}"),
     };
-    expect_that!(released.ran(&fold), eq(Ran::MayHaveRun));
+    expect_that!(released.ran(&fold), eq(Ran::Maybe));
 }
 
 #[gtest]
@@ -101,14 +102,14 @@
     let mut fold = empty();
     let released = win(&mut fold, 2).dispatch().retract(NotRun).release();
     apply(&mut fold, &released.record(), CREATED.0);
-    expect_that!(released.read(&fold), some(eq(Ran::NotRun)));
+    expect_that!(released.read(&fold), some(eq(Ran::No)));
     let older = pending(1, b"body");
     apply(&mut fold, &older.record(), CREATED.0);
     let Reading::Lost(lost) = older.read(&fold) else {
         panic!("sending 1 is excluded by the release of sending 2");
     };
     expect_that!(lost.standing(), eq(Standing::Excluded));
-    expect_that!(lost.ran(&fold), eq(Ran::NotRun));
+    expect_that!(lost.ran(&fold), eq(Ran::No));
     win(&mut fold, 3);
 }
 
--- a/crates/claims/tests/model/mod.rs
+++ b/crates/claims/tests/model/mod.rs
@@ -2,10 +2,11 @@
 //! and attempts of one key. Each step runs the product's own fold and holder.
 
 use claims::fold::{Position, Status};
-use claims::holder::{Pending, Ran, Reading, Released};
+use claims::holder::{Pending, Reading, Released};
 use claims::key::{Created, Sending};
 use claims::record::{Answer, Claim, Outcome, Record};
 use claims::{Digest, Fold, Key, Window};
+use entity::request::Ran;
 use entity::{Offset, Span, request};
 
 /// Milliseconds in a tick of the log's clock.
@@ -483,8 +484,8 @@
 
 fn reply(ran: Ran) -> Reply {
     match ran {
-        Ran::NotRun => Reply::NotRun,
-        Ran::MayHaveRun => Reply::MayHaveRun,
+        Ran::No => Reply::NotRun,
+        Ran::Maybe => Reply::MayHaveRun,
     }
 }
 
--- a/crates/journal/tests/claimer.rs
+++ b/crates/journal/tests/claimer.rs
@@ -3,10 +3,10 @@
 mod fake;
 
 use claims::digest::Digest;
-use claims::holder::Ran;
 use claims::key::{Created, Key, Sending};
 use claims::record::Answer;
 use claims::window::Window;
+use entity::request::Ran;
 use entity::{Span, request};
 use fake::{FakeLog, Faults, epoch_ms};
 use googletest::prelude::*;
@@ -108,11 +108,7 @@
         let Verdict::Refused { ran, .. } = verdict else {
             panic!("the log is out, got {verdict:?}");
         };
-        let expected = if sending == 1 {
-            Ran::NotRun
-        } else {
-            Ran::MayHaveRun
-        };
+        let expected = if sending == 1 { Ran::No } else { Ran::Maybe };
         expect_that!(ran, eq(expected));
         expect_that!(began.elapsed(), eq(Duration::ZERO));
     }
@@ -138,7 +134,7 @@
     expect_that!(
         verdict,
         matches_pattern!(Verdict::Refused {
-            ran: eq(&Ran::MayHaveRun),
+            ran: eq(&Ran::Maybe),
             ..
         })
     );
@@ -156,7 +152,7 @@
     let attempt = attempt("notice-1", 2, 1);
     let permit = win(&claimer, attempt.clone()).await;
     let ran = permit.dispatch().not_run().release(soon()).await;
-    expect_that!(ran, eq(Ran::NotRun));
+    expect_that!(ran, eq(Ran::No));
     let again = Attempt {
         sending: Sending::new(3),
         request: request::Id(2),
@@ -293,7 +289,7 @@
             if dispatched {
                 outcomes.dispatched.push(sending);
             }
-            if ran == Some(Ran::NotRun) {
+            if ran == Some(Ran::No) {
                 outcomes.not_run.push(sending);
             }
             outcomes.answered += 1;
--- a/crates/server/src/once.rs
+++ b/crates/server/src/once.rs
@@ -9,7 +9,6 @@
 use billing::usage;
 use caller::{Idempotency, Refusal, Reply, Whole, headers};
 use claims::digest::Digest;
-use claims::holder;
 use claims::key::{Created, Sending};
 use claims::record::Answer;
 use config::Route;
@@ -145,7 +144,7 @@
 }
 
 /// What may be said of the key goes before what is known of this try.
-fn said(given_up: GivenUp, ran: holder::Ran) -> GivenUp {
+fn said(given_up: GivenUp, ran: Ran) -> GivenUp {
     match given_up {
         // The claim was given up, so that the call can't be looked at anew under the same id.
         GivenUp::Stale => {
@@ -153,22 +152,9 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let refusal = Refusal::not_run(status, "configuration-changed", message);
             let refusal = refusal.after(Span::from_secs(1));
-            GivenUp::Refused(Refusal {
-                ran: spoken(ran),
-                ..refusal
-            })
+            GivenUp::Refused(Refusal { ran, ..refusal })
         }
-        GivenUp::Refused(refusal) => GivenUp::Refused(Refusal {
-            ran: spoken(ran),
-            ..refusal
-        }),
-    }
-}
-
-fn spoken(ran: holder::Ran) -> Ran {
-    match ran {
-        holder::Ran::NotRun => Ran::No,
-        holder::Ran::MayHaveRun => Ran::Maybe,
+        GivenUp::Refused(refusal) => GivenUp::Refused(Refusal { ran, ..refusal }),
     }
 }
 
@@ -195,7 +181,7 @@
                 message,
             );
             Refusal {
-                ran: spoken(*ran),
+                ran: *ran,
                 ..refused.after(*retry_after)
             }
         }
