--- a/crates/routing/src/reserve.rs
+++ b/crates/routing/src/reserve.rs
@@ -83,6 +83,17 @@
         self.usage(organisation).reserve = reserve;
     }
 
+    /// Ends the reserves of organisations that are not among those named, by a sorted list. What they
+    /// used before stays on their accounts.
+    pub fn retain(&mut self, organisations: &[&name::Organisation], now: Moment) {
+        self.account(now);
+        for usage in &mut self.usages {
+            if organisations.binary_search(&&usage.organisation).is_err() {
+                usage.reserve = 0;
+            }
+        }
+    }
+
     /// Counts a request that began to run.
     pub fn began(&mut self, organisation: &name::Organisation, now: Moment) {
         self.account(now);
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -213,6 +213,23 @@
     expect_that!((usage.lent, usage.idle), eq((20.0, 20.0)));
 }
 
+#[gtest]
+fn an_organisation_that_is_gone_keeps_no_reserve() {
+    let (gone, kept) = (organisation("gone"), organisation("kept"));
+    let mut ledger = Ledger::new(10, START);
+    for organisation in [&gone, &kept] {
+        ledger.set(organisation, 2, START);
+    }
+    let removed = START + secs(10);
+    ledger.retain(&[&kept], removed);
+    let idle: Vec<_> = ledger
+        .usages(removed + secs(10))
+        .iter()
+        .map(|usage| usage.idle)
+        .collect();
+    expect_that!(idle, elements_are![eq(&20.0), eq(&40.0)]);
+}
+
 proptest! {
     #![proptest_config(proptest::test_runner::Config {
         rng_seed: proptest::test_runner::RngSeed::Fixed(1),
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -85,6 +85,11 @@
         let capacity: u32 = limits.map(|(_, upstream)| upstream.warm).sum();
         let instances = u32::try_from(self.live.len().max(1)).unwrap_or(u32::MAX);
         self.ledger.resize(capacity / instances, now);
+        let organisations = self.config.organisations.values().iter();
+        let names: Vec<_> = organisations
+            .map(|organisation| &organisation.name)
+            .collect();
+        self.ledger.retain(&names, now);
         for organisation in self.config.organisations.values() {
             let (name, whole) = (&organisation.name, organisation.reserve);
             let share = reserve::share(name, whole, &self.own, &self.live);
