--- a/harness/src/bin/latency.rs
+++ b/harness/src/bin/latency.rs
@@ -1,11 +1,19 @@
 //! Measures what an instance adds to the latency of an engine: pairs of requests, direct and through.
 
 use anyhow::{Context, Result, ensure};
-use harness::{Stage, System};
+use harness::{Stage, System, key};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
 use serde_json::json;
+use standins::client::Client;
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 use tokio::process::Command;
 
+/// Pairs of streams that are compared.
+const PAIRS: u128 = 500;
+
 #[tokio::main]
 async fn main() -> Result<()> {
     let text = std::fs::read_to_string("examples/demo.ini").context("examples/demo.ini")?;
@@ -26,26 +34,65 @@
     }
     let engine = system.upstream("advisory-1").address.to_string();
     let instance = system.instances[0].caller.to_string();
-    for kind in ["--plain", "--stream"] {
-        println!("{kind}");
-        let arguments = [
-            "load",
-            "--direct",
-            &engine,
-            "--instance",
-            &instance,
-            "--service",
-            "advisory",
-            "--version",
-            "advisory-large/1",
-            "--organisation",
-            "wadi-clinics",
-            "--pairs",
-            "1000",
-            kind,
-        ];
-        let status = Command::new(&standin).args(arguments).status().await?;
-        ensure!(status.success(), "the comparison ended with {status}");
-    }
+    println!("plain, from the first byte sent to the last byte of the answer");
+    let arguments = [
+        "load",
+        "--direct",
+        &engine,
+        "--instance",
+        &instance,
+        "--service",
+        "advisory",
+        "--version",
+        "advisory-large/1",
+        "--organisation",
+        "wadi-clinics",
+        "--pairs",
+        "1000",
+    ];
+    let status = Command::new(&standin).args(arguments).status().await?;
+    ensure!(status.success(), "the comparison ended with {status}");
+    println!("streamed, to the first event");
+    compare_first_events(&system).await?;
     system.stop().await
 }
+
+/// Asks by turns an engine and an instance for a stream, and prints how long the first event took.
+async fn compare_first_events(system: &System) -> Result<()> {
+    let engine = system.upstream("advisory-1").address;
+    let instance = system.instances[0].caller;
+    let (mut direct, mut through) = (Vec::new(), Vec::new());
+    for number in 0..PAIRS {
+        direct.push(first_event(engine, "advisory-large/1", number).await?);
+        through.push(first_event(instance, "advisory", number).await?);
+    }
+    for (name, mut times) in [("direct", direct), ("through", through)] {
+        times.sort();
+        let at = |percent: usize| times[(times.len() - 1) * percent / 100].as_secs_f64() * 1e3;
+        let (median, p95, p99) = (at(50), at(95), at(99));
+        println!("{name:8} p50 {median:.3} ms, p95 {p95:.3} ms, p99 {p99:.3} ms");
+    }
+    Ok(())
+}
+
+async fn first_event(address: SocketAddr, model: &str, number: u128) -> Result<Duration> {
+    let body = json!({
+        "model": model,
+        "stream": true,
+        "max_tokens": 8,
+        "messages": [{ "role": "user", "content": "Is my tap safe?" }],
+    });
+    let request = Request::post(format!("http://{address}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {}", key("wadi-clinics")))
+        .header("x-request-id", format!("{number:032x}"))
+        .body(Full::from(body.to_string()))?;
+    // A connection of its own for each call, on both sides alike.
+    let client = Client::default();
+    let began = Instant::now();
+    let mut answer = client.send(request).await?.into_body();
+    let first = answer.frame().await.context("the stream has no event")??;
+    ensure!(first.is_data(), "the first frame is an event");
+    let took = began.elapsed();
+    answer.collect().await?;
+    Ok(took)
+}
