Rank instances by one rendezvous function

Cause: reading the whole change once more: the home of a session or roll-out and the choice of writers ordered instances by the same hash, written twice. Change: server::rendezvous::ranked serves both; the order is the same.

--- a/crates/server/src/gossip.rs
+++ b/crates/server/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use crate::context::Context;
 use crate::decider::News;
-use crate::digest;
+use crate::{digest, rendezvous};
 use adoption::{Checkpoint, FORMAT};
 use entity::{Generation, Offset, name};
 use fellow::message::{Body, Evidence, Pull, Verdicts};
@@ -198,20 +198,12 @@
     tokio::spawn(async move { link.ask(body).await });
 }
 
-/// The live instance of a rank in the rendezvous order of a text (Thaler and Ravishankar, "Using
-/// name-based mappings to increase hit rates", 1998).
+/// The live instance of a rank in the rendezvous order of a text.
 pub fn home<'a>(list: &'a List, text: &str, rank: usize) -> Option<&'a Instance> {
-    let key = routing::hash::text(text);
     let live = list
         .instances
         .iter()
         .filter(|instance| instance.state == State::Live);
-    let mut weighted: Vec<_> = live
-        .map(|instance| {
-            let node = routing::hash::text(instance.name.as_str());
-            (routing::hash::weight(key, node), instance)
-        })
-        .collect();
-    weighted.sort_by_key(|(weight, instance)| (std::cmp::Reverse(*weight), &instance.name));
-    weighted.get(rank).map(|(_, instance)| *instance)
+    let ranked = rendezvous::ranked(live, |instance| &instance.name, text);
+    ranked.get(rank).copied()
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -26,6 +26,7 @@
 mod once;
 mod plain;
 mod relay;
+mod rendezvous;
 mod replica;
 mod reserves;
 pub mod status;
--- a/crates/server/src/writers.rs
+++ b/crates/server/src/writers.rs
@@ -7,6 +7,7 @@
 
 use crate::links::Links;
 use crate::members::Reading;
+use crate::rendezvous;
 use bytes::Bytes;
 use entity::unit::Rate;
 use entity::{Offset, Span, name};
@@ -36,17 +37,9 @@
     if live.len() <= SMALL {
         return Vec::new();
     }
-    let key = routing::hash::text(PURPOSE);
-    let mut ranked: Vec<_> = live
-        .iter()
-        .map(|instance| {
-            let node = routing::hash::text(instance.as_str());
-            (routing::hash::weight(key, node), instance)
-        })
-        .collect();
-    ranked.sort_by_key(|(weight, instance)| (std::cmp::Reverse(*weight), *instance));
+    let mut ranked = rendezvous::ranked(live.iter(), |instance| instance, PURPOSE);
     ranked.truncate(WRITERS);
-    ranked.into_iter().map(|(_, instance)| instance).collect()
+    ranked
 }
 
 /// How many batches a second an instance commits, to the log or to writers.
