--- a/crates/server/src/assembly.rs
+++ b/crates/server/src/assembly.rs
@@ -139,6 +139,7 @@
         recorder,
         metric,
         draining: AtomicBool::new(false),
+        closing: AtomicBool::new(false),
     };
     let context = Arc::new(Context {
         core,
--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -28,6 +28,8 @@
     pub metric: Metric,
     /// Set when the instance is being shut down.
     pub draining: AtomicBool,
+    /// Set when no new request is taken any more.
+    pub closing: AtomicBool,
 }
 
 impl Core {
@@ -42,6 +44,11 @@
             .map_or(Generation(0), |snapshot| snapshot.generation)
     }
 
+    /// Whether no new request is taken any more.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
     /// Whether the instance is being shut down.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -10,6 +10,17 @@
 use timeline::{Counter, Kind};
 use upstream::forward::Pool;
 
+/// How a model is picked where the router may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cascade {
+    /// Always the largest.
+    Largest,
+    /// Always the smallest.
+    Smallest,
+    /// The smallest first, and the largest where the smallest is less confident than this.
+    Below(u8),
+}
+
 /// What the requests of an instance share.
 pub struct Shared {
     /// What every request is decided with.
@@ -18,6 +29,8 @@
     pub belief: Belief,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// How a model is picked where the router may.
+    pub cascade: Cascade,
     /// Finds organisations by their keys.
     pub authenticator: Authenticator,
 }
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -6,7 +6,7 @@
 use crate::decider;
 use crate::forward::belief::Belief;
 use crate::forward::feed;
-use crate::forward::front::{Front, Shared};
+use crate::forward::front::{Cascade, Front, Shared};
 use crate::forward::{peers, probe};
 use anyhow::{Context as _, Result};
 use arc_swap::ArcSwap;
@@ -37,7 +37,7 @@
 const EXTRA_REPEATS: u32 = 1;
 /// How long an instance that is shut down goes on as before: the balancer asks once a second and
 /// takes it out after two refusals.
-const NOTICE: Duration = Duration::from_millis(3500);
+const NOTICE: Duration = Duration::from_millis(2700);
 /// Time before the end of the grace period at which what is left is given up.
 const LAST: Duration = Duration::from_millis(500);
 /// Time between two looks at whether every connection has ended.
@@ -78,11 +78,17 @@
             recorder,
             metric,
             draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
         };
         let shared = Arc::new(Shared {
             core,
             belief: Belief::new(settings.bounds.key_life),
             pool: upstream::forward::Pool::new(dialect.clone()),
+            cascade: match settings.cascade {
+                None => Cascade::Largest,
+                Some(0) => Cascade::Smallest,
+                Some(threshold) => Cascade::Below(threshold),
+            },
             authenticator: Authenticator::default(),
         });
         let limits = Arc::new(ArcSwap::from_pointee(Limits::default()));
@@ -145,6 +151,7 @@
         self.shutdown.leaving.cancel();
         let notice = (begun + NOTICE).min(end);
         tokio::time::sleep_until(notice).await;
+        core.closing.store(true, Ordering::Relaxed);
         self.shutdown.closing.cancel();
         let closed = tokio::time::timeout_at(end, self.closed()).await;
         let whole = closed.is_ok();
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -34,6 +34,9 @@
 /// Another one, for which hyper has no constant.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// Repeats that are left to tries after failures when a better model is asked.
+const RETRY_RESERVE: u32 = 4;
+
 /// A request as it is sent to an upstream.
 pub struct Open<'a> {
     /// What the instance shares.
@@ -42,11 +45,13 @@
     pub request: &'a Request,
     /// Its route.
     pub route: &'a Forward,
+    /// The service that runs it.
+    pub service: name::Service,
     /// Who pays for it; none where the route is open to anybody.
     pub organisation: Option<&'a name::Organisation>,
     /// The model that the router picked.
     pub model: Option<&'a name::Model>,
-    /// Confidence below which the answer of the model is not taken.
+    /// Confidence below which the answer of the model is dropped for one of a better model.
     pub threshold: Option<u8>,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
@@ -66,7 +71,7 @@
     /// A stream of which the first events are here.
     Stream(Box<Begun>),
     /// The model doubts its answer, which was dropped.
-    Doubtful(u8),
+    Doubtful,
 }
 
 /// A stream that has begun.
@@ -123,11 +128,22 @@
         Ok(Opened::Whole(passed))
     }
 
+    /// Whether the answer is dropped for one of a better model, which is a repeat for the service.
+    async fn is_doubtful(&self, confidence: Option<u8>) -> bool {
+        let (Some(threshold), Some(confidence)) = (self.threshold, confidence) else {
+            return false;
+        };
+        if confidence >= threshold {
+            return false;
+        }
+        let decider = &self.shared.core.decider;
+        let allowed = decider.repeat(self.service.clone(), RETRY_RESERVE).await;
+        allowed.unwrap_or(false)
+    }
+
     async fn stream(&self, mut answered: Answered, end: Instant) -> Result<Opened, Failure> {
-        if let (Some(threshold), Some(confidence)) = (self.threshold, answered.head.confidence)
-            && confidence < threshold
-        {
-            return Ok(Opened::Doubtful(confidence));
+        if self.is_doubtful(answered.head.confidence).await {
+            return Ok(Opened::Doubtful);
         }
         let mut splitter = Splitter::default();
         loop {
@@ -161,7 +177,7 @@
         let (failed, time) = match opened {
             Ok(Opened::Whole(passed)) => (passed.status.is_server_error(), Some(time)),
             Ok(Opened::Stream(_)) => (false, Some(time)),
-            Ok(Opened::Doubtful(_)) => return,
+            Ok(Opened::Doubtful) => return,
             Err(failure) => match failure.reason {
                 Reason::Status(_) => (true, None),
                 Reason::Timeout => (false, Some(time)),
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -79,7 +79,7 @@
                 .text("failure", &failure)
                 .count("event", self.last.unwrap_or_default())
                 .record();
-            self.history.count_run(upstream);
+            self.history.count_broken(upstream);
             drop(begun);
             let Some(next) = self.resume().await else {
                 // The channel closes without an end, which breaks the caller's connection off.
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -1,7 +1,7 @@
 //! One request on its way: route, organisation, model, tries.
 
 use crate::forward::belief::boot_time;
-use crate::forward::front::Shared;
+use crate::forward::front::{Cascade, Shared};
 use crate::forward::open::{Begun, Open, Opened, passed_headers, promises};
 use crate::forward::relay::Relay;
 use crate::tries::{self, GivenUp, History, Job, Taken};
@@ -31,6 +31,11 @@
 const UNRUN_TRIES: u32 = 3;
 /// Bytes that stand for one token where upstreams are compared by the sizes of prompts.
 const BYTES_PER_TOKEN: u64 = 4;
+/// Priority from which on a request counts as background work.
+const BACKGROUND: u8 = 2;
+/// Share of the confidence threshold that holds for background work, in per cent: its answers are
+/// short, so that reading the prompt once more costs more than a better answer is worth.
+const BACKGROUND_SHARE: u16 = 70;
 /// Pieces of a stream that wait for a slow caller.
 const PIECES: usize = 8;
 /// Age of the configuration beyond which a missing route or key may be only unknown here.
@@ -151,6 +156,9 @@
             Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message).after(WAIT)
         };
         let core = &self.shared.core;
+        if core.is_closing() {
+            return Err(refuse("closing", "this instance is being shut down"));
+        }
         let Some(snapshot) = core.snapshot() else {
             return Err(refuse(
                 "no-configuration",
@@ -239,6 +247,9 @@
             shared: &self.shared,
             request: &self.arrival.request,
             route: &resolved.route,
+            service: resolved.snapshot.config.services[resolved.service]
+                .name
+                .clone(),
             organisation: resolved.payer.as_ref(),
             model,
             threshold: None,
@@ -254,8 +265,9 @@
         resolved: &Resolved,
         history: &mut History,
     ) -> Result<Reply, GivenUp> {
-        let model = self.model(resolved);
-        let open = self.open(resolved, model.as_ref());
+        let (model, threshold) = self.model(resolved, history);
+        let mut open = self.open(resolved, model.as_ref());
+        open.threshold = threshold;
         let job = self.job(resolved);
         let core = &self.shared.core;
         let taken = match tries::resume(core, &job, history, &open).await {
@@ -280,9 +292,17 @@
                     .await;
                 Ok(Reply::Passed(passed))
             }
-            Opened::Doubtful(_) => {
+            Opened::Doubtful => {
+                core.metric.count(Counter::Escalations);
+                core.recorder
+                    .event(Kind::Escalated)
+                    .request(self.id)
+                    .text("upstream", &choice.upstream)
+                    .record();
                 core.decider.finish(choice, Outcome::Cancelled).await;
-                Err(GivenUp::Stale)
+                history.count_dropped();
+                // The next attempt asks the largest model.
+                Box::pin(self.attempt(resolved, history)).await
             }
             Opened::Stream(begun) => {
                 core.metric
@@ -324,10 +344,30 @@
         })
     }
 
-    fn model(&self, resolved: &Resolved) -> Option<name::Model> {
-        match &self.arrival.request.head.model {
-            Some(Model::Any) => resolved.route.models.last().cloned(),
-            Some(Model::Named(_)) | None => None,
+    /// The model to ask, where the router picks it, and the confidence below which its answer is
+    /// dropped for one of the largest model.
+    fn model(&self, resolved: &Resolved, history: &History) -> (Option<name::Model>, Option<u8>) {
+        let head = &self.arrival.request.head;
+        let models = &resolved.route.models;
+        let (Some(Model::Any), Some(smallest), Some(largest)) =
+            (&head.model, models.first(), models.last())
+        else {
+            return (None, None);
+        };
+        match self.shared.cascade {
+            Cascade::Largest => (Some(largest.clone()), None),
+            Cascade::Smallest => (Some(smallest.clone()), None),
+            Cascade::Below(threshold) => {
+                let first = history.ran() == Ran::No && history.leaves_two(resolved.route.attempts);
+                if first && head.last_event.is_none() {
+                    let background = resolved.route.priority >= BACKGROUND;
+                    let share = if background { BACKGROUND_SHARE } else { 100 };
+                    let threshold = u16::from(threshold) * share / 100;
+                    (Some(smallest.clone()), u8::try_from(threshold).ok())
+                } else {
+                    (Some(largest.clone()), None)
+                }
+            }
         }
     }
 
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -75,12 +75,23 @@
         self.runs + self.unrun
     }
 
-    /// Counts a run whose answer was given up on or broke off after it had begun.
-    pub fn count_run(&mut self, upstream: name::Upstream) {
+    /// Counts a run whose answer broke off after it had begun.
+    pub fn count_broken(&mut self, upstream: name::Upstream) {
         self.runs += 1;
         self.excluded.push(upstream);
     }
 
+    /// Counts a run whose answer was dropped for one of a better model. Its upstream may run that
+    /// one too.
+    pub fn count_dropped(&mut self) {
+        self.runs += 1;
+    }
+
+    /// Whether a job may be run twice more, by the count of runs alone.
+    pub fn leaves_two(&self, attempts: u32) -> bool {
+        self.runs + 2 <= attempts
+    }
+
     fn note(&mut self, upstream: name::Upstream, failure: Failure) {
         self.excluded.push(upstream);
         match failure.ran {
--- a/crates/settings/src/forward.rs
+++ b/crates/settings/src/forward.rs
@@ -46,6 +46,9 @@
     pub store: SocketAddr,
     /// How often an upstream writes to the store.
     pub heartbeat: Span,
+    /// Confidence of the smallest model below which the largest is asked; none to ask the largest
+    /// at once, 0 never to ask it.
+    pub cascade: Option<u8>,
     /// Times and shares that the deployment agreed on.
     pub bounds: Bounds,
 }
--- a/src/command/forward.rs
+++ b/src/command/forward.rs
@@ -16,6 +16,11 @@
     /// settings of the instance, in place of the file that the platform names
     #[argh(option)]
     settings: Option<String>,
+
+    /// confidence of the smallest model, in per cent, below which the largest is asked; by default
+    /// the largest is asked at once
+    #[argh(option)]
+    cascade: Option<u8>,
 }
 
 impl Forward {
@@ -26,7 +31,10 @@
             None => std::env::var(platform::VARIABLE).context(platform::VARIABLE)?,
         };
         let settings = match platform::parse(&read(&path)?) {
-            Ok(settings) => settings,
+            Ok(settings) => settings::forward::Settings {
+                cascade: self.cascade,
+                ..settings
+            },
             Err(error) => {
                 eprintln!("{path}: {error}");
                 return Ok(ExitCode::from(FINDINGS));
