--- /dev/null
+++ b/crates/quality/src/governor.rs
@@ -0,0 +1,77 @@
+//! How much of the engines' time better answers may take.
+//!
+//! Asking the largest model again takes ten times the engine time of the smallest. While engines are
+//! free that is well spent; under load it makes everybody late. The governor watches how much of their
+//! time the first answers take, and lowers the share of escalations by multiplicative decrease and
+//! additive increase (Chiu and Jain, 1989), so that instances which share engines settle on a common
+//! level without a message.
+
+use entity::{Moment, Span};
+
+/// Share of the time that a caller is ready to wait for the first event above which the level is
+/// lowered. A larger model needs several times as long for the same prompt.
+const HIGH: f64 = 0.16;
+/// Share below which the level is raised.
+const LOW: f64 = 0.12;
+/// Factor of a decrease.
+const DECREASE: f64 = 0.75;
+/// Step of an increase.
+const INCREASE: f64 = 0.06;
+/// Time between two steps.
+const PERIOD: Span = Span::from_millis(200);
+/// Weight of the newest answer in the moving average.
+const NEWEST: f64 = 0.12;
+/// Most that one answer counts for: one that hung says little about the others.
+const LARGEST: f64 = 1.0;
+
+/// Watches the first answers of one service's engines.
+#[derive(Clone, Debug)]
+pub struct Governor {
+    /// Moving average of the share of their time that first answers take.
+    pressure: f64,
+    level: f64,
+    stepped: Moment,
+}
+
+impl Governor {
+    /// A governor that allows everything.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            pressure: 0.0,
+            level: 1.0,
+            stepped: now,
+        }
+    }
+
+    /// Takes in how long the smallest model took to the first event of an answer that is on time
+    /// within `objective`.
+    pub fn observe(&mut self, time: Span, objective: Span, now: Moment) {
+        let share = time.as_secs_f64() / objective.as_secs_f64().max(1e-3);
+        self.pressure += NEWEST * (share.min(LARGEST) - self.pressure);
+        if now.since(self.stepped) < PERIOD {
+            return;
+        }
+        self.stepped = now;
+        if self.pressure > HIGH {
+            self.level *= DECREASE;
+        } else if self.pressure < LOW {
+            self.level = (self.level + INCREASE).min(1.0);
+        }
+    }
+
+    /// From 0, nothing is escalated, to 1, all that gains by it.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// The confidence below which an answer is escalated, where `full` is the one without load.
+    /// Background work gives way first.
+    pub fn threshold(&self, full: u8, background: bool) -> u8 {
+        let level = if background {
+            (2.0 * self.level - 1.0).max(0.0)
+        } else {
+            self.level
+        };
+        (f64::from(full) * level).round() as u8
+    }
+}
--- a/crates/quality/src/lib.rs
+++ b/crates/quality/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cascade;
 pub mod choice;
 pub mod evidence;
+pub mod governor;
 pub mod histogram;
 pub mod judge;
 pub mod posterior;
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -7,6 +7,7 @@
 use adoption::Snapshot;
 use entity::unit::{Bytes, Share, Tokens};
 use entity::{Generation, Moment, Span, id, name};
+use quality::governor::Governor;
 use quality::release::{self, Releases};
 use quality::totals::Telling;
 use quality::trial::Ruling;
@@ -135,6 +136,8 @@
         oneshot::Sender<Result<Option<id::Version>, Stale>>,
     ),
     Answered(name::Service, name::Version, release::Noted),
+    FirstEvent(name::Service, Span, Span),
+    Threshold(name::Service, u8, bool, oneshot::Sender<u8>),
     Reports(oneshot::Sender<Vec<release::Report>>),
     HearReports(Vec<release::Report>),
     Written(name::Service, name::Version, Ruling),
@@ -279,6 +282,29 @@
         self.tell(Message::Answered(service, version, noted)).await;
     }
 
+    /// Takes in how long the smallest model of a service took to the first event of an answer that
+    /// is on time within an objective.
+    pub async fn first_event(&self, service: name::Service, time: Span, objective: Span) {
+        self.tell(Message::FirstEvent(service, time, objective))
+            .await;
+    }
+
+    /// The confidence below which an answer of the smallest model is escalated, where `full` is the
+    /// one without load.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn threshold(
+        &self,
+        service: name::Service,
+        full: u8,
+        background: bool,
+    ) -> Result<u8, Closed> {
+        self.ask(|reply| Message::Threshold(service, full, background, reply))
+            .await
+    }
+
     /// What to tell other instances of trials of releases.
     ///
     /// # Errors
@@ -437,6 +463,7 @@
             parts.clock.now(),
         ),
         allowances: Vec::new(),
+        governors: Vec::new(),
     };
     tokio::spawn(async move {
         tokio::select! {
@@ -464,6 +491,8 @@
     releases: Releases,
     /// Sorted by service.
     allowances: Vec<(name::Service, Allowance)>,
+    /// Sorted by service.
+    governors: Vec<(name::Service, Governor)>,
 }
 
 impl Task {
@@ -498,6 +527,17 @@
         &mut self.allowances[index].1
     }
 
+    fn governor(&mut self, service: name::Service, now: Moment) -> &mut Governor {
+        let found = self
+            .governors
+            .binary_search_by(|(known, _)| known.cmp(&service));
+        let index = found.unwrap_or_else(|index| {
+            self.governors.insert(index, (service, Governor::new(now)));
+            index
+        });
+        &mut self.governors[index].1
+    }
+
     fn generation(&self) -> Generation {
         self.snapshot
             .as_ref()
@@ -536,6 +576,12 @@
             Message::Answered(service, version, noted) => {
                 self.releases.answered(&service, &version, noted);
             }
+            Message::FirstEvent(service, time, objective) => {
+                self.governor(service, now).observe(time, objective, now);
+            }
+            Message::Threshold(service, full, background, reply) => {
+                let _ = reply.send(self.governor(service, now).threshold(full, background));
+            }
             Message::Reports(reply) => {
                 let _ = reply.send(self.releases.reports(now));
             }
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -177,20 +177,24 @@
         let (failed, time) = match opened {
             Ok(Opened::Whole(passed)) => (passed.status.is_server_error(), Some(time)),
             Ok(Opened::Stream(_)) => (false, Some(time)),
-            Ok(Opened::Doubtful) => return,
+            Ok(Opened::Doubtful) => (false, Some(time)),
             Err(failure) => match failure.reason {
                 Reason::Status(_) => (true, None),
                 Reason::Timeout => (false, Some(time)),
                 _ => return,
             },
         };
+        let decider = &self.shared.core.decider;
+        if let (Some(_), Some(time)) = (self.threshold, time) {
+            let objective = self.route.objective;
+            decider.first_event(service.clone(), time, objective).await;
+        }
         let model = self.model.map_or(0, |model| hash::text(model.as_str()));
         let noted = release::Noted {
             kind: hash::part(hash::text(&self.route.name), model),
             failed,
             time,
         };
-        let decider = &self.shared.core.decider;
         decider
             .answered(service.clone(), version.clone(), noted)
             .await;
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -265,7 +265,7 @@
         resolved: &Resolved,
         history: &mut History,
     ) -> Result<Reply, GivenUp> {
-        let (model, threshold) = self.model(resolved, history);
+        let (model, threshold) = self.model(resolved, history).await;
         let mut open = self.open(resolved, model.as_ref());
         open.threshold = threshold;
         let job = self.job(resolved);
@@ -346,7 +346,11 @@
 
     /// The model to ask, where the router picks it, and the confidence below which its answer is
     /// dropped for one of the largest model.
-    fn model(&self, resolved: &Resolved, history: &History) -> (Option<name::Model>, Option<u8>) {
+    async fn model(
+        &self,
+        resolved: &Resolved,
+        history: &History,
+    ) -> (Option<name::Model>, Option<u8>) {
         let head = &self.arrival.request.head;
         let models = &resolved.route.models;
         let (Some(Model::Any), Some(smallest), Some(largest)) =
@@ -362,8 +366,12 @@
                 if first && head.last_event.is_none() {
                     let background = resolved.route.priority >= BACKGROUND;
                     let share = if background { BACKGROUND_SHARE } else { 100 };
-                    let threshold = u16::from(threshold) * share / 100;
-                    (Some(smallest.clone()), u8::try_from(threshold).ok())
+                    let full = u16::from(threshold) * share / 100;
+                    let full = u8::try_from(full).unwrap_or(threshold);
+                    let service = &resolved.snapshot.config.services[resolved.service].name;
+                    let decider = &self.shared.core.decider;
+                    let threshold = decider.threshold(service.clone(), full, background).await;
+                    (Some(smallest.clone()), threshold.ok())
                 } else {
                     (Some(largest.clone()), None)
                 }
