--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -83,6 +83,23 @@
     pub cascade: bool,
     /// `deadline`: longest time for a whole answer, where the caller gives none.
     pub deadline: Span,
+    /// Models of a service whose requests are passed on, with their prices for a thousand generated
+    /// tokens.
+    pub models: Vec<(name::Model, Cost)>,
+}
+
+impl Service {
+    /// The price of a model in relation to that of the dearest: what engine time costs, so that it
+    /// stands for the time that a model takes for a token.
+    pub fn weight(&self, model: &name::Model) -> f64 {
+        let own = self.models.iter().find(|(known, _)| known == model);
+        let most = self.models.iter().map(|(_, price)| price.credits());
+        let most = most.fold(0.0, f64::max);
+        match own {
+            Some((_, price)) if most > 0.0 => price.credits() / most,
+            _ => 1.0,
+        }
+    }
 }
 
 /// Whether operators let a version receive new work.
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -155,6 +155,7 @@
         quality: Share::WHOLE,
         cascade: false,
         deadline: reader.required("deadline", SPAN).unwrap_or(Span::ZERO),
+        models: Vec::new(),
     };
     // Where the kind can't be read, the keys of both kinds are known.
     if kind == Some(Kind::Plain) {
--- a/crates/config/tests/draw/mod.rs
+++ b/crates/config/tests/draw/mod.rs
@@ -113,6 +113,7 @@
                 },
                 cascade: chat && self.coin(),
                 deadline: self.span(),
+                models: Vec::new(),
             });
         }
         services
--- a/crates/entity/src/unit.rs
+++ b/crates/entity/src/unit.rs
@@ -152,6 +152,11 @@
 pub struct Cost(pub u64);
 
 impl Cost {
+    /// An amount of credits with a fraction; what is not positive is nothing.
+    pub fn from_credits(credits: f64) -> Self {
+        Self((credits.max(0.0) * 1e6).round() as u64)
+    }
+
     /// Credits with their fraction.
     pub fn credits(self) -> f64 {
         self.0 as f64 / 1e6
--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -143,6 +143,14 @@
   6: required list<Counted> evidence,
 }
 
+/** What an instance has running at an upstream. */
+struct UpstreamLoad {
+  1: required string upstream,
+  /** Work whose first event is still to come, in tokens of the largest model. */
+  2: required i32 pending,
+  3: required i32 count,
+}
+
 /** What an instance tells others in a datagram, which is not answered. */
 struct Beacon {
   1: required string instance,
@@ -151,6 +159,7 @@
   /** Whether the sender is being shut down. */
   3: required bool leaving,
   4: required list<Trial> trials,
+  5: required list<UpstreamLoad> loads,
 }
 
 struct Done {
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -1594,6 +1594,88 @@
   }
 }
 
+//
+// UpstreamLoad
+//
+
+/// What an instance has running at an upstream.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct UpstreamLoad {
+  pub upstream: String,
+  /// Work whose first event is still to come, in tokens of the largest model.
+  pub pending: i32,
+  pub count: i32,
+}
+
+impl UpstreamLoad {
+  pub fn new(upstream: String, pending: i32, count: i32) -> UpstreamLoad {
+    UpstreamLoad {
+      upstream,
+      pending,
+      count,
+    }
+  }
+}
+
+impl TSerializable for UpstreamLoad {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<UpstreamLoad> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i32> = None;
+    let mut f_3: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i32()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i32()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("UpstreamLoad.upstream", &f_1)?;
+    verify_required_field_exists("UpstreamLoad.pending", &f_2)?;
+    verify_required_field_exists("UpstreamLoad.count", &f_3)?;
+    let ret = UpstreamLoad {
+      upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      pending: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      count: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("UpstreamLoad");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("pending", TType::I32, 2))?;
+    o_prot.write_i32(self.pending)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("count", TType::I32, 3))?;
+    o_prot.write_i32(self.count)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Beacon
 //
@@ -1607,15 +1689,17 @@
   /// Whether the sender is being shut down.
   pub leaving: bool,
   pub trials: Vec<Trial>,
+  pub loads: Vec<UpstreamLoad>,
 }
 
 impl Beacon {
-  pub fn new(instance: String, address: String, leaving: bool, trials: Vec<Trial>) -> Beacon {
+  pub fn new(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>) -> Beacon {
     Beacon {
       instance,
       address,
       leaving,
       trials,
+      loads,
     }
   }
 }
@@ -1627,6 +1711,7 @@
     let mut f_2: Option<String> = None;
     let mut f_3: Option<bool> = None;
     let mut f_4: Option<Vec<Trial>> = None;
+    let mut f_5: Option<Vec<UpstreamLoad>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1656,6 +1741,16 @@
           i_prot.read_list_end()?;
           f_4 = Some(val);
         },
+        5 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<UpstreamLoad> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_10 = UpstreamLoad::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_10);
+          }
+          i_prot.read_list_end()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1667,11 +1762,13 @@
     verify_required_field_exists("Beacon.address", &f_2)?;
     verify_required_field_exists("Beacon.leaving", &f_3)?;
     verify_required_field_exists("Beacon.trials", &f_4)?;
+    verify_required_field_exists("Beacon.loads", &f_5)?;
     let ret = Beacon {
       instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
       address: f_2.expect("auto-generated code should have checked for presence of required fields"),
       leaving: f_3.expect("auto-generated code should have checked for presence of required fields"),
       trials: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      loads: f_5.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -1694,6 +1791,13 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("loads", TType::List, 5))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.loads.len() as i32))?;
+    for e in &self.loads {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -3,6 +3,7 @@
 use config::forward::{Limits, Repeat};
 use config::{Key, Progress};
 use entity::name;
+use entity::unit::Cost;
 use entity::{Moment, Span};
 use std::net::SocketAddr;
 
@@ -66,8 +67,8 @@
 pub struct Model {
     /// Its name.
     pub name: name::Model,
-    /// Its price for a thousand generated tokens, in the deployment's credits.
-    pub price: f64,
+    /// Its price for a thousand generated tokens.
+    pub price: Cost,
 }
 
 /// A service.
--- a/crates/forward/src/resolve.rs
+++ b/crates/forward/src/resolve.rs
@@ -110,6 +110,11 @@
             quality: Share::WHOLE,
             cascade: false,
             deadline: Span::ZERO,
+            models: service
+                .models
+                .iter()
+                .map(|model| (model.name.clone(), model.price))
+                .collect(),
         });
     }
     services.sort_by(|left, right| left.name.cmp(&right.name));
--- a/crates/quality/examples/common/mod.rs
+++ b/crates/quality/examples/common/mod.rs
@@ -99,6 +99,7 @@
             quality: Share::from_fraction(target),
             cascade,
             deadline: Span::from_secs(60),
+            models: Vec::new(),
         }]),
         versions,
         rollouts,
--- a/crates/quality/src/governor.rs
+++ b/crates/quality/src/governor.rs
@@ -10,9 +10,9 @@
 
 /// Share of the time that a caller is ready to wait for the first event above which the level is
 /// lowered. A larger model needs several times as long for the same prompt.
-const HIGH: f64 = 0.16;
+const HIGH: f64 = 0.30;
 /// Share below which the level is raised.
-const LOW: f64 = 0.12;
+const LOW: f64 = 0.22;
 /// Factor of a decrease.
 const DECREASE: f64 = 0.75;
 /// Step of an increase.
--- a/crates/quality/tests/support/mod.rs
+++ b/crates/quality/tests/support/mod.rs
@@ -64,6 +64,7 @@
             quality: share(quality),
             cascade,
             deadline: Span::from_secs(30),
+            models: Vec::new(),
         }]),
         rollouts,
         ..Config::default()
--- a/crates/routing/examples/footprint.rs
+++ b/crates/routing/examples/footprint.rs
@@ -81,6 +81,7 @@
                 organisation: id::Organisation::new(0),
                 prompt: Bytes(4096),
                 prefix: Some(u64::from(index)),
+                demand: None,
                 priority: Priority(0),
                 excluded: &[],
                 deadline: now + Span::from_secs(30),
--- a/crates/routing/examples/model/policy.rs
+++ b/crates/routing/examples/model/policy.rs
@@ -49,6 +49,7 @@
         quality: Share::percent(80),
         cascade: false,
         deadline: Span::from_secs(30),
+        models: Vec::new(),
     };
     let version = Version {
         name: "draft/1".parse().unwrap(),
@@ -138,6 +139,7 @@
             organisation: id::Organisation::new(request.organisation),
             prompt: Bytes((request.prefill_ms * 100.0) as u64),
             prefix: Some(request.prefix),
+            demand: None,
             priority: Priority(0),
             excluded: &[],
             deadline: request.deadline,
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -1,9 +1,11 @@
 //! The balancer of one instance: what it knows about upstreams, and the choice of one for each
 //! dispatch.
 
+use crate::demand::{Demand, Loads};
 use crate::filter::{ASSUMED_LIVE, Filter, Grant, Reason, Work};
 use crate::hash;
 use crate::load::Load;
+use crate::neighbours::Neighbours;
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
 use crate::retry;
@@ -15,7 +17,7 @@
 use entity::name;
 use entity::time::Span;
 use entity::unit::Bytes;
-use entity::{Generation, Moment};
+use entity::{Generation, Map, Moment};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
@@ -54,6 +56,7 @@
     states: States,
     budget: retry::Budget,
     tickets: u64,
+    neighbours: Neighbours,
     /// Moving average of the sizes of prompts, in bytes.
     mean_prompt: f64,
 }
@@ -62,6 +65,7 @@
 struct Candidate {
     upstream: id::Upstream,
     grant: Grant,
+    affinity: Affinity,
     score: f64,
     tied: bool,
 }
@@ -80,6 +84,7 @@
             states: States::default(),
             budget: retry::Budget::new(Moment(0)),
             tickets: 0,
+            neighbours: Neighbours::default(),
             mean_prompt: 0.0,
         }
     }
@@ -201,7 +206,8 @@
         };
         let filter = self.filter(now);
         filter.permitted(&work).map_err(refusal)?;
-        let candidates = self.candidates(&work, query.prefix, now).map_err(refusal)?;
+        let asked = (query.prefix, query.demand);
+        let candidates = self.candidates(&work, asked, now).map_err(refusal)?;
         let sharers = self.sharers(candidates[0].upstream);
         let best = self.best(&candidates, sharers);
         Ok(self.begin(best, query, now))
@@ -228,6 +234,35 @@
         Ok(())
     }
 
+    /// Notes that the first event of a choice has come.
+    pub fn started(&mut self, upstream: &name::Upstream, ticket: u64) {
+        if let Some(state) = self.states.named_mut(upstream) {
+            state.started(ticket);
+        }
+    }
+
+    /// What this instance has running at each upstream, to tell the others.
+    pub fn loads(&self) -> Loads {
+        let mut loads = Loads::new();
+        for state in self.states.iter() {
+            if state.running > 0 {
+                loads.push((state.name.clone(), state.work()));
+            }
+        }
+        loads
+    }
+
+    /// Takes in what another instance has running. `instances` is how many others there are.
+    pub fn hear_loads(
+        &mut self,
+        instance: &name::Instance,
+        loads: Loads,
+        instances: usize,
+        now: Moment,
+    ) {
+        self.neighbours.hear(instance, loads, instances, now);
+    }
+
     /// Takes back a choice. Returns a suspicion of cold start, if the outcome raises one.
     pub fn finish(&mut self, choice: Choice, outcome: Outcome, now: Moment) -> Option<Suspicion> {
         let config = Arc::clone(&self.config);
@@ -271,9 +306,13 @@
     fn candidates(
         &self,
         work: &Work,
-        prefix: Option<u64>,
+        (prefix, demand): (Option<u64>, Option<Demand>),
         now: Moment,
     ) -> Result<Vec<Candidate>, Reason> {
+        let others = match demand {
+            Some(_) => self.neighbours.work(&self.config, now),
+            None => Map::default(),
+        };
         let filter = self.filter(now);
         let pool = self.pools.pool(work.service, work.version);
         let homes = prefix.map(|prefix| self.homes(prefix, &pool.used));
@@ -294,7 +333,9 @@
                 .as_ref()
                 .is_some_and(|homes| homes.contains(&upstream));
             let affinity = match prefix {
-                Some(prefix) if state.caches(prefix) => Affinity::Cached,
+                Some(prefix) if state.caches(prefix) || state.was_sent(prefix, now) => {
+                    Affinity::Cached
+                }
                 _ if home => Affinity::Home,
                 _ => Affinity::None,
             };
@@ -303,10 +344,23 @@
                 sharers,
                 affinity,
             };
+            let score = match demand {
+                Some(demand) => {
+                    let mut work = state.work();
+                    if let Some(others) = others.get(upstream) {
+                        work.pending += others.pending;
+                        work.running += others.running;
+                    }
+                    let other_zone = zone != Some(self.config.upstreams[upstream].zone);
+                    demand.cost(affinity, work, other_zone)
+                }
+                None => score::score(&self.config, zone, place, state, now),
+            };
             candidates.push(Candidate {
                 upstream,
                 grant,
-                score: score::score(&self.config, zone, place, state, now),
+                affinity,
+                score,
                 tied: affinity != Affinity::None,
             });
         }
@@ -381,6 +435,12 @@
         self.states
             .used_mut(candidate.upstream)
             .begin(candidate.grant, ticket, prompt, now);
+        if let Some(demand) = query.demand {
+            let work = demand.work(candidate.affinity);
+            self.states
+                .used_mut(candidate.upstream)
+                .expect(ticket, work, query.prefix, now);
+        }
         let upstream = &self.config.upstreams[candidate.upstream];
         Choice {
             made: now,
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -1,5 +1,6 @@
 //! What is asked of the balancer, and what it answers.
 
+use crate::demand::Demand;
 use crate::filter::{Grant, Reason};
 use config::Config;
 use entity::id;
@@ -30,6 +31,8 @@
     pub prompt: Bytes,
     /// Hash of the prompt's prefix, for chat services.
     pub prefix: Option<u64>,
+    /// What it asks of an engine; none where only the size of its prompt or body is known.
+    pub demand: Option<Demand>,
     /// How urgent it is.
     pub priority: Priority,
     /// Upstreams that were tried before.
@@ -65,6 +68,11 @@
 }
 
 impl Choice {
+    /// Identifies the choice at its instance.
+    pub fn ticket(&self) -> u64 {
+        self.ticket
+    }
+
     /// The service, the version if it is for one, and the organisation that it was made for.
     pub fn names(&self) -> (&name::Service, Option<&name::Version>, &name::Organisation) {
         (
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,6 +1,7 @@
 //! What an instance knows about one upstream.
 
 use crate::breaker::Breaker;
+use crate::demand::Work;
 use crate::filter::Grant;
 use crate::load::Load;
 use crate::pace::Pace;
@@ -21,6 +22,10 @@
 /// How long an upstream's limit grows after cold start, from a tenth to the whole.
 pub const RAMP: Span = Span::from_secs(10);
 
+/// How long an engine is expected to keep a prefix: prefixes that are asked for more often stay, as
+/// the least recently used give way.
+const KEPT: Span = Span::from_secs(20);
+
 /// How long a suspicion lasts for an upstream that reports no load.
 pub const SUSPICION_LIFE: Span = Span::from_secs(10);
 
@@ -81,6 +86,10 @@
     recovered: bool,
     suspected: Option<Moment>,
     first_token_ms: Option<f64>,
+    /// Work of choices whose first event is still to come, by ticket.
+    pending: Vec<(u64, f64)>,
+    /// Prefixes that this instance sent there, and when; the oldest first.
+    prefixes: Vec<(u64, Moment)>,
     /// Refusals in a row.
     refusals: u32,
     /// Requests sent lately, each counting for less as time goes by.
@@ -106,6 +115,8 @@
             recovered: false,
             suspected: None,
             first_token_ms: None,
+            pending: Vec::new(),
+            prefixes: Vec::new(),
             refusals: 0,
             sent: 0.0,
             sent_at: now,
@@ -118,6 +129,7 @@
         if known.is_some_and(|born| born != registration.born) {
             self.reset(now);
             self.sent = 0.0;
+            self.prefixes.clear();
         }
         self.registered = Some((registration.born, registration.cold_until));
     }
@@ -204,6 +216,35 @@
             .is_some_and(|load| load.prefixes.contains(&prefix))
     }
 
+    /// Whether this instance sent it a prefix lately.
+    pub fn was_sent(&self, prefix: u64, now: Moment) -> bool {
+        let lately = |&&(known, at): &&(u64, Moment)| known == prefix && now.since(at) < KEPT;
+        self.prefixes.iter().find(lately).is_some()
+    }
+
+    /// This instance's work there.
+    pub fn work(&self) -> Work {
+        Work {
+            pending: self.pending.iter().map(|(_, work)| work).sum(),
+            running: f64::from(self.running),
+        }
+    }
+
+    /// Counts the work of a choice until its first event.
+    pub fn expect(&mut self, ticket: u64, work: f64, prefix: Option<u64>, now: Moment) {
+        self.pending.push((ticket, work));
+        if let Some(prefix) = prefix {
+            self.prefixes
+                .retain(|&(known, at)| known != prefix && now.since(at) < KEPT);
+            self.prefixes.push((prefix, now));
+        }
+    }
+
+    /// Notes the first event of a choice.
+    pub fn started(&mut self, ticket: u64) {
+        self.pending.retain(|&(known, _)| known != ticket);
+    }
+
     /// The suspicion that it turned cold, if it is not settled.
     pub fn suspected(&self) -> Option<Moment> {
         self.suspected
@@ -292,6 +333,7 @@
         let light = f64::from(self.total()) < UNEXPLAINED * f64::from(limit);
         assert!(self.running > 0, "a choice ends once");
         self.running -= 1;
+        self.started(ticket);
         self.slots.free(ticket);
         match outcome {
             Outcome::Done { first_token } => {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -43,6 +43,7 @@
         quality: Share::percent(80),
         cascade: false,
         deadline: secs(30),
+        models: Vec::new(),
     };
     Config {
         zones: Map::new(vec![zone("amman-a"), zone("amman-b")]),
@@ -115,6 +116,7 @@
         organisation: id::Organisation::new(0),
         prompt: Bytes(1000),
         prefix: None,
+        demand: None,
         priority: Priority(0),
         excluded: &[],
         deadline: now + secs(30),
--- a/crates/server/src/call.rs
+++ b/crates/server/src/call.rs
@@ -41,6 +41,7 @@
             organisation: self.organisation,
             prompt,
             prefix: None,
+            demand: None,
             priority: Priority(u8::from(!self.request.live)),
             deadline: self.deadline,
             repeatable: true,
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -13,6 +13,7 @@
 use quality::trial::Ruling;
 use quality::{Judge, Plan, Rating, Summary, Verdict};
 use routing::allowance::{Allowance, Bound};
+use routing::demand::{Demand, Loads};
 use routing::reserve;
 use routing::slots::Ceased;
 use routing::{Balancer, Bounds, Choice, Load, Members, Outcome, Priority, Suspicion};
@@ -64,6 +65,8 @@
     pub prompt: Bytes,
     /// Hash of the prompt's prefix.
     pub prefix: Option<u64>,
+    /// What it asks of an engine; none where only the size of its prompt or body is known.
+    pub demand: Option<Demand>,
     /// How urgent it is.
     pub priority: Priority,
     /// Upstreams that were tried before.
@@ -128,6 +131,9 @@
     ),
     Choose(Box<Want>, oneshot::Sender<Result<Choice, routing::Refusal>>),
     Finish(Choice, Outcome),
+    FirstEventOf(name::Upstream, u64),
+    Loads(oneshot::Sender<Loads>),
+    HearLoads(name::Instance, Loads, usize),
     Retry(u32, Moment, oneshot::Sender<Option<Span>>),
     Request(name::Service),
     Release(
@@ -242,6 +248,26 @@
         self.tell(Message::Finish(choice, outcome)).await;
     }
 
+    /// Notes that the first event of a choice has come.
+    pub async fn started(&self, choice: &Choice) {
+        let message = Message::FirstEventOf(choice.upstream.clone(), choice.ticket());
+        self.tell(message).await;
+    }
+
+    /// What this instance has running at each upstream.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn loads(&self) -> Result<Loads, Closed> {
+        self.ask(Message::Loads).await
+    }
+
+    /// Takes in what another instance has running, one of so many others.
+    pub async fn hear_loads(&self, instance: name::Instance, loads: Loads, others: usize) {
+        self.tell(Message::HearLoads(instance, loads, others)).await;
+    }
+
     /// The delay before a retry; none if it may not be retried.
     ///
     /// # Errors
@@ -567,6 +593,13 @@
                 self.balancer.finish(choice, outcome, now);
                 self.waiting.drain(&mut self.balancer, now);
             }
+            Message::FirstEventOf(upstream, ticket) => self.balancer.started(&upstream, ticket),
+            Message::Loads(reply) => {
+                let _ = reply.send(self.balancer.loads());
+            }
+            Message::HearLoads(instance, loads, others) => {
+                self.balancer.hear_loads(&instance, loads, others, now);
+            }
             Message::Retry(retry, deadline, reply) => {
                 let _ = reply.send(self.balancer.retry(retry, deadline, now));
             }
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -218,6 +218,9 @@
             Err(failure) => Err(failure),
         };
         self.note(choice, &opened, Span::from(sent.elapsed())).await;
+        if matches!(opened, Ok(Opened::Stream(_))) {
+            self.shared.core.decider.started(choice).await;
+        }
         opened
     }
 }
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -16,17 +16,18 @@
 use quality::trial::{Ruling, Tally};
 use rand::seq::IndexedRandom;
 use routing::Members;
+use routing::demand::Work;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use timeline::Kind;
 use tokio_util::sync::CancellationToken;
 
-/// Time between two rounds of beacons while a trial is open: a bad release is to be stopped
-/// everywhere within a fraction of a second.
-const TRIAL_PERIOD: Duration = Duration::from_millis(250);
-/// Time between two rounds otherwise.
-const QUIET_PERIOD: Duration = Duration::from_millis(1000);
+/// Time between two rounds of beacons among a few instances: a prompt that another instance has sent
+/// an engine is to be known there before its first event.
+const SMALL_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two rounds among many, so that a bad release is stopped everywhere within a second.
+const LARGE_PERIOD: Duration = Duration::from_millis(400);
 /// Instances up to which all are told in each round; beyond, so many are drawn.
 const FANOUT: usize = 16;
 /// Lives of instances whose evidence one beacon carries, the sender's first.
@@ -120,8 +121,8 @@
                     let Ok(reports) = self.parts.shared.core.decider.reports().await else {
                         return;
                     };
-                    let open = reports.iter().any(|report| !report.written);
-                    next += if open { TRIAL_PERIOD } else { QUIET_PERIOD };
+                    let small = self.peers.len() <= FANOUT;
+                    next += if small { SMALL_PERIOD } else { LARGE_PERIOD };
                     next = next.max(tokio::time::Instant::now());
                     self.round(&reports).await;
                 }
@@ -194,9 +195,11 @@
         } else {
             self.heard(&name, address, self.now());
         }
+        let decider = &self.parts.shared.core.decider;
+        let loads = beacon.loads.iter().filter_map(read_load).collect();
+        decider.hear_loads(name, loads, self.peers.len()).await;
         let reports: Vec<Report> = beacon.trials.iter().filter_map(read).collect();
         if !reports.is_empty() {
-            let decider = &self.parts.shared.core.decider;
             decider.hear_reports(reports).await;
         }
     }
@@ -209,6 +212,7 @@
             address: self.parts.address.to_string(),
             leaving,
             trials: reports.iter().map(write).collect(),
+            loads: self.loads().await,
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
@@ -219,6 +223,17 @@
         }
     }
 
+    /// What this instance has running. An instance that is closing tells of nothing.
+    async fn loads(&self) -> Vec<message::UpstreamLoad> {
+        let loads = self.parts.shared.core.decider.loads().await;
+        let load = |(upstream, work): &(name::Upstream, Work)| message::UpstreamLoad {
+            upstream: upstream.to_string(),
+            pending: work.pending as i32,
+            count: work.running as i32,
+        };
+        loads.unwrap_or_default().iter().map(load).collect()
+    }
+
     async fn send(&self, payload: &[u8]) {
         let chosen: Vec<SocketAddr> = self
             .peers
@@ -327,6 +342,14 @@
     }
 }
 
+fn read_load(load: &message::UpstreamLoad) -> Option<(name::Upstream, Work)> {
+    let work = Work {
+        pending: f64::from(load.pending.max(0)),
+        running: f64::from(load.count.max(0)),
+    };
+    Some((load.upstream.parse().ok()?, work))
+}
+
 fn write(report: &Report) -> message::Trial {
     let counted = |(life, evidence): &(name::Instance, Vec<(u64, Tally)>)| {
         let tallies = evidence.iter().map(|(kind, tally)| message::Tally {
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -144,7 +144,7 @@
         let resolved = run.resolve_again().await?;
         let mut open = run.open(&resolved, self.model.as_ref());
         open.last_event = self.last;
-        let job = run.job(&resolved);
+        let job = run.job(&resolved, self.model.as_ref());
         let core = &run.shared.core;
         let resumed = tokio::select! {
             resumed = tries::resume(core, &job, &mut self.history, &open) => resumed,
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -15,6 +15,7 @@
 use forward::head::Model;
 use hyper::StatusCode;
 use quality::release;
+use routing::demand::Demand;
 use routing::{Outcome, Priority, hash};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -215,7 +216,7 @@
     }
 
     /// The job of a resolved request.
-    pub fn job(&self, resolved: &Resolved) -> Job {
+    pub fn job(&self, resolved: &Resolved, model: Option<&name::Model>) -> Job {
         let head = &self.arrival.request.head;
         let own = &resolved.snapshot.config.organisations[resolved.organisation];
         let priority = own.priority.unwrap_or(resolved.route.priority);
@@ -230,7 +231,12 @@
             version: resolved.version,
             organisation: resolved.organisation,
             prompt: Bytes(prompt),
-            prefix: head.subject().map(|part| part.id),
+            // What an engine keeps of a prompt serves the same model only.
+            prefix: head.subject().map(|part| {
+                let model = model.map_or(0, |model| hash::text(model.as_str()));
+                hash::part(part.id, model)
+            }),
+            demand: self.demand(resolved, model),
             priority: Priority(priority),
             deadline: resolved.deadline,
             repeatable: resolved.route.repeat.repeatable(),
@@ -241,6 +247,19 @@
         }
     }
 
+    /// What the request asks of an engine.
+    fn demand(&self, resolved: &Resolved, model: Option<&name::Model>) -> Option<Demand> {
+        let head = &self.arrival.request.head;
+        let size = head.size?;
+        let own = head.parts.last().map_or(size.prompt, |part| part.tokens);
+        let service = &resolved.snapshot.config.services[resolved.service];
+        Some(Demand {
+            own: own.min(size.prompt),
+            shared: size.prompt.saturating_sub(own),
+            weight: model.map_or(1.0, |model| service.weight(model)),
+        })
+    }
+
     /// The request as it is sent to upstreams.
     pub fn open<'a>(&'a self, resolved: &'a Resolved, model: Option<&'a name::Model>) -> Open<'a> {
         Open {
@@ -268,7 +287,7 @@
         let (model, threshold) = self.model(resolved, history).await;
         let mut open = self.open(resolved, model.as_ref());
         open.threshold = threshold;
-        let job = self.job(resolved);
+        let job = self.job(resolved, model.as_ref());
         let core = &self.shared.core;
         let taken = match tries::resume(core, &job, history, &open).await {
             Ok(taken) => taken,
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -8,6 +8,7 @@
 use entity::unit::Bytes;
 use entity::{Moment, Span, id, name};
 use hyper::StatusCode;
+use routing::demand::Demand;
 use routing::{Choice, Outcome, Priority};
 use std::sync::Arc;
 use timeline::{Counter, Kind};
@@ -35,6 +36,8 @@
     pub prompt: Bytes,
     /// Hash of the prompt's prefix.
     pub prefix: Option<u64>,
+    /// What it asks of an engine; none where only the size of its prompt or body is known.
+    pub demand: Option<Demand>,
     /// How urgent it is.
     pub priority: Priority,
     /// When the whole answer is due.
@@ -137,6 +140,7 @@
             organisation: self.organisation,
             prompt: self.prompt,
             prefix: self.prefix,
+            demand: self.demand,
             priority: self.priority,
             excluded: excluded.to_vec(),
             deadline: self.deadline,
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -283,6 +283,7 @@
         organisation: want.organisation,
         prompt: want.prompt,
         prefix: want.prefix,
+        demand: want.demand,
         priority: want.priority,
         excluded: &want.excluded,
         deadline: want.deadline,
