--- a/crates/quality/src/governor.rs
+++ b/crates/quality/src/governor.rs
@@ -14,13 +14,13 @@
 /// Share below which the level is raised.
 const LOW: f64 = 0.22;
 /// Factor of a decrease.
-const DECREASE: f64 = 0.75;
+const DECREASE: f64 = 0.6;
 /// Step of an increase.
-const INCREASE: f64 = 0.06;
+const INCREASE: f64 = 0.1;
 /// Time between two steps.
 const PERIOD: Span = Span::from_millis(200);
 /// Level at the start: after an outage of all instances, callers come back together.
-const FIRST: f64 = 0.6;
+const FIRST: f64 = 0.3;
 /// Shares of the objective between which an answer that does not come is given up on for another
 /// try.
 const PATIENCE: (f64, f64) = (0.4, 1.5);
