--- a/crates/server/src/forward/sse.rs
+++ b/crates/forward/src/events.rs
@@ -30,11 +30,6 @@
         self.last
     }
 
-    /// Drops what arrived of an event that will not become whole.
-    pub fn reset(&mut self) {
-        self.rest.clear();
-    }
-
     /// Whether no part of an event is kept.
     pub fn is_empty(&self) -> bool {
         self.rest.is_empty()
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod catalog;
 pub mod dialect;
+pub mod events;
 mod fold;
 pub mod head;
 mod resolve;
--- /dev/null
+++ b/crates/forward/tests/fold.rs
@@ -0,0 +1,345 @@
+//! What the records of the store add up to.
+
+use config::Progress;
+use entity::{Moment, Offset, Span};
+use forward::catalog::{Entry, Publication, Registration, Rollout, State};
+use forward::source::{Item, Listing, Page, Topic};
+use forward::{Change, Fold};
+use googletest::prelude::*;
+
+const NOW: Moment = Moment(1_000_000_000);
+
+fn publication(version: u64) -> Entry {
+    Entry::Publication(Publication {
+        version,
+        ..Publication::default()
+    })
+}
+
+fn registration(state: State, cold: Span) -> Registration {
+    Registration {
+        service: "advice".parse().unwrap(),
+        address: "10.0.0.1:8000".parse().unwrap(),
+        zone: "north-a".parse().unwrap(),
+        release: "v1".into(),
+        slots: 4,
+        state,
+        cold,
+        born: 1,
+    }
+}
+
+fn upstream(name: &str, registration: Registration) -> Entry {
+    Entry::Registration(name.parse().unwrap(), registration)
+}
+
+fn item(key: &str, offset: u64, entry: Option<Entry>) -> Item {
+    Item {
+        key: key.into(),
+        offset: Offset(offset),
+        entry: Ok(entry),
+    }
+}
+
+fn list(fold: &mut Fold, topic: Topic, items: Vec<Item>, lapsing: bool) -> Change {
+    let listing = Listing {
+        items,
+        end: Offset(100),
+    };
+    fold.list(topic, &listing, NOW, lapsing)
+}
+
+fn page(fold: &mut Fold, topic: Topic, items: Vec<Item>, now: Moment, lapsing: bool) -> Change {
+    let page = Page {
+        items,
+        next: Offset(100),
+    };
+    fold.page(topic, &page, now, lapsing)
+}
+
+fn ready(name: &str, offset: u64) -> Item {
+    let entry = upstream(name, registration(State::Ready, Span::ZERO));
+    item(name, offset, Some(entry))
+}
+
+fn names(fold: &Fold) -> Vec<&str> {
+    fold.upstreams()
+        .iter()
+        .map(|known| known.name.as_str())
+        .collect()
+}
+
+#[gtest]
+fn nothing_is_complete_before_all_topics_were_listed() {
+    let mut fold = Fold::default();
+    list(
+        &mut fold,
+        Topic::Operator,
+        vec![item("config", 1, Some(publication(3)))],
+        false,
+    );
+    expect_false!(fold.complete());
+    list(&mut fold, Topic::Upstreams, Vec::new(), false);
+    expect_false!(fold.complete());
+    list(&mut fold, Topic::Progress, Vec::new(), false);
+    expect_true!(fold.complete());
+}
+
+#[gtest]
+fn a_configuration_never_goes_back() {
+    let mut fold = Fold::default();
+    list(
+        &mut fold,
+        Topic::Operator,
+        vec![item("config", 5, Some(publication(9)))],
+        false,
+    );
+    let older = vec![item("config", 4, Some(publication(7)))];
+    let change = page(&mut fold, Topic::Operator, older, NOW, false);
+    expect_false!(change.routing);
+    expect_that!(fold.publication().unwrap().version, eq(9));
+}
+
+#[gtest]
+fn a_heartbeat_changes_nothing() {
+    let mut fold = Fold::default();
+    list(&mut fold, Topic::Upstreams, vec![ready("i-1", 1)], false);
+    let change = page(
+        &mut fold,
+        Topic::Upstreams,
+        vec![ready("i-1", 2)],
+        NOW,
+        false,
+    );
+    expect_true!(change.is_empty());
+}
+
+#[gtest]
+fn an_upstream_that_drains_leaves_at_once() {
+    let mut fold = Fold::default();
+    list(&mut fold, Topic::Upstreams, vec![ready("i-1", 1)], false);
+    let entry = upstream("i-1", registration(State::Draining, Span::ZERO));
+    let draining = vec![item("i-1", 2, Some(entry))];
+    let change = page(&mut fold, Topic::Upstreams, draining, NOW, false);
+    expect_true!(change.routing);
+    expect_that!(change.left.len(), eq(1));
+    expect_false!(fold.upstreams()[0].ready());
+}
+
+#[gtest]
+fn a_removed_upstream_is_gone_at_once_while_the_store_is_well() {
+    let mut fold = Fold::default();
+    list(&mut fold, Topic::Upstreams, vec![ready("i-1", 1)], false);
+    page(
+        &mut fold,
+        Topic::Upstreams,
+        vec![item("i-1", 2, None)],
+        NOW,
+        false,
+    );
+    expect_that!(names(&fold), is_empty());
+}
+
+#[gtest]
+fn an_upstream_that_lapsed_during_an_outage_is_used_until_its_grace_ends() {
+    let mut fold = Fold::default();
+    list(
+        &mut fold,
+        Topic::Upstreams,
+        vec![ready("i-1", 1), ready("i-2", 2)],
+        false,
+    );
+    let gone = vec![item("i-1", 3, None), item("i-2", 4, None)];
+    page(&mut fold, Topic::Upstreams, gone, NOW, true);
+    expect_that!(names(&fold), container_eq(["i-1", "i-2"]));
+    // One is back before its grace ends.
+    page(
+        &mut fold,
+        Topic::Upstreams,
+        vec![ready("i-2", 5)],
+        NOW,
+        false,
+    );
+    let end = fold.next_expiry().unwrap();
+    expect_that!(end.since(NOW), le(Span::from_secs(2)));
+    let change = fold.expire(end);
+    expect_true!(change.routing);
+    expect_that!(names(&fold), container_eq(["i-2"]));
+}
+
+#[gtest]
+fn a_new_listing_removes_what_it_does_not_have() {
+    let mut fold = Fold::default();
+    list(
+        &mut fold,
+        Topic::Upstreams,
+        vec![ready("i-1", 1), ready("i-2", 2)],
+        false,
+    );
+    let change = list(&mut fold, Topic::Upstreams, vec![ready("i-2", 9)], false);
+    expect_true!(change.routing);
+    expect_that!(names(&fold), container_eq(["i-2"]));
+}
+
+#[gtest]
+fn an_unreadable_entry_names_no_upstream_and_harms_no_other() {
+    let mut fold = Fold::default();
+    list(
+        &mut fold,
+        Topic::Upstreams,
+        vec![ready("i-1", 1), ready("i-2", 2)],
+        false,
+    );
+    let torn = Item {
+        key: "i-1".into(),
+        offset: Offset(3),
+        entry: Err("torn".into()),
+    };
+    let change = page(&mut fold, Topic::Upstreams, vec![torn], NOW, false);
+    expect_that!(names(&fold), container_eq(["i-2"]));
+    expect_that!(change.unreadable.len(), eq(1));
+}
+
+#[gtest]
+fn an_older_record_of_an_upstream_is_ignored() {
+    let mut fold = Fold::default();
+    let entry = upstream("i-1", registration(State::Draining, Span::ZERO));
+    list(
+        &mut fold,
+        Topic::Upstreams,
+        vec![item("i-1", 8, Some(entry))],
+        false,
+    );
+    page(
+        &mut fold,
+        Topic::Upstreams,
+        vec![ready("i-1", 7)],
+        NOW,
+        false,
+    );
+    expect_false!(fold.upstreams()[0].ready());
+    page(
+        &mut fold,
+        Topic::Upstreams,
+        vec![item("i-1", 7, None)],
+        NOW,
+        false,
+    );
+    expect_that!(names(&fold), container_eq(["i-1"]));
+}
+
+#[gtest]
+fn a_cold_start_is_not_prolonged_by_heartbeats() {
+    let mut fold = Fold::default();
+    let cold = |left| upstream("i-1", registration(State::Ready, Span::from_millis(left)));
+    list(
+        &mut fold,
+        Topic::Upstreams,
+        vec![item("i-1", 1, Some(cold(3000)))],
+        false,
+    );
+    let until = fold.upstreams()[0].cold_until;
+    let later = NOW + Span::from_millis(1200);
+    page(
+        &mut fold,
+        Topic::Upstreams,
+        vec![item("i-1", 2, Some(cold(2500)))],
+        later,
+        false,
+    );
+    expect_that!(fold.upstreams()[0].cold_until, eq(until));
+    // Cold again after it was warm.
+    let again = NOW + Span::from_secs(10);
+    let change = page(
+        &mut fold,
+        Topic::Upstreams,
+        vec![item("i-1", 3, Some(cold(3000)))],
+        again,
+        false,
+    );
+    expect_true!(change.routing);
+    expect_that!(
+        fold.upstreams()[0].cold_until,
+        eq(again + Span::from_secs(3))
+    );
+}
+
+#[gtest]
+fn an_upstream_that_starts_again_under_its_name_has_joined() {
+    let mut fold = Fold::default();
+    list(&mut fold, Topic::Upstreams, vec![ready("i-1", 1)], false);
+    let reborn = Registration {
+        born: 2,
+        ..registration(State::Ready, Span::ZERO)
+    };
+    let items = vec![item("i-1", 2, Some(upstream("i-1", reborn)))];
+    let change = page(&mut fold, Topic::Upstreams, items, NOW, false);
+    expect_that!(change.joined.len(), eq(1));
+    expect_true!(change.routing);
+}
+
+#[gtest]
+fn a_zone_is_out_until_its_record_goes() {
+    let mut fold = Fold::default();
+    let zone = Entry::Evacuation("north-a".parse().unwrap());
+    let key = "evacuate/north-a";
+    page(
+        &mut fold,
+        Topic::Operator,
+        vec![item(key, 1, Some(zone))],
+        NOW,
+        false,
+    );
+    expect_that!(fold.evacuated().count(), eq(1));
+    let change = page(
+        &mut fold,
+        Topic::Operator,
+        vec![item(key, 2, None)],
+        NOW,
+        false,
+    );
+    expect_true!(change.routing);
+    expect_that!(fold.evacuated().count(), eq(0));
+}
+
+#[gtest]
+fn an_order_that_is_read_again_keeps_its_first_moment() {
+    let mut fold = Fold::default();
+    let order = || {
+        Entry::Rollout(Rollout {
+            service: "advice".parse().unwrap(),
+            target: "v2".into(),
+            duration: Span::from_secs(24),
+        })
+    };
+    let key = "rollout/advice";
+    page(
+        &mut fold,
+        Topic::Operator,
+        vec![item(key, 1, Some(order()))],
+        NOW,
+        false,
+    );
+    let later = NOW + Span::from_secs(4);
+    let change = page(
+        &mut fold,
+        Topic::Operator,
+        vec![item(key, 1, Some(order()))],
+        later,
+        false,
+    );
+    expect_false!(change.routing);
+    expect_that!(fold.ordered()[0].read, eq(NOW));
+}
+
+#[gtest]
+fn a_verdict_on_a_release_is_final() {
+    let mut fold = Fold::default();
+    let service = "advice".parse().unwrap();
+    let mut change = Change::default();
+    fold.progress(&service, "v2", Progress::RolledBack, &mut change);
+    fold.progress(&service, "v2", Progress::Completed, &mut change);
+    expect_that!(fold.standings()[0].progress, eq(Progress::RolledBack));
+    fold.progress(&service, "v3", Progress::Running, &mut change);
+    expect_that!(fold.standings()[0].progress, eq(Progress::Running));
+}
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -12,6 +12,5 @@
 mod probe;
 mod relay;
 mod run;
-mod sse;
 
 pub use instance::Instance;
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -1,7 +1,6 @@
 //! Sends a request to one upstream, up to the point from which it can't be tried again unseen.
 
 use crate::forward::front::Shared;
-use crate::forward::sse::Splitter;
 use crate::tries::Dispatch;
 use bytes::Bytes;
 use caller::forward::{Content, Passed};
@@ -9,6 +8,7 @@
 use entity::Span;
 use entity::name;
 use forward::dialect::Order;
+use forward::events::Splitter;
 use forward::head::Request;
 use hyper::StatusCode;
 use hyper::header::{self, HeaderMap, HeaderName};
