--- /dev/null
+++ b/crates/routing/tests/demand.rs
@@ -0,0 +1,163 @@
+//! Engines compared by the work that waits there.
+
+mod common;
+
+use common::{START, config, query};
+use config::Registration;
+use entity::{Moment, Span, name};
+use googletest::prelude::*;
+use routing::demand::{Demand, Work};
+use routing::{Balancer, Choice, Outcome, Query};
+
+/// A balancer before registered engines.
+fn balancer(engines: usize, cold: &[usize]) -> Balancer {
+    let mut config = config(engines);
+    for (id, upstream) in config.upstreams.iter_mut() {
+        let index = entity::id::Id::index(id);
+        let until = if cold.contains(&index) {
+            START + Span::from_secs(3)
+        } else {
+            Moment(0)
+        };
+        upstream.registration = Some(Registration {
+            incarnation: upstream.name.as_str().into(),
+            born: 1,
+            cold_until: until,
+            cold_rate: 40,
+        });
+    }
+    common::balancer(&config, 7)
+}
+
+fn asking(demand: Demand, prefix: Option<u64>) -> Query<'static> {
+    Query {
+        demand: Some(demand),
+        prefix,
+        ..query(START)
+    }
+}
+
+fn long() -> Demand {
+    Demand {
+        own: 6000,
+        shared: 5000,
+        weight: 1.0,
+    }
+}
+
+fn short() -> Demand {
+    Demand {
+        own: 600,
+        shared: 200,
+        weight: 0.07,
+    }
+}
+
+fn choose(balancer: &mut Balancer, demand: Demand) -> Choice {
+    balancer.choose(&asking(demand, None), START).unwrap()
+}
+
+/// Pattern: a clump of long prompts.
+#[gtest]
+fn a_clump_of_long_prompts_is_spread() {
+    let mut balancer = balancer(6, &[]);
+    let mut used: Vec<name::Upstream> = Vec::new();
+    for _ in 0..6 {
+        used.push(choose(&mut balancer, long()).upstream);
+    }
+    used.sort();
+    used.dedup();
+    expect_that!(used.len(), eq(6));
+}
+
+/// Pattern: long prompts of other instances.
+#[gtest]
+fn work_that_other_instances_sent_is_avoided() {
+    let mut balancer = balancer(2, &[]);
+    let first = choose(&mut balancer, short());
+    let busy = first.upstream.clone();
+    balancer.finish(first, Outcome::Cancelled, START);
+    let work = Work {
+        pending: 9000.0,
+        running: 3.0,
+    };
+    let loads = vec![(busy.clone(), work)];
+    balancer.hear_loads(&"north-2".parse().unwrap(), loads, 1, START);
+    for _ in 0..5 {
+        let choice = choose(&mut balancer, short());
+        expect_that!(choice.upstream, not(eq(&busy)));
+        balancer.finish(choice, Outcome::Cancelled, START);
+    }
+}
+
+#[gtest]
+fn what_another_instance_told_is_forgotten() {
+    let mut balancer = balancer(1, &[]);
+    let work = Work {
+        pending: 9000.0,
+        running: 3.0,
+    };
+    let loads = vec![("engine-000".parse().unwrap(), work)];
+    balancer.hear_loads(&"north-2".parse().unwrap(), loads, 1, START);
+    expect_that!(balancer.loads().len(), eq(0));
+    let later = START + Span::from_secs(5);
+    expect_true!(balancer.choose(&asking(short(), None), later).is_ok());
+}
+
+/// Pattern: a hot key, whose prompts share a long part.
+#[gtest]
+fn a_prompt_follows_what_is_kept_of_it_until_that_engine_is_busy() {
+    let mut balancer = balancer(6, &[]);
+    let first = balancer.choose(&asking(long(), Some(42)), START).unwrap();
+    let home = first.upstream.clone();
+    balancer.finish(first, Outcome::Done { first_token: None }, START);
+    let second = balancer.choose(&asking(long(), Some(42)), START).unwrap();
+    expect_that!(second.upstream, eq(&home));
+    // Its work still waits there: another engine reads the whole prompt sooner.
+    let mut elsewhere = false;
+    for _ in 0..3 {
+        let next = balancer.choose(&asking(long(), Some(42)), START).unwrap();
+        elsewhere |= next.upstream != home;
+    }
+    expect_true!(elsewhere);
+}
+
+#[gtest]
+fn work_counts_until_the_first_event() {
+    let mut balancer = balancer(1, &[]);
+    let choice = choose(&mut balancer, long());
+    expect_that!(balancer.loads()[0].1.pending, gt(6000.0));
+    balancer.started(&choice.upstream.clone(), choice.ticket());
+    expect_that!(balancer.loads()[0].1.pending, eq(0.0));
+    expect_that!(balancer.loads()[0].1.running, eq(1.0));
+    balancer.finish(choice, Outcome::Done { first_token: None }, START);
+    expect_that!(balancer.loads().len(), eq(0));
+}
+
+/// Pattern: a zone's return, some of whose engines are cold.
+#[gtest]
+fn a_cold_engine_is_left_alone_while_a_warm_one_has_room() {
+    let mut balancer = balancer(3, &[0, 1]);
+    for _ in 0..3 {
+        let choice = choose(&mut balancer, short());
+        expect_that!(choice.upstream.as_str(), eq("engine-002"));
+        balancer.finish(choice, Outcome::Done { first_token: None }, START);
+    }
+}
+
+/// Pattern: all engines come back cold at once.
+#[gtest]
+fn cold_engines_are_paced_where_there_is_no_warm_one() {
+    let mut balancer = balancer(2, &[0, 1]);
+    let mut sent = 0;
+    for _ in 0..40 {
+        if let Ok(choice) = balancer.choose(&asking(short(), None), START) {
+            sent += 1;
+            balancer.finish(choice, Outcome::Done { first_token: None }, START);
+        }
+    }
+    // A sixteenth of the rate is assumed to be this instance's before it knows the others.
+    expect_that!(sent, eq(2));
+    let warm = START + Span::from_secs(3);
+    expect_true!(balancer.choose(&asking(short(), None), warm).is_ok());
+}
--- a/crates/routing/tests/random.rs
+++ b/crates/routing/tests/random.rs
@@ -223,6 +223,7 @@
             match choice.grant {
                 Grant::Warm => self.warm_sent += 1,
                 Grant::Cold { .. } => self.cold_sent += 1,
+                Grant::Paced => unreachable!("no upstream registered itself"),
             }
             entry.running.push(choice);
         }
--- /dev/null
+++ b/crates/routing/tests/repeats.rs
@@ -0,0 +1,131 @@
+//! The bound on repeats, and the pace of upstreams in cold start, over many instances.
+
+use entity::{Moment, Span, name};
+use googletest::prelude::*;
+use routing::allowance::{Allowance, Bound};
+use routing::pace::{Pace, Sharers, share};
+
+const START: Moment = Moment(1_000_000_000);
+
+fn bound() -> Bound {
+    Bound {
+        share: 0.75,
+        window: Span::from_secs(10),
+        extra: 1,
+    }
+}
+
+/// Pattern: upstreams that fail everything for a while. Whatever the seconds before were like, no
+/// window has more repeats than the share of its requests, the ones before it included.
+#[gtest]
+fn failing_upstreams_never_exceed_the_bound() {
+    let mut allowance = Allowance::new(bound());
+    let mut sent: Vec<(Moment, bool)> = Vec::new();
+    let mut now = START;
+    for step in 0..4000_u64 {
+        now = now + Span::from_millis(if step % 900 < 300 { 5 } else { 40 });
+        allowance.request(now);
+        sent.push((now, false));
+        for _ in 0..3 {
+            if allowance.repeat(0, now) {
+                sent.push((now, true));
+            }
+        }
+    }
+    let window = Span::from_secs(10);
+    for &(end, _) in sent.iter().step_by(50) {
+        let within = |from: Moment, to: Moment, repeat: bool| {
+            let counted = sent
+                .iter()
+                .filter(|(at, kind)| *kind == repeat && at.0 > from.0 && at.0 <= to.0);
+            counted.count() as f64
+        };
+        let begin = end - window;
+        let repeats = within(begin, end, true);
+        let requests = within(begin, end, false).max(within(begin - window, begin, false));
+        expect_that!(repeats, le(0.9 * requests + 2.0));
+    }
+}
+
+#[gtest]
+fn repeats_come_back_as_the_window_moves_on() {
+    let mut allowance = Allowance::new(bound());
+    for _ in 0..4 {
+        allowance.request(START);
+    }
+    let mut granted = 0;
+    while allowance.repeat(0, START) {
+        granted += 1;
+    }
+    expect_that!(granted, eq(4));
+    let later = START + Span::from_secs(11);
+    allowance.request(later);
+    expect_true!(allowance.repeat(0, later));
+}
+
+#[gtest]
+fn a_reserve_is_left_to_others() {
+    let mut allowance = Allowance::new(bound());
+    for _ in 0..8 {
+        allowance.request(START);
+    }
+    let mut granted = 0;
+    while allowance.repeat(4, START) {
+        granted += 1;
+    }
+    expect_that!(granted, eq(3));
+    expect_true!(allowance.repeat(0, START));
+}
+
+fn instances(count: usize) -> Vec<name::Instance> {
+    let mut names: Vec<_> = (0..count)
+        .map(|index| format!("front-{index:03}").parse().unwrap())
+        .collect();
+    names.sort();
+    names
+}
+
+/// Pattern: a zone's upstreams come back cold together.
+#[gtest]
+fn shares_of_a_cold_upstream_stay_below_its_rate() {
+    for count in [1, 3, 9, 20, 75, 300] {
+        let live = instances(count);
+        let upstream = "i-1".parse().unwrap();
+        for rate in [2, 18, 40] {
+            let mut sum = 0;
+            for own in &live {
+                let sharers = Sharers {
+                    own,
+                    live: &live,
+                    assumed: 16,
+                };
+                sum += share(&upstream, rate, sharers);
+            }
+            expect_that!(sum, le(rate));
+            expect_that!(sum, ge(1));
+        }
+    }
+}
+
+#[gtest]
+fn an_instance_that_knows_no_other_assumes_many() {
+    let live = instances(1);
+    let sharers = Sharers {
+        own: &live[0],
+        live: &[],
+        assumed: 16,
+    };
+    expect_that!(share(&"i-1".parse().unwrap(), 18, sharers), eq(0));
+}
+
+#[gtest]
+fn a_pace_counts_any_second() {
+    let mut pace = Pace::default();
+    for step in 0..3 {
+        let now = START + Span::from_millis(300 * step);
+        expect_true!(pace.allows(3, now));
+        pace.sent(now);
+    }
+    expect_false!(pace.allows(3, START + Span::from_millis(999)));
+    expect_true!(pace.allows(3, START + Span::from_millis(1300)));
+}
