--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -18,7 +18,9 @@
 use rand::Rng;
 use routing::Bounds;
 use routing::allowance::Bound;
+use serde::Serialize;
 use settings::forward::Settings;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -43,10 +45,20 @@
 /// Time between two looks at whether every connection has ended.
 const POLL: Duration = Duration::from_millis(50);
 
+/// Where an instance listens.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For the balancer, and for metrics.
+    pub readiness: SocketAddr,
+}
+
 /// A running instance.
 pub struct Instance {
     shared: Arc<Shared>,
     front: Server,
+    addresses: Addresses,
     shutdown: Shutdown,
     /// Stops everything else.
     stopping: CancellationToken,
@@ -122,24 +134,32 @@
         let front = Server::bind(address, dialect, limits, front, shutdown.clone()).await;
         let front = front.with_context(|| format!("caller address {address}"))?;
         let address = settings.readiness_address;
-        probe::bind(address, shared.clone(), stopping.clone())
-            .await
-            .with_context(|| format!("readiness address {address}"))?;
+        let readiness = probe::bind(address, shared.clone(), stopping.clone()).await;
+        let addresses = Addresses {
+            caller: front.address(),
+            readiness: readiness.with_context(|| format!("readiness address {address}"))?,
+        };
         shared
             .core
             .recorder
             .event(Kind::Started)
-            .text("caller", front.address())
+            .text("caller", addresses.caller)
             .record();
         Ok(Self {
             shared,
             front,
+            addresses,
             shutdown,
             stopping,
             grace: settings.bounds.grace,
         })
     }
 
+    /// Where it listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
     /// Shuts down: first no longer ready, while every connection is served on; then idle connections
     /// are closed. Returns whether every request was answered within the grace period.
     pub async fn shutdown(self) -> bool {
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -13,4 +13,4 @@
 mod relay;
 mod run;
 
-pub use instance::Instance;
+pub use instance::{Addresses, Instance};
--- a/crates/server/src/forward/probe.rs
+++ b/crates/server/src/forward/probe.rs
@@ -29,15 +29,16 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     cancel: CancellationToken,
-) -> io::Result<()> {
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
     tokio::spawn(async move {
         tokio::select! {
             () = cancel.cancelled() => {}
             () = accept(listener, shared) => {}
         }
     });
-    Ok(())
+    Ok(address)
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
