Let two instances read the store for all, and tell the others

What changed is told in datagrams with its offset, and a hash of what is known with the age of the read, so that keys stay confirmed; an instance that is not told reads itself, and one that stood still trusts no age.

--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -151,6 +151,23 @@
   3: required i32 count,
 }
 
+/** How far an instance knows a topic of the store. */
+struct Sight {
+  1: required i32 topic,
+  /** A hash of what the sender knows of it. */
+  2: required i64 digest,
+  /** How long ago a read was sent that found nothing else. */
+  3: required i64 age_us,
+}
+
+/** A record of the store that changed something lately. */
+struct Told {
+  1: required i32 topic,
+  2: required string key,
+  3: required i64 position,
+  4: required binary value,
+}
+
 /** What an instance tells others in a datagram, which is not answered. */
 struct Beacon {
   1: required string instance,
@@ -160,6 +177,8 @@
   3: required bool leaving,
   4: required list<Trial> trials,
   5: required list<UpstreamLoad> loads,
+  6: required list<Sight> sights,
+  7: required list<Told> told,
 }
 
 struct Done {
--- a/crates/fellow/src/beacon.rs
+++ b/crates/fellow/src/beacon.rs
@@ -4,7 +4,9 @@
 //! between instances is the deployment's own, which hands out no secret for a tag.
 
 use crate::message::Beacon;
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use thrift::protocol::{
     TCompactInputProtocol, TCompactOutputProtocol, TInputProtocol, TSerializable, TType,
@@ -86,6 +88,14 @@
         Ok(())
     }
 
+    /// Whether a datagram waits to be received.
+    ///
+    /// The kernel is asked, not the runtime, which learns of datagrams only when it polls.
+    pub fn has_next(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        SockRef::from(&self.socket).peek(&mut byte).is_ok()
+    }
+
     /// The next beacon.
     ///
     /// # Errors
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -1676,6 +1676,182 @@
   }
 }
 
+//
+// Sight
+//
+
+/// How far an instance knows a topic of the store.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Sight {
+  pub topic: i32,
+  /// A hash of what the sender knows of it.
+  pub digest: i64,
+  /// How long ago a read was sent that found nothing else.
+  pub age_us: i64,
+}
+
+impl Sight {
+  pub fn new(topic: i32, digest: i64, age_us: i64) -> Sight {
+    Sight {
+      topic,
+      digest,
+      age_us,
+    }
+  }
+}
+
+impl TSerializable for Sight {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Sight> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Sight.topic", &f_1)?;
+    verify_required_field_exists("Sight.digest", &f_2)?;
+    verify_required_field_exists("Sight.age_us", &f_3)?;
+    let ret = Sight {
+      topic: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      digest: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      age_us: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Sight");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("topic", TType::I32, 1))?;
+    o_prot.write_i32(self.topic)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("digest", TType::I64, 2))?;
+    o_prot.write_i64(self.digest)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("age_us", TType::I64, 3))?;
+    o_prot.write_i64(self.age_us)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Told
+//
+
+/// A record of the store that changed something lately.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Told {
+  pub topic: i32,
+  pub key: String,
+  pub position: i64,
+  pub value: Vec<u8>,
+}
+
+impl Told {
+  pub fn new(topic: i32, key: String, position: i64, value: Vec<u8>) -> Told {
+    Told {
+      topic,
+      key,
+      position,
+      value,
+    }
+  }
+}
+
+impl TSerializable for Told {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Told> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_bytes()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Told.topic", &f_1)?;
+    verify_required_field_exists("Told.key", &f_2)?;
+    verify_required_field_exists("Told.position", &f_3)?;
+    verify_required_field_exists("Told.value", &f_4)?;
+    let ret = Told {
+      topic: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      key: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      position: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      value: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Told");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("topic", TType::I32, 1))?;
+    o_prot.write_i32(self.topic)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("key", TType::String, 2))?;
+    o_prot.write_string(&self.key)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("position", TType::I64, 3))?;
+    o_prot.write_i64(self.position)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("value", TType::String, 4))?;
+    o_prot.write_bytes(&self.value)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Beacon
 //
@@ -1690,16 +1866,20 @@
   pub leaving: bool,
   pub trials: Vec<Trial>,
   pub loads: Vec<UpstreamLoad>,
+  pub sights: Vec<Sight>,
+  pub told: Vec<Told>,
 }
 
 impl Beacon {
-  pub fn new(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>) -> Beacon {
+  pub fn new(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>) -> Beacon {
     Beacon {
       instance,
       address,
       leaving,
       trials,
       loads,
+      sights,
+      told,
     }
   }
 }
@@ -1712,6 +1892,8 @@
     let mut f_3: Option<bool> = None;
     let mut f_4: Option<Vec<Trial>> = None;
     let mut f_5: Option<Vec<UpstreamLoad>> = None;
+    let mut f_6: Option<Vec<Sight>> = None;
+    let mut f_7: Option<Vec<Told>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1751,6 +1933,26 @@
           i_prot.read_list_end()?;
           f_5 = Some(val);
         },
+        6 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_11 = Sight::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_11);
+          }
+          i_prot.read_list_end()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Told> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_12 = Told::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_12);
+          }
+          i_prot.read_list_end()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1763,12 +1965,16 @@
     verify_required_field_exists("Beacon.leaving", &f_3)?;
     verify_required_field_exists("Beacon.trials", &f_4)?;
     verify_required_field_exists("Beacon.loads", &f_5)?;
+    verify_required_field_exists("Beacon.sights", &f_6)?;
+    verify_required_field_exists("Beacon.told", &f_7)?;
     let ret = Beacon {
       instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
       address: f_2.expect("auto-generated code should have checked for presence of required fields"),
       leaving: f_3.expect("auto-generated code should have checked for presence of required fields"),
       trials: f_4.expect("auto-generated code should have checked for presence of required fields"),
       loads: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      sights: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      told: f_7.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -1798,6 +2004,20 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("sights", TType::List, 6))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.sights.len() as i32))?;
+    for e in &self.sights {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("told", TType::List, 7))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.told.len() as i32))?;
+    for e in &self.told {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/forward/src/fold.rs
+++ b/crates/forward/src/fold.rs
@@ -4,6 +4,7 @@
 use crate::source::{Item, Listing, Page, Topic};
 use config::Progress;
 use entity::{Moment, Offset, Span, name};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 /// How long an upstream whose entry lapsed while the store was away is still used. Live ones are
@@ -11,6 +12,9 @@
 /// after that was read.
 const LAPSE_GRACE: Span = Span::from_millis(1700);
 
+/// Removals that are remembered.
+const REMOVED: usize = 256;
+
 /// What a batch of records changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Change {
@@ -25,6 +29,14 @@
 }
 
 impl Change {
+    /// Adds what later records changed.
+    pub fn add(&mut self, later: Self) {
+        self.routing |= later.routing;
+        self.joined.extend(later.joined);
+        self.left.extend(later.left);
+        self.unreadable.extend(later.unreadable);
+    }
+
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
@@ -88,6 +100,9 @@
     standings: Vec<Standing>,
     /// Sorted by name.
     upstreams: Vec<Known>,
+    /// Upstreams that were removed lately, with the offsets of their removal, the oldest first: an
+    /// older record that another instance tells late must not bring them back.
+    removed: Vec<(name::Upstream, Offset)>,
     /// Whether the upstreams were ever listed.
     listed: bool,
     /// Whether it was ever listed how far the orders have come.
@@ -125,6 +140,35 @@
         self.publication.is_some() && self.listed && self.settled
     }
 
+    /// A hash of all that a topic says by which requests are routed. Heartbeats do not change it, so
+    /// that instances with equal hashes know the same.
+    pub fn digest(&self, topic: Topic) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        match topic {
+            Topic::Operator => {
+                let version = self.publication.as_ref().map(|known| known.version);
+                version.hash(&mut hasher);
+                for ordered in &self.ordered {
+                    (&ordered.key, &ordered.rollout.target).hash(&mut hasher);
+                }
+                for (key, _) in &self.evacuated {
+                    key.hash(&mut hasher);
+                }
+            }
+            Topic::Upstreams => {
+                for known in &self.upstreams {
+                    let own = &known.registration;
+                    (&known.name, own.born, own.slots, own.address).hash(&mut hasher);
+                    (&own.service, &own.zone, &own.release).hash(&mut hasher);
+                    (known.ready(), own.cold > Span::ZERO).hash(&mut hasher);
+                    known.grace.is_some().hash(&mut hasher);
+                }
+            }
+            Topic::Progress | Topic::Instances => {}
+        }
+        hasher.finish()
+    }
+
     /// Takes in the newest record of each key: what is not listed is gone. `lapsing` says that
     /// entries may be missing only because the store was away.
     pub fn list(&mut self, topic: Topic, listing: &Listing, now: Moment, lapsing: bool) -> Change {
@@ -279,6 +323,10 @@
         now: Moment,
         change: &mut Change,
     ) {
+        let removed = |(gone, at): &(name::Upstream, Offset)| gone == name && *at > offset;
+        if self.removed.iter().any(removed) {
+            return;
+        }
         let known = Known {
             registration: registration.clone(),
             cold_until: now + registration.cold,
@@ -352,6 +400,10 @@
                 let newer = found.filter(|known| known.offset <= item.offset);
                 if let Some(name) = newer.map(|known| known.name.clone()) {
                     self.remove(&name, now, lapsing, change);
+                    if self.removed.len() == REMOVED {
+                        self.removed.remove(0);
+                    }
+                    self.removed.push((name, item.offset));
                 }
             }
             Topic::Progress | Topic::Instances => {}
--- a/crates/forward/src/source.rs
+++ b/crates/forward/src/source.rs
@@ -27,6 +27,8 @@
     pub offset: Offset,
     /// What it says; nothing where the key was dropped, an error where it can't be read.
     pub entry: Result<Option<Entry>, Box<str>>,
+    /// The value as it stands in the store; empty where the key was dropped.
+    pub value: Box<[u8]>,
 }
 
 /// The newest record of each key.
@@ -66,6 +68,9 @@
 
 /// Reads and writes the store.
 pub trait Source: Clone + Send + Sync + 'static {
+    /// Reads a record of which another instance told.
+    fn read(&self, topic: Topic, key: &str, offset: Offset, value: &[u8]) -> Item;
+
     /// The newest record of each key.
     fn newest(&self, topic: Topic) -> impl Future<Output = Result<Listing, Error>> + Send;
 
--- a/crates/forward/tests/fold.rs
+++ b/crates/forward/tests/fold.rs
@@ -38,6 +38,7 @@
         key: key.into(),
         offset: Offset(offset),
         entry: Ok(entry),
+        value: Box::default(),
     }
 }
 
@@ -194,6 +195,7 @@
         key: "i-1".into(),
         offset: Offset(3),
         entry: Err("torn".into()),
+        value: Box::default(),
     };
     let change = page(&mut fold, Topic::Upstreams, vec![torn], NOW, false);
     expect_that!(names(&fold), container_eq(["i-2"]));
--- a/crates/forward/tests/resolve.rs
+++ b/crates/forward/tests/resolve.rs
@@ -73,6 +73,7 @@
         key: key.into(),
         offset: Offset(1),
         entry: Ok(Some(entry)),
+        value: Box::default(),
     };
     list(
         &mut fold,
@@ -157,6 +158,7 @@
         key: "evacuate/north-a".into(),
         offset: Offset(5),
         entry: Ok(Some(Entry::Evacuation("north-a".parse().unwrap()))),
+        value: Box::default(),
     };
     let page = forward::source::Page {
         items: vec![item],
--- a/crates/server/src/forward/belief.rs
+++ b/crates/server/src/forward/belief.rs
@@ -22,18 +22,27 @@
 pub struct Belief {
     /// Microseconds of boot time; 0 before the first read.
     confirmed: AtomicU64,
-    life: Option<Span>,
+    /// Microseconds; [`FOREVER`] where a belief is never given up.
+    life: AtomicU64,
 }
 
+/// Stands for a belief that is never given up.
+const FOREVER: u64 = u64::MAX;
+
 impl Belief {
     /// A belief that is given up `life` after it was last confirmed, if ever.
     pub fn new(life: Option<Span>) -> Self {
         Self {
             confirmed: AtomicU64::new(0),
-            life,
+            life: AtomicU64::new(micros(life)),
         }
     }
 
+    /// Gives the belief up after another time.
+    pub fn set_life(&self, life: Option<Span>) {
+        self.life.store(micros(life), Ordering::Relaxed);
+    }
+
     /// Notes that a read which was sent at `sent` found nothing newer than what is known.
     pub fn confirm(&self, sent: Moment) {
         self.confirmed.fetch_max(sent.0, Ordering::Relaxed);
@@ -52,6 +61,11 @@
         let Some(age) = self.age(now) else {
             return false;
         };
-        self.life.is_none_or(|life| age + MARGIN < life)
+        let life = self.life.load(Ordering::Relaxed);
+        life == FOREVER || (age + MARGIN).as_micros() < life
     }
 }
+
+fn micros(life: Option<Span>) -> u64 {
+    life.map_or(FOREVER, Span::as_micros)
+}
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -6,25 +6,32 @@
 use crate::clock::Clock;
 use crate::decider;
 use crate::forward::belief::boot_time;
+use crate::forward::freshness::FOLLOWED;
 use crate::forward::front::Shared;
 use adoption::Snapshot;
 use arc_swap::ArcSwap;
 use config::forward::Limits;
 use entity::{Generation, Moment, Offset, Span};
-use forward::source::{Error, Listing, Page, Topic};
+use forward::source::{Error, Item, Listing, Page, Topic};
 use forward::{Change, Fold, Place, Source, resolve};
+use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
-use timeline::{Kind, Recorder};
+use timeline::Kind;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-/// How long a read of the operators' topic waits for a record. Two reads in a row, the second one
-/// lost, fit into the life of a key.
-const OPERATOR_WAIT: Span = Span::from_millis(1500);
-/// Time between two reads of the upstreams' topic, in which there is always something new. An
+/// How long a reader's read of the operators' topic waits for a record.
+const OPERATOR_WAIT: Span = Span::from_millis(500);
+/// Time between two reads of the upstreams' topic by a reader; there is always something new. An
 /// upstream that leaves must get nothing two seconds later.
-const UPSTREAMS_PERIOD: Duration = Duration::from_millis(900);
+const UPSTREAMS_PERIOD: Duration = Duration::from_millis(600);
+/// Ages of what is known of the operators' topic and of the upstreams' one, at which an instance
+/// that is told by others reads itself.
+const OPERATOR_AGE: Span = Span::from_millis(1900);
+const UPSTREAMS_AGE: Span = Span::from_millis(1500);
+/// Longest further wait, drawn at random, so that not all instances read at once.
+const SPREAD_MS: u64 = 300;
 /// Shortest and longest pause after a failed read.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// A gap between two confirmed reads from which on the store counts as having been away.
@@ -41,6 +48,8 @@
     Listing(Listing),
     /// What was appended.
     Page(Page),
+    /// What another instance told, of which the position in the topic says nothing.
+    Told(Vec<Item>),
 }
 
 #[derive(Debug)]
@@ -69,15 +78,35 @@
     pub shared: Arc<Shared>,
 }
 
+/// Takes records that another instance told.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    reads: mpsc::Sender<Read>,
+}
+
+impl Handle {
+    /// Takes in records that another instance told.
+    pub async fn told(&self, topic: Topic, items: Vec<Item>) {
+        let read = Read {
+            topic,
+            batch: Batch::Told(items),
+            sent: Moment(0),
+            lapsing: false,
+        };
+        // Without a receiver the instance is closing.
+        let _ = self.reads.send(read).await;
+    }
+}
+
 /// Starts the tasks.
-pub fn spawn(parts: Parts, source: impl Source, cancel: &CancellationToken) {
+pub fn spawn(parts: Parts, source: impl Source, cancel: &CancellationToken) -> Handle {
     let (reads, received) = mpsc::channel(QUEUE);
-    for topic in [Topic::Operator, Topic::Upstreams] {
+    for topic in FOLLOWED {
         let follower = Follower {
             topic,
             source: source.clone(),
             reads: reads.clone(),
-            recorder: parts.shared.core.recorder.clone(),
+            shared: parts.shared.clone(),
         };
         let cancel = cancel.clone();
         tokio::spawn(async move {
@@ -90,8 +119,8 @@
     let lister = Follower {
         topic: Topic::Progress,
         source,
-        reads,
-        recorder: parts.shared.core.recorder.clone(),
+        reads: reads.clone(),
+        shared: parts.shared.clone(),
     };
     let token = cancel.clone();
     tokio::spawn(async move {
@@ -112,6 +141,7 @@
             () = keeper.run(received) => {}
         }
     });
+    Handle { reads }
 }
 
 /// Follows one topic.
@@ -119,7 +149,7 @@
     topic: Topic,
     source: S,
     reads: mpsc::Sender<Read>,
-    recorder: Recorder,
+    shared: Arc<Shared>,
 }
 
 impl<S: Source> Follower<S> {
@@ -160,6 +190,7 @@
             next = Some(match &batch {
                 Batch::Listing(listing) => listing.end,
                 Batch::Page(page) => page.next,
+                Batch::Told(_) => continue,
             });
             let read = Read {
                 topic: self.topic,
@@ -170,8 +201,41 @@
             if self.reads.send(read).await.is_err() {
                 return;
             }
-            if self.topic == Topic::Upstreams {
-                tokio::time::sleep_until(begun + UPSTREAMS_PERIOD).await;
+            self.pause(begun).await;
+        }
+    }
+
+    /// Waits until the topic is to be read again.
+    async fn pause(&self, begun: tokio::time::Instant) {
+        let freshness = &self.shared.freshness;
+        let spread = Span::from_millis(rand::rng().random_range(0..=SPREAD_MS));
+        let limit = match self.topic {
+            Topic::Upstreams => UPSTREAMS_AGE,
+            _ => OPERATOR_AGE,
+        };
+        loop {
+            let wait = if freshness.is_reader() {
+                match self.topic {
+                    Topic::Upstreams => (begun + UPSTREAMS_PERIOD)
+                        .saturating_duration_since(tokio::time::Instant::now()),
+                    _ => Duration::ZERO,
+                }
+            } else {
+                let age = freshness
+                    .age(self.topic, boot_time())
+                    .unwrap_or(limit + spread);
+                (limit + spread).duration().saturating_sub(age.duration())
+            };
+            if wait.is_zero() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = freshness.woken(self.topic) => {
+                    if !freshness.is_reader() {
+                        return;
+                    }
+                }
             }
         }
     }
@@ -206,7 +270,7 @@
         };
         // After an outage the age of what is known matters more than a call.
         let wait = match self.topic {
-            Topic::Operator if !out => OPERATOR_WAIT,
+            Topic::Operator if !out && self.shared.freshness.is_reader() => OPERATOR_WAIT,
             _ => Span::ZERO,
         };
         let page = self.source.follow(self.topic, from, wait).await?;
@@ -214,7 +278,8 @@
     }
 
     fn note(&self, kind: Kind, text: &str) {
-        self.recorder
+        let recorder = &self.shared.core.recorder;
+        recorder
             .event(kind)
             .text("topic", format!("{:?}", self.topic))
             .text("why", text)
@@ -243,6 +308,8 @@
                 () = tokio::time::sleep(wait) => self.fold.expire(self.parts.clock.now()),
             };
             self.note(&change);
+            let freshness = &self.parts.shared.freshness;
+            freshness.set_digest(Topic::Upstreams, self.fold.digest(Topic::Upstreams));
             if change.routing && self.fold.complete() {
                 self.enforce().await;
             }
@@ -253,10 +320,13 @@
         let now = self.parts.clock.now();
         let change = match &read.batch {
             Batch::Listing(listing) => self.fold.list(read.topic, listing, now, read.lapsing),
-            Batch::Page(page) => self.fold.page(read.topic, page, now, read.lapsing),
+            Batch::Page(page) => self.apply(read.topic, &page.items, now, read.lapsing),
+            Batch::Told(items) => self.apply(read.topic, items, now, read.lapsing),
         };
-        if read.topic == Topic::Operator {
-            self.parts.shared.belief.confirm(read.sent);
+        let freshness = &self.parts.shared.freshness;
+        freshness.set_digest(read.topic, self.fold.digest(read.topic));
+        if !matches!(read.batch, Batch::Told(_)) {
+            freshness.confirm(read.topic, read.sent);
         }
         // The first read of a topic may complete the fold without changing what it routes by.
         let first = self.generation == Generation(0);
@@ -266,6 +336,24 @@
         }
     }
 
+    /// Takes in records one by one, and keeps those that change something to be told on.
+    fn apply(&mut self, topic: Topic, items: &[Item], now: Moment, lapsing: bool) -> Change {
+        let mut sum = Change::default();
+        for item in items {
+            let page = Page {
+                items: vec![item.clone()],
+                next: item.offset,
+            };
+            let change = self.fold.page(topic, &page, now, lapsing);
+            if change.routing && !lapsing {
+                let freshness = &self.parts.shared.freshness;
+                freshness.tell(topic, item, boot_time());
+            }
+            sum.add(change);
+        }
+        sum
+    }
+
     async fn enforce(&mut self) {
         let Some(config) = resolve(&self.fold, &self.parts.place) else {
             return;
--- /dev/null
+++ b/crates/server/src/forward/freshness.rs
@@ -0,0 +1,159 @@
+//! How far the topics of the store are known here, and how that is confirmed.
+//!
+//! A few instances read the store all the time; the others are told what changed and how recently it
+//! was read, and read themselves only where nobody tells them.
+
+use crate::forward::belief::Belief;
+use entity::{Moment, Span};
+use forward::source::{Item, Topic};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use tokio::sync::Notify;
+
+/// Topics that are followed.
+pub const FOLLOWED: [Topic; 2] = [Topic::Operator, Topic::Upstreams];
+
+/// How long a record that changed something is told on.
+const TOLD_FOR: Span = Span::from_millis(2500);
+
+/// Largest record that is told on, in bytes; others read longer ones themselves.
+const TOLD_BYTES: usize = 4096;
+
+/// Most records that are told on at once.
+const TOLD_RECORDS: usize = 24;
+
+/// By how much what another instance confirmed is dated back: the longest way of a datagram.
+const TRANSIT: Span = Span::from_millis(250);
+
+/// How far one topic is known.
+#[derive(Debug, Default)]
+struct Known {
+    digest: AtomicU64,
+    /// When the last read was sent that found nothing else, in boot time; 0 before the first.
+    confirmed: AtomicU64,
+    /// Wakes whoever follows the topic.
+    wake: Notify,
+}
+
+/// A record that changed something.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// Its topic.
+    pub topic: Topic,
+    /// The record.
+    pub item: Item,
+    at: Moment,
+}
+
+/// How far the topics of the store are known.
+#[derive(Debug)]
+pub struct Freshness {
+    /// How old the keys are that are taken to be valid.
+    pub belief: Belief,
+    operator: Known,
+    upstreams: Known,
+    told: Mutex<Vec<Told>>,
+    /// Whether this instance reads for others.
+    reader: AtomicBool,
+}
+
+impl Freshness {
+    /// Nothing is known yet. Keys are valid for `life` after the last confirmed read.
+    pub fn new(life: Option<Span>) -> Self {
+        Self {
+            belief: Belief::new(life),
+            operator: Known::default(),
+            upstreams: Known::default(),
+            told: Mutex::default(),
+            reader: AtomicBool::new(true),
+        }
+    }
+
+    fn known(&self, topic: Topic) -> &Known {
+        match topic {
+            Topic::Upstreams => &self.upstreams,
+            Topic::Operator | Topic::Progress | Topic::Instances => &self.operator,
+        }
+    }
+
+    /// The hash of what is known of a topic.
+    pub fn digest(&self, topic: Topic) -> u64 {
+        self.known(topic).digest.load(Ordering::Relaxed)
+    }
+
+    /// Notes what is known of a topic.
+    pub fn set_digest(&self, topic: Topic, digest: u64) {
+        self.known(topic).digest.store(digest, Ordering::Relaxed);
+    }
+
+    /// Notes that a read which was sent at `sent` found nothing else than what is known.
+    pub fn confirm(&self, topic: Topic, sent: Moment) {
+        let known = self.known(topic);
+        known.confirmed.fetch_max(sent.0, Ordering::Relaxed);
+        if topic == Topic::Operator {
+            self.belief.confirm(sent);
+        }
+    }
+
+    /// The age of what is known of a topic; none before the first read.
+    pub fn age(&self, topic: Topic, now: Moment) -> Option<Span> {
+        match self.known(topic).confirmed.load(Ordering::Relaxed) {
+            0 => None,
+            confirmed => Some(now.since(Moment(confirmed))),
+        }
+    }
+
+    /// Takes in how far another instance knows a topic. Where it knows something else by a later
+    /// read, the topic is read.
+    pub fn hear(&self, topic: Topic, digest: u64, age: Span, now: Moment) {
+        let sent = now - (age + TRANSIT);
+        if digest == self.digest(topic) {
+            self.confirm(topic, sent);
+            return;
+        }
+        let own = self.age(topic, now);
+        if own.is_some_and(|own| age + TRANSIT < own) {
+            self.known(topic).wake.notify_one();
+        }
+    }
+
+    /// Waits until a topic is to be read because another instance knows more.
+    pub async fn woken(&self, topic: Topic) {
+        self.known(topic).wake.notified().await;
+    }
+
+    /// Keeps a record that changed something, to be told on.
+    pub fn tell(&self, topic: Topic, item: &Item, now: Moment) {
+        if item.value.len() > TOLD_BYTES {
+            return;
+        }
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        told.push(Told {
+            topic,
+            item: item.clone(),
+            at: now,
+        });
+        let excess = told.len().saturating_sub(TOLD_RECORDS);
+        told.drain(..excess);
+    }
+
+    /// The records to tell on.
+    pub fn told(&self, now: Moment) -> Vec<Told> {
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        told.retain(|one| now.since(one.at) < TOLD_FOR);
+        told.clone()
+    }
+
+    /// Whether this instance reads for others.
+    pub fn is_reader(&self) -> bool {
+        self.reader.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether this instance reads for others.
+    pub fn set_reader(&self, reader: bool) {
+        if self.reader.swap(reader, Ordering::Relaxed) != reader {
+            self.operator.wake.notify_one();
+            self.upstreams.wake.notify_one();
+        }
+    }
+}
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -2,7 +2,8 @@
 
 use crate::auth::Authenticator;
 use crate::core::Core;
-use crate::forward::belief::{Belief, boot_time};
+use crate::forward::belief::boot_time;
+use crate::forward::freshness::Freshness;
 use crate::forward::run::{Run, timeline_id};
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
@@ -25,8 +26,8 @@
 pub struct Shared {
     /// What every request is decided with.
     pub core: Core,
-    /// How old the configuration is.
-    pub belief: Belief,
+    /// How far the topics of the store are known.
+    pub freshness: Freshness,
     /// Connections to upstreams.
     pub pool: Pool,
     /// How a model is picked where the router may.
@@ -48,7 +49,7 @@
         if self.core.snapshot().is_none() {
             return Err("no configuration is known here yet");
         }
-        if !self.belief.holds(boot_time()) {
+        if !self.freshness.belief.holds(boot_time()) {
             return Err("the keys in force have not been confirmed recently");
         }
         Ok(())
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -4,8 +4,8 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::decider;
-use crate::forward::belief::Belief;
 use crate::forward::feed;
+use crate::forward::freshness::Freshness;
 use crate::forward::front::{Cascade, Front, Shared};
 use crate::forward::{peers, probe};
 use anyhow::{Context as _, Result};
@@ -94,7 +94,7 @@
         };
         let shared = Arc::new(Shared {
             core,
-            belief: Belief::new(settings.bounds.key_life),
+            freshness: Freshness::new(settings.bounds.key_life),
             pool: upstream::forward::Pool::new(dialect.clone()),
             cascade: match settings.cascade {
                 None => Cascade::Largest,
@@ -114,11 +114,12 @@
             limits: limits.clone(),
             shared: shared.clone(),
         };
-        feed::spawn(parts, source.clone(), &stopping);
+        let feed = feed::spawn(parts, source.clone(), &stopping);
         let parts = peers::Parts {
             shared: shared.clone(),
             own: settings.name.clone(),
             address: settings.fellow_address,
+            feed,
         };
         peers::bind(parts, source, stopping.clone())
             .await
@@ -160,6 +161,22 @@
         self.addresses
     }
 
+    /// Takes over settings that were read again. Addresses and the place of the instance are kept:
+    /// connections that are open would be cut off by a change.
+    pub fn reload(&mut self, settings: &Settings) {
+        self.grace = settings.bounds.grace;
+        self.shared
+            .freshness
+            .belief
+            .set_life(settings.bounds.key_life);
+        let recorder = &self.shared.core.recorder;
+        recorder
+            .event(Kind::Reloaded)
+            .text("grace", settings.bounds.grace)
+            .text("keys", settings.bounds.key_life.unwrap_or_default())
+            .record();
+    }
+
     /// Shuts down: first no longer ready, while every connection is served on; then idle connections
     /// are closed. Returns whether every request was answered within the grace period.
     pub async fn shutdown(self) -> bool {
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -5,6 +5,7 @@
 
 mod belief;
 mod feed;
+mod freshness;
 mod front;
 mod instance;
 mod open;
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -4,9 +4,12 @@
 //! knows of trials of releases. All reach the same ruling from the same evidence; the first in a
 //! rendezvous order writes it, and the others only if it is not written in time.
 
+use crate::forward::belief::boot_time;
+use crate::forward::feed;
+use crate::forward::freshness::{self, FOLLOWED};
 use crate::forward::front::Shared;
 use crate::rendezvous;
-use entity::{Moment, Span, name};
+use entity::{Moment, Offset, Span, name};
 use fellow::beacon::{self, Socket};
 use fellow::message::{self, Beacon};
 use forward::Source;
@@ -36,6 +39,12 @@
 const LIFE: Span = Span::from_secs(8);
 /// Time that the next instance in the order waits for the one before to write.
 const TURN: Span = Span::from_millis(500);
+/// Instances that read the store for all.
+const READERS: u64 = 2;
+/// What readers are ranked by.
+const READERS_KEY: &str = "readers of the store";
+/// Time without a moment in which all datagrams were taken in, after which their age is unknown.
+const BEHIND: Span = Span::from_millis(300);
 /// Pause after a failed call of the store.
 const PAUSE: Duration = Duration::from_millis(300);
 
@@ -47,6 +56,8 @@
     pub own: name::Instance,
     /// Where it takes datagrams.
     pub address: SocketAddr,
+    /// Takes records that others told.
+    pub feed: feed::Handle,
 }
 
 /// Another instance.
@@ -73,6 +84,8 @@
     peers: Vec<Peer>,
     pending: Vec<Pending>,
     version: u64,
+    /// When the task last had nothing left to take in.
+    caught_up: Moment,
 }
 
 /// Binds the address and starts the task.
@@ -93,6 +106,7 @@
         peers: Vec::new(),
         pending: Vec::new(),
         version: 0,
+        caught_up: Moment(0),
     };
     tokio::spawn(async move {
         tokio::select! {
@@ -108,6 +122,9 @@
         self.join().await;
         let mut next = tokio::time::Instant::now();
         loop {
+            if !self.socket.has_next() {
+                self.caught_up = boot_time();
+            }
             tokio::select! {
                 received = self.socket.receive() => match received {
                     Ok(beacon) => self.take(&beacon).await,
@@ -198,6 +215,7 @@
         let decider = &self.parts.shared.core.decider;
         let loads = beacon.loads.iter().filter_map(read_load).collect();
         decider.hear_loads(name, loads, self.peers.len()).await;
+        self.take_sights(beacon).await;
         let reports: Vec<Report> = beacon.trials.iter().filter_map(read).collect();
         if !reports.is_empty() {
             decider.hear_reports(reports).await;
@@ -206,6 +224,8 @@
 
     async fn round(&mut self, reports: &[Report]) {
         self.tell_members().await;
+        let readers = self.rank(READERS_KEY, self.now()) < READERS;
+        self.parts.shared.freshness.set_reader(readers);
         let leaving = self.parts.shared.core.is_draining();
         let beacon = Beacon {
             instance: self.parts.own.to_string(),
@@ -213,6 +233,8 @@
             leaving,
             trials: reports.iter().map(write).collect(),
             loads: self.loads().await,
+            sights: self.sights(),
+            told: self.told(),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
@@ -223,6 +245,74 @@
         }
     }
 
+    /// How far this instance knows the topics of the store.
+    fn sights(&self) -> Vec<message::Sight> {
+        let freshness = &self.parts.shared.freshness;
+        let now = boot_time();
+        let mut sights = Vec::new();
+        for topic in FOLLOWED {
+            let Some(age) = freshness.age(topic, now) else {
+                continue;
+            };
+            sights.push(message::Sight {
+                topic: number(topic),
+                digest: freshness.digest(topic) as i64,
+                age_us: age.as_micros() as i64,
+            });
+        }
+        sights
+    }
+
+    /// Records that changed something lately.
+    fn told(&self) -> Vec<message::Told> {
+        let told = self.parts.shared.freshness.told(boot_time());
+        let one = |told: &freshness::Told| message::Told {
+            topic: number(told.topic),
+            key: told.item.key.to_string(),
+            position: told.item.offset.0 as i64,
+            value: told.item.value.to_vec(),
+        };
+        told.iter().map(one).collect()
+    }
+
+    /// Takes in what another instance knows of the store, unless this one has been standing still:
+    /// then it can't tell how long ago that was sent.
+    async fn take_sights(&self, beacon: &Beacon) {
+        for topic in FOLLOWED {
+            let of_topic = |told: &&message::Told| told.topic == number(topic);
+            let items: Vec<_> = beacon
+                .told
+                .iter()
+                .filter(of_topic)
+                .map(|told| {
+                    let offset = Offset(told.position.max(0) as u64);
+                    self.source.read(topic, &told.key, offset, &told.value)
+                })
+                .collect();
+            if !items.is_empty() {
+                self.parts.feed.told(topic, items).await;
+            }
+        }
+        if self.is_behind() {
+            return;
+        }
+        let now = boot_time();
+        for sight in &beacon.sights {
+            let found = FOLLOWED.iter().find(|topic| number(**topic) == sight.topic);
+            let Some(&topic) = found else {
+                continue;
+            };
+            let age = Span::from_micros(sight.age_us.max(0) as u64);
+            let freshness = &self.parts.shared.freshness;
+            freshness.hear(topic, sight.digest as u64, age, now);
+        }
+    }
+
+    /// Whether datagrams may have waited here for long.
+    fn is_behind(&self) -> bool {
+        boot_time().since(self.caught_up) > BEHIND
+    }
+
     /// What this instance has running. An instance that is closing tells of nothing.
     async fn loads(&self) -> Vec<message::UpstreamLoad> {
         let loads = self.parts.shared.core.decider.loads().await;
@@ -275,7 +365,8 @@
             let Some(ruling) = due else {
                 continue;
             };
-            let wait = Span::from_micros(TURN.as_micros() * self.rank(&report.service, now));
+            let wait =
+                Span::from_micros(TURN.as_micros() * self.rank(report.service.as_str(), now));
             if now.since(self.pending_since(report, now)) < wait {
                 continue;
             }
@@ -326,8 +417,8 @@
         now
     }
 
-    /// This instance's place in the order of those that write for a service.
-    fn rank(&self, service: &name::Service, now: Moment) -> u64 {
+    /// This instance's place in the order of those that do something for all.
+    fn rank(&self, key: &str, now: Moment) -> u64 {
         let live = |peer: &&Peer| now.since(peer.heard) < LIFE;
         let mut names: Vec<&name::Instance> = self
             .peers
@@ -336,12 +427,22 @@
             .map(|peer| &peer.name)
             .collect();
         names.push(&self.parts.own);
-        let ranked = rendezvous::ranked(names.into_iter(), |name| name, service.as_str());
+        let ranked = rendezvous::ranked(names.into_iter(), |name| name, key);
         let rank = ranked.iter().position(|name| **name == self.parts.own);
         rank.unwrap_or_default() as u64
     }
 }
 
+/// The number of a topic in a beacon.
+fn number(topic: Topic) -> i32 {
+    match topic {
+        Topic::Operator => 0,
+        Topic::Upstreams => 1,
+        Topic::Progress => 2,
+        Topic::Instances => 3,
+    }
+}
+
 fn read_load(load: &message::UpstreamLoad) -> Option<(name::Upstream, Work)> {
     let work = Work {
         pending: f64::from(load.pending.max(0)),
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -176,7 +176,12 @@
             ));
         };
         let now = boot_time();
-        let current = self.shared.belief.age(now).is_some_and(|age| age < CURRENT);
+        let current = self
+            .shared
+            .freshness
+            .belief
+            .age(now)
+            .is_some_and(|age| age < CURRENT);
         let head = &self.arrival.request.head;
         let config = &snapshot.config;
         let Some(route) = config::forward::find(&config.forwards, &head.host, head.path()) else {
@@ -193,7 +198,7 @@
         let (organisation, payer) = if route.public {
             (forward::public(config), None)
         } else {
-            if !self.shared.belief.holds(now) {
+            if !self.shared.freshness.belief.holds(now) {
                 let message = "the keys in force have not been confirmed recently";
                 return Err(refuse("stale", message));
             }
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -37,6 +37,7 @@
         quality: Share::percent(80),
         cascade: false,
         deadline: Span::from_secs(30),
+        models: Vec::new(),
     };
     let organisation = Organisation {
         name: "branch".parse().unwrap(),
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -43,6 +43,8 @@
 kinds! {
     /// The process began to serve.
     Started = "started",
+    /// The process has read its settings again.
+    Reloaded = "reloaded",
     /// The process takes no new work.
     Draining = "draining",
     /// The process ends.
--- a/src/command/forward.rs
+++ b/src/command/forward.rs
@@ -4,6 +4,7 @@
 use anyhow::{Context, Result};
 use argh::FromArgs;
 use server::forward::Instance;
+use settings::forward::Settings;
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
@@ -26,17 +27,10 @@
 impl Forward {
     /// Runs the command.
     pub fn run(self) -> Result<ExitCode> {
-        let path = match self.settings {
-            Some(path) => path,
-            None => std::env::var(platform::VARIABLE).context(platform::VARIABLE)?,
-        };
-        let settings = match platform::parse(&read(&path)?) {
-            Ok(settings) => settings::forward::Settings {
-                cascade: self.cascade,
-                ..settings
-            },
+        let settings = match self.read() {
+            Ok(settings) => settings,
             Err(error) => {
-                eprintln!("{path}: {error}");
+                eprintln!("citrontrack: {error:#}");
                 return Ok(ExitCode::from(FINDINGS));
             }
         };
@@ -45,23 +39,44 @@
             .enable_all()
             .build()
             .context("no runtime")?;
-        runtime.block_on(serve(settings))
+        runtime.block_on(self.serve(settings))
+    }
+
+    fn read(&self) -> Result<Settings> {
+        let path = match &self.settings {
+            Some(path) => path.clone(),
+            None => std::env::var(platform::VARIABLE).context(platform::VARIABLE)?,
+        };
+        let settings = platform::parse(&read(&path)?).with_context(|| path.clone())?;
+        Ok(Settings {
+            cascade: self.cascade,
+            ..settings
+        })
     }
-}
 
-async fn serve(settings: settings::forward::Settings) -> Result<ExitCode> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let store = platform::Store::new(settings.store);
-    let instance = Instance::open(settings, Arc::new(platform::Dialect), store).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    async fn serve(&self, settings: Settings) -> Result<ExitCode> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let store = platform::Store::new(settings.store);
+        let dialect = Arc::new(platform::Dialect);
+        let mut instance = Instance::open(settings, dialect, store).await?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => match self.read() {
+                    Ok(settings) => instance.reload(&settings),
+                    // The settings that hold are kept.
+                    Err(error) => eprintln!("citrontrack: not reloaded: {error:#}"),
+                },
+            }
+        }
+        let whole = instance.shutdown().await;
+        Ok(if whole {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::from(FAILED)
+        })
     }
-    let whole = instance.shutdown().await;
-    Ok(if whole {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(FAILED)
-    })
 }
