--- a/crates/quality/src/governor.rs
+++ b/crates/quality/src/governor.rs
@@ -19,8 +19,8 @@
 const INCREASE: f64 = 0.1;
 /// Time between two steps.
 const PERIOD: Span = Span::from_millis(200);
-/// Level at the start: after an outage of all instances, callers come back together.
-const FIRST: f64 = 0.3;
+/// Level of an instance that starts again: after an outage of all of them, callers come back together.
+const RESTARTED: f64 = 0.3;
 /// Shares of the objective between which an answer that does not come is given up on for another
 /// try.
 const PATIENCE: (f64, f64) = (0.4, 1.5);
@@ -43,11 +43,11 @@
 }
 
 impl Governor {
-    /// A governor that has seen no answer yet.
-    pub fn new(now: Moment) -> Self {
+    /// A governor that has seen no answer yet. `restarted` says that callers may be waiting.
+    pub fn new(restarted: bool, now: Moment) -> Self {
         Self {
             pressure: 0.0,
-            level: FIRST,
+            level: if restarted { RESTARTED } else { 1.0 },
             stepped: now,
         }
     }
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -374,7 +374,7 @@
 /// Pattern: a burst of all requests, which fills the engines and passes.
 #[gtest]
 fn burst_of_all_lowers_escalations_and_gives_them_back() {
-    let mut governor = Governor::new(START);
+    let mut governor = Governor::new(true, START);
     let now = load(&mut governor, START, 5, 60);
     expect_that!(governor.level(), eq(1.0));
     let now = load(&mut governor, now, 4, 900);
@@ -387,7 +387,7 @@
 /// Pattern: engines at the edge of their capacity.
 #[gtest]
 fn background_work_gives_way_first() {
-    let mut governor = Governor::new(START);
+    let mut governor = Governor::new(true, START);
     let mut now = load(&mut governor, START, 5, 60);
     while governor.level() > 0.7 {
         now = load(&mut governor, now, 1, 400);
@@ -401,7 +401,7 @@
 /// Pattern: lost answers on an idle system, and slow ones on a loaded one.
 #[gtest]
 fn patience_follows_the_load() {
-    let mut governor = Governor::new(START);
+    let mut governor = Governor::new(true, START);
     let now = load(&mut governor, START, 5, 60);
     let objective = Span::from_secs(1);
     let idle = governor.patience(objective, true);
--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -21,7 +21,7 @@
 const KEPT_ELSEWHERE: f64 = 0.1;
 
 /// What reaching another zone costs, in tokens.
-const OTHER_ZONE: f64 = 60.0;
+const OTHER_ZONE: f64 = 400.0;
 
 /// What a generation asks of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/server/src/assembly.rs
+++ b/crates/server/src/assembly.rs
@@ -288,6 +288,7 @@
         repeats: REPEATS,
         session_gap: Span::ZERO,
         exposure: Share::NONE,
+        restarted: true,
     };
     decider::spawn(parts, stopping.clone())
 }
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -462,6 +462,8 @@
     pub session_gap: Span,
     /// Share of a service's requests that a release that turns out bad may get.
     pub exposure: Share,
+    /// Whether the instance starts again, so that callers may be waiting.
+    pub restarted: bool,
 }
 
 /// Starts the task.
@@ -483,6 +485,7 @@
         ),
         allowances: Vec::new(),
         governors: Vec::new(),
+        restarted: parts.restarted,
     };
     tokio::spawn(async move {
         tokio::select! {
@@ -512,6 +515,7 @@
     allowances: Vec<(name::Service, Allowance)>,
     /// Sorted by service.
     governors: Vec<(name::Service, Governor)>,
+    restarted: bool,
 }
 
 impl Task {
@@ -551,7 +555,8 @@
             .governors
             .binary_search_by(|(known, _)| known.cmp(&service));
         let index = found.unwrap_or_else(|index| {
-            self.governors.insert(index, (service, Governor::new(now)));
+            let governor = Governor::new(self.restarted, now);
+            self.governors.insert(index, (service, governor));
             index
         });
         &mut self.governors[index].1
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -235,6 +235,7 @@
         },
         session_gap: bounds.session,
         exposure: Share::from_fraction(bounds.exposure_share),
+        restarted: !settings.first_start,
     };
     decider::spawn(parts, stopping.clone())
 }
--- a/crates/settings/src/forward.rs
+++ b/crates/settings/src/forward.rs
@@ -49,6 +49,8 @@
     /// Confidence of the smallest model below which the largest is asked; none to ask the largest
     /// at once, 0 never to ask it.
     pub cascade: Option<u8>,
+    /// Whether the whole system starts for the first time, rather than again after an outage.
+    pub first_start: bool,
     /// Times and shares that the deployment agreed on.
     pub bounds: Bounds,
 }
