--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use caller::forward::Piece;
 use config::forward::Repeat;
-use entity::name;
+use entity::{Span, name};
 use routing::{Choice, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +61,13 @@
             core.decider.finish(choice, outcome).await;
             let failure = match ended {
                 Ended::Whole => {
+                    core.recorder
+                        .event(Kind::Answered)
+                        .request(self.run.id)
+                        .text("upstream", &upstream)
+                        .count("events", self.last.unwrap_or_default())
+                        .text("took", Span::from(self.run.arrival.at.elapsed()))
+                        .record();
                     begun.answered.finish();
                     // A caller that has gone by now needs no end.
                     let _ = self.pieces.send(Piece::End).await;
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -345,9 +345,14 @@
             Opened::Stream(begun) => {
                 core.metric
                     .time(Timer::FirstByte, Span::from(self.arrival.at.elapsed()));
+                let asked = model.as_ref().map_or("", name::Model::as_str);
                 core.recorder
                     .event(Kind::FirstByte)
                     .request(self.id)
+                    .text("upstream", &choice.upstream)
+                    .text("model", asked)
+                    .count("level", (governor.level() * 100.0) as u64)
+                    .text("took", Span::from(self.arrival.at.elapsed()))
                     .record();
                 Ok(self.relay(resolved, *begun, choice, model, history))
             }
@@ -449,6 +454,10 @@
         match answer {
             Ok(Reply::Passed(passed)) => {
                 core.metric.count(Counter::Answers);
+                if matches!(passed.body, Content::Pieces(_)) {
+                    // The end of a stream is recorded when it has come.
+                    return;
+                }
                 let draft = core.recorder.event(Kind::Answered).request(self.id);
                 draft
                     .text("id", &head.id)
