Serve metrics beside the readiness, and explain a request by the logs

Counters, histograms, refusals by code and the age of the configuration are read as text. citrontrack explain tells the way of one request in plain words, with what each step was decided by.

--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -15,3 +15,4 @@
 mod run;
 
 pub use instance::{Addresses, Instance};
+pub use run::timeline_id;
--- a/crates/server/src/forward/probe.rs
+++ b/crates/server/src/forward/probe.rs
@@ -1,11 +1,13 @@
-//! Tells the balancer whether the instance is ready.
+//! Tells the balancer whether the instance is ready, and operators its metrics.
 
+use crate::forward::belief::boot_time;
 use crate::forward::front::Shared;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::io;
@@ -17,6 +19,8 @@
 
 /// Pause after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Where metrics are read.
+const METRICS: &str = "/metrics";
 /// How long an idle connection is kept; the balancer asks once a second.
 const IDLE_LIMIT: Duration = Duration::from_secs(15);
 
@@ -52,9 +56,13 @@
 }
 
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
-    let service = service_fn(move |_| {
-        let ready = shared.is_ready();
-        async move { Ok::<_, Infallible>(answer(ready)) }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = if request.uri().path() == METRICS {
+            metrics(&shared)
+        } else {
+            answer(shared.is_ready())
+        };
+        async move { Ok::<_, Infallible>(response) }
     });
     // A connection that breaks is opened again by whoever asks.
     let _ = http1::Builder::new()
@@ -64,6 +72,25 @@
         .await;
 }
 
+fn metrics(shared: &Shared) -> Response<Full<Bytes>> {
+    let core = &shared.core;
+    let age = shared.freshness.belief.age(boot_time());
+    let age = age.map_or(f64::NAN, |age| age.as_secs_f64());
+    core.metric.set("config_age_seconds", age);
+    core.metric.set("generation", core.generation().0 as f64);
+    core.metric.set("streams", core.streams.len() as f64);
+    core.metric
+        .set("dropped_log_lines", core.recorder.dropped() as f64);
+    match core.metric.text() {
+        Ok(text) => Response::new(Full::new(text.into())),
+        Err(error) => {
+            let mut response = Response::new(Full::new(error.to_string().into()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
 fn answer(ready: Result<(), &'static str>) -> Response<Full<Bytes>> {
     let (status, text) = match ready {
         Ok(()) => (StatusCode::OK, "ready"),
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -100,6 +100,7 @@
                 self.settle(&resolved.snapshot).await;
                 continue;
             }
+            self.note_route(&resolved);
             match self.attempt(&resolved, &mut history).await {
                 Ok(reply) => return Ok(reply),
                 Err(GivenUp::Refused(refusal)) => return Err(truthful(refusal, history.ran())),
@@ -445,6 +446,30 @@
         Some(Span::from_micros(micros as u64))
     }
 
+    /// Records what the request was resolved to, and how old the configuration is.
+    fn note_route(&self, resolved: &Resolved) {
+        let core = &self.shared.core;
+        let config = &resolved.snapshot.config;
+        let age = self.shared.freshness.belief.age(boot_time());
+        let release = resolved
+            .version
+            .map(|version| &config.versions[version].name);
+        let release = release.map_or("no release", name::Version::as_str);
+        core.recorder
+            .event(Kind::Routed)
+            .request(self.id)
+            .text("route", &resolved.route.name)
+            .text(
+                "organisation",
+                &config.organisations[resolved.organisation].name,
+            )
+            .text("release", release)
+            .count("generation", resolved.snapshot.generation.0)
+            .text("config-age", age.unwrap_or_default())
+            .text("left", resolved.deadline.since(core.clock.now()))
+            .record();
+    }
+
     /// Counts and records how the request ended.
     pub fn note(&self, answer: &Result<Reply, Refusal>) {
         let core = &self.shared.core;
@@ -467,6 +492,7 @@
             }
             Ok(Reply::Refused(refusal)) | Err(refusal) => {
                 let not_run = refusal.ran == Ran::No;
+                core.metric.refused(refusal.code);
                 core.metric.count(if not_run {
                     Counter::NotRun
                 } else {
--- a/crates/timeline/tests/metric.rs
+++ b/crates/timeline/tests/metric.rs
@@ -32,3 +32,30 @@
     metric.count(Counter::Decisions);
     metric.time(Timer::Decision, Span::ZERO);
 }
+
+#[gtest]
+fn sums_are_read_as_text() {
+    let metric = Metric::open(&"entry-1".parse().unwrap(), None).unwrap();
+    metric.count(Counter::NotRun);
+    metric.count(Counter::NotRun);
+    metric.time(Timer::FirstByte, Span::from_millis(30));
+    metric.refused("stale");
+    metric.set("config_age_seconds", 1.5);
+    let text = metric.text().unwrap();
+    expect_that!(
+        text,
+        contains_substring("citrontrack_refusals_not_run_total 2")
+    );
+    expect_that!(
+        text,
+        contains_substring("citrontrack_first_byte_seconds_bucket{le=\"0.05\"} 1")
+    );
+    expect_that!(
+        text,
+        contains_substring("citrontrack_refused_total{code=\"stale\"} 1")
+    );
+    expect_that!(
+        text,
+        contains_substring("citrontrack_state{name=\"config_age_seconds\"} 1.5")
+    );
+}
--- a/src/command/forward.rs
+++ b/src/command/forward.rs
@@ -22,6 +22,10 @@
     /// the largest is asked at once
     #[argh(option)]
     cascade: Option<u8>,
+
+    /// only read the settings, and say what is wrong with them
+    #[argh(switch)]
+    check: bool,
 }
 
 impl Forward {
@@ -34,6 +38,10 @@
                 return Ok(ExitCode::from(FINDINGS));
             }
         };
+        if self.check {
+            println!("the settings of {} are sound", settings.name);
+            return Ok(ExitCode::SUCCESS);
+        }
         // An instance has a quarter of a core: more threads would only wait for each other.
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod bill;
 mod check;
 mod diff;
+mod explain;
 mod forward;
 mod key;
 mod publish;
@@ -41,6 +42,7 @@
     Bill(bill::Bill),
     Check(check::Check),
     Diff(diff::Diff),
+    Explain(explain::Explain),
     Forward(forward::Forward),
     Key(key::Key),
     Publish(publish::Publish),
@@ -61,6 +63,7 @@
             Command::Bill(bill) => bill.run(),
             Command::Check(check) => check.run(),
             Command::Diff(diff) => diff.run(),
+            Command::Explain(explain) => explain.run(),
             Command::Forward(forward) => forward.run(),
             Command::Key(key) => key.run(),
             Command::Publish(publish) => publish.run(),
