--- a/crates/server/src/forward/belief.rs
+++ b/crates/server/src/forward/belief.rs
@@ -26,6 +26,10 @@
     life: AtomicU64,
 }
 
+/// Share of its life after which a belief wanes: the balancer takes an instance out two seconds after
+/// it is no longer ready.
+const WANING: f64 = 0.56;
+
 /// Stands for a belief that is never given up.
 const FOREVER: u64 = u64::MAX;
 
@@ -56,6 +60,15 @@
         }
     }
 
+    /// Whether new callers had better go elsewhere: keys will soon have to be refused.
+    pub fn wanes(&self, now: Moment) -> bool {
+        let life = self.life.load(Ordering::Relaxed);
+        let Some(age) = self.age(now) else {
+            return true;
+        };
+        life != FOREVER && age.as_micros() as f64 > life as f64 * WANING
+    }
+
     /// Whether keys may still be taken to be valid.
     pub fn holds(&self, now: Moment) -> bool {
         let Some(age) = self.age(now) else {
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -26,12 +26,12 @@
 /// Time between two reads of the upstreams' topic by a reader; there is always something new. An
 /// upstream that leaves must get nothing two seconds later.
 const UPSTREAMS_PERIOD: Duration = Duration::from_millis(600);
-/// Ages of what is known of the operators' topic and of the upstreams' one, at which an instance
-/// that is told by others reads itself.
-const OPERATOR_AGE: Span = Span::from_millis(1900);
-const UPSTREAMS_AGE: Span = Span::from_millis(1500);
+/// Share of the agreed time at which an instance that is not told by others reads a topic itself.
+const READ_BY: f64 = 0.65;
 /// Longest further wait, drawn at random, so that not all instances read at once.
-const SPREAD_MS: u64 = 300;
+const SPREAD_MS: u64 = 200;
+/// Pause of an instance that is told by others after a failed read.
+const TOLD_PAUSE: Duration = Duration::from_millis(1200);
 /// Shortest and longest pause after a failed read.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// A gap between two confirmed reads from which on the store counts as having been away.
@@ -76,6 +76,9 @@
     pub limits: Arc<ArcSwap<Limits>>,
     /// What the requests share.
     pub shared: Arc<Shared>,
+    /// Agreed times within which a configuration is in force, and an upstream that leaves gets nothing
+    /// more.
+    pub agreed: (Span, Span),
 }
 
 /// Takes records that another instance told.
@@ -107,6 +110,10 @@
             source: source.clone(),
             reads: reads.clone(),
             shared: parts.shared.clone(),
+            limit: limit(match topic {
+                Topic::Upstreams => parts.agreed.1,
+                _ => parts.agreed.0,
+            }),
         };
         let cancel = cancel.clone();
         tokio::spawn(async move {
@@ -121,6 +128,7 @@
         source,
         reads: reads.clone(),
         shared: parts.shared.clone(),
+        limit: Span::ZERO,
     };
     let token = cancel.clone();
     tokio::spawn(async move {
@@ -144,12 +152,19 @@
     Handle { reads }
 }
 
+/// The age at which a topic is read where nobody tells of it.
+fn limit(agreed: Span) -> Span {
+    Span::from_micros((agreed.as_micros() as f64 * READ_BY) as u64)
+}
+
 /// Follows one topic.
 struct Follower<S> {
     topic: Topic,
     source: S,
     reads: mpsc::Sender<Read>,
     shared: Arc<Shared>,
+    /// Age of what is known at which the topic is read.
+    limit: Span,
 }
 
 impl<S: Source> Follower<S> {
@@ -174,7 +189,7 @@
                         self.note(Kind::Outage, &error.to_string());
                     }
                     out = true;
-                    tokio::time::sleep(pause).await;
+                    self.retreat(pause, next.is_some()).await;
                     pause = (pause * 2).min(PAUSES.1);
                     continue;
                 }
@@ -205,14 +220,22 @@
         }
     }
 
+    /// Waits after a failed read. While readers ask for all, the others need not.
+    async fn retreat(&self, pause: Duration, started: bool) {
+        let freshness = &self.shared.freshness;
+        if freshness.is_reader() || !started {
+            tokio::time::sleep(pause).await;
+            return;
+        }
+        tokio::time::sleep(TOLD_PAUSE).await;
+        self.pause(tokio::time::Instant::now()).await;
+    }
+
     /// Waits until the topic is to be read again.
     async fn pause(&self, begun: tokio::time::Instant) {
         let freshness = &self.shared.freshness;
         let spread = Span::from_millis(rand::rng().random_range(0..=SPREAD_MS));
-        let limit = match self.topic {
-            Topic::Upstreams => UPSTREAMS_AGE,
-            _ => OPERATOR_AGE,
-        };
+        let limit = self.limit;
         loop {
             let wait = if freshness.is_reader() {
                 match self.topic {
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -22,8 +22,9 @@
 /// Most records that are told on at once.
 const TOLD_RECORDS: usize = 24;
 
-/// By how much what another instance confirmed is dated back: the longest way of a datagram.
-const TRANSIT: Span = Span::from_millis(250);
+/// By how much what another instance confirmed is dated back for the way of its datagram, beside the
+/// time that it waited here.
+const TRANSIT: Span = Span::from_millis(60);
 
 /// How far one topic is known.
 #[derive(Debug, Default)]
@@ -106,13 +107,14 @@
     /// Takes in how far another instance knows a topic. Where it knows something else by a later
     /// read, the topic is read.
     pub fn hear(&self, topic: Topic, digest: u64, age: Span, now: Moment) {
-        let sent = now - (age + TRANSIT);
+        let age = age + TRANSIT;
+        let sent = now - age;
         if digest == self.digest(topic) {
             self.confirm(topic, sent);
             return;
         }
         let own = self.age(topic, now);
-        if own.is_some_and(|own| age + TRANSIT < own) {
+        if own.is_some_and(|own| age < own) {
             self.known(topic).wake.notify_one();
         }
     }
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -49,7 +49,7 @@
         if self.core.snapshot().is_none() {
             return Err("no configuration is known here yet");
         }
-        if !self.freshness.belief.holds(boot_time()) {
+        if self.freshness.belief.wanes(boot_time()) {
             return Err("the keys in force have not been confirmed recently");
         }
         Ok(())
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -113,6 +113,7 @@
             in_force,
             limits: limits.clone(),
             shared: shared.clone(),
+            agreed: (settings.bounds.apply, settings.bounds.drain),
         };
         let feed = feed::spawn(parts, source.clone(), &stopping);
         let parts = peers::Parts {
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -302,7 +302,9 @@
             let Some(&topic) = found else {
                 continue;
             };
-            let age = Span::from_micros(sight.age_us.max(0) as u64);
+            // The datagram came after the last moment at which none waited.
+            let waited = now.since(self.caught_up);
+            let age = Span::from_micros(sight.age_us.max(0) as u64) + waited;
             let freshness = &self.parts.shared.freshness;
             freshness.hear(topic, sight.digest as u64, age, now);
         }
--- a/crates/settings/src/forward.rs
+++ b/crates/settings/src/forward.rs
@@ -9,6 +9,10 @@
     /// How long after a key was taken away a request with it may still run; none where an instance
     /// that is cut off from the store goes on by what it knew.
     pub key_life: Option<Span>,
+    /// From the acknowledgement of a configuration until it is in force everywhere.
+    pub apply: Span,
+    /// How long an upstream that leaves may still get requests.
+    pub drain: Span,
     /// From SIGTERM to SIGKILL.
     pub grace: Span,
     /// Repeats for each request of a service, over all instances.
