--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -193,6 +193,8 @@
     pub keys: Vec<Key>,
     /// How urgent its forwarded requests are, in place of their route's priority.
     pub priority: Option<u8>,
+    /// Regions that its forwarded requests may go to, sorted; empty for all.
+    pub regions: Vec<name::Region>,
 }
 
 /// Whether a call of a plain service may be repeated.
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -241,6 +241,7 @@
         reserve: reader.optional("reserve", COUNT).unwrap_or(0),
         keys,
         priority: None,
+        regions: Vec::new(),
     }
 }
 
--- a/crates/config/tests/draw/mod.rs
+++ b/crates/config/tests/draw/mod.rs
@@ -168,6 +168,7 @@
                 reserve: self.0.random_range(0..50),
                 keys: vec![Key::generate("first.key", &bearer, &mut self.0)],
                 priority: None,
+                regions: Vec::new(),
             });
         }
         organisations
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -93,6 +93,8 @@
     pub keys: Vec<Key>,
     /// How urgent its requests are, in place of the route's priority.
     pub priority: Option<u8>,
+    /// Regions that its requests may go to; empty for all.
+    pub regions: Vec<name::Region>,
 }
 
 /// Whether an upstream takes new requests.
--- a/crates/forward/src/resolve.rs
+++ b/crates/forward/src/resolve.rs
@@ -173,22 +173,27 @@
 ) -> Map<id::Organisation, Organisation> {
     let services: Vec<_> = config.services.keys().collect();
     let versions: Vec<_> = config.versions.keys().collect();
-    let organisation = |name, keys, priority| Organisation {
-        name,
-        services: services.clone(),
-        versions: versions.clone(),
-        weight: 1,
-        reserve: 0,
-        keys,
-        priority,
+    let organisation = |name, keys, priority, mut regions: Vec<name::Region>| {
+        regions.sort();
+        Organisation {
+            name,
+            services: services.clone(),
+            versions: versions.clone(),
+            weight: 1,
+            reserve: 0,
+            keys,
+            priority,
+            regions,
+        }
     };
     let public = PUBLIC.parse().expect("a name");
-    let mut organisations = vec![organisation(public, Vec::new(), None)];
+    let mut organisations = vec![organisation(public, Vec::new(), None, Vec::new())];
     for one in publication.organisations.iter().flatten() {
         organisations.push(organisation(
             one.name.clone(),
             one.keys.clone(),
             one.priority,
+            one.regions.clone(),
         ));
     }
     organisations.sort_by(|left, right| left.name.cmp(&right.name));
--- a/crates/forward/tests/resolve.rs
+++ b/crates/forward/tests/resolve.rs
@@ -58,6 +58,7 @@
             name: "clinics".parse().unwrap(),
             keys: vec![key],
             priority: Some(1),
+            regions: Vec::new(),
         }]),
         limits: Limits::default(),
     }
--- a/crates/routing/examples/footprint.rs
+++ b/crates/routing/examples/footprint.rs
@@ -84,6 +84,7 @@
                 demand: None,
                 priority: Priority(0),
                 excluded: &[],
+                regions: None,
                 deadline: now + Span::from_secs(30),
             };
             let choice = balancer.choose(&query, now).unwrap();
--- a/crates/routing/examples/model/policy.rs
+++ b/crates/routing/examples/model/policy.rs
@@ -40,6 +40,7 @@
         reserve,
         keys: Vec::new(),
         priority: None,
+        regions: Vec::new(),
     };
     let service = Service {
         name: "draft".parse().unwrap(),
@@ -142,6 +143,7 @@
             demand: None,
             priority: Priority(0),
             excluded: &[],
+            regions: None,
             deadline: request.deadline,
         };
         let choice = self.balancer.choose(&query, now).ok()?;
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -201,6 +201,7 @@
             version: query.version,
             organisation: query.organisation,
             excluded: query.excluded,
+            regions: query.regions,
             deadline: query.deadline,
             priority: query.priority,
         };
@@ -481,6 +482,8 @@
             version: choice.version,
             organisation: choice.organisation,
             excluded: &[],
+            // A choice was made within the regions of its request, and upstreams stay in theirs.
+            regions: None,
             deadline: choice.end,
             priority: choice.priority,
         };
@@ -537,6 +540,7 @@
         | Reason::NotAllowed
         | Reason::Withdrawn
         | Reason::NotServed
+        | Reason::Region
         | Reason::Deadline => None,
         Reason::Generation => Some(Span::ZERO),
         Reason::Excluded | Reason::Full => Some(ROOM_WAIT),
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -46,6 +46,9 @@
     /// The version is withdrawn.
     #[error("the version is withdrawn")]
     Withdrawn,
+    /// The upstream is in a region that the request may not go to.
+    #[error("the request may not go to the upstream's region")]
+    Region,
     /// The upstream doesn't have the version or the plain service.
     #[error("the upstream doesn't have this version or service")]
     NotServed,
@@ -86,6 +89,8 @@
     pub organisation: id::Organisation,
     /// Upstreams that were tried before.
     pub excluded: &'a [name::Upstream],
+    /// Regions that the request may go to, sorted; none for all.
+    pub regions: Option<&'a [name::Region]>,
     /// When the answer is due.
     pub deadline: Moment,
     /// How urgent it is.
@@ -171,6 +176,13 @@
         if upstream.state == Presence::Out {
             return Err(Reason::Leaving);
         }
+        let region = &self.config.zones[upstream.zone].region;
+        if work
+            .regions
+            .is_some_and(|regions| regions.binary_search(region).is_err())
+        {
+            return Err(Reason::Region);
+        }
         if work.excluded.contains(&upstream.name) {
             return Err(Reason::Excluded);
         }
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -37,6 +37,8 @@
     pub priority: Priority,
     /// Upstreams that were tried before.
     pub excluded: &'a [name::Upstream],
+    /// Regions that the request may go to, sorted; none for all.
+    pub regions: Option<&'a [name::Region]>,
     /// When the whole answer is due.
     pub deadline: Moment,
 }
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -79,6 +79,7 @@
         reserve: 0,
         keys: Vec::new(),
         priority: None,
+        regions: Vec::new(),
     }
 }
 
@@ -119,6 +120,7 @@
         demand: None,
         priority: Priority(0),
         excluded: &[],
+        regions: None,
         deadline: now + secs(30),
     }
 }
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -161,3 +161,21 @@
     let warm = START + Span::from_secs(3);
     expect_true!(balancer.choose(&asking(short(), None), warm).is_ok());
 }
+
+#[gtest]
+fn a_request_stays_within_its_regions() {
+    let mut balancer = balancer(2, &[]);
+    let elsewhere: [name::Region; 1] = ["irbid".parse().unwrap()];
+    let query = Query {
+        regions: Some(&elsewhere),
+        ..asking(short(), None)
+    };
+    let refusal = balancer.choose(&query, START).unwrap_err();
+    expect_that!(refusal.reason, eq(routing::Reason::Region));
+    let here: [name::Region; 1] = ["amman".parse().unwrap()];
+    let query = Query {
+        regions: Some(&here),
+        ..asking(short(), None)
+    };
+    expect_true!(balancer.choose(&query, START).is_ok());
+}
--- a/crates/server/src/call.rs
+++ b/crates/server/src/call.rs
@@ -42,6 +42,7 @@
             prompt,
             prefix: None,
             demand: None,
+            regions: None,
             priority: Priority(u8::from(!self.request.live)),
             deadline: self.deadline,
             repeatable: true,
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -71,6 +71,8 @@
     pub priority: Priority,
     /// Upstreams that were tried before.
     pub excluded: Vec<name::Upstream>,
+    /// Regions that the request may go to, sorted; none for all.
+    pub regions: Option<Box<[name::Region]>>,
     /// When the whole answer is due.
     pub deadline: Moment,
 }
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -252,6 +252,7 @@
                 hash::part(part.id, model)
             }),
             demand: self.demand(resolved, model),
+            regions: regions(&resolved.route.regions, &own.regions),
             priority: Priority(priority),
             deadline: resolved.deadline,
             repeatable: resolved.route.repeat.repeatable(),
@@ -511,6 +512,22 @@
     }
 }
 
+/// The regions that both a route and an organisation allow; none where neither names any.
+fn regions(route: &[name::Region], own: &[name::Region]) -> Option<Box<[name::Region]>> {
+    if route.is_empty() && own.is_empty() {
+        return None;
+    }
+    let allows = |list: &[name::Region], region| list.is_empty() || list.contains(region);
+    let both = route.iter().chain(own);
+    let mut regions: Vec<_> = both
+        .filter(|region| allows(route, region) && allows(own, region))
+        .cloned()
+        .collect();
+    regions.sort();
+    regions.dedup();
+    Some(regions.into())
+}
+
 /// The longest silence of an upstream within its answer. One that can't be resumed is waited for as
 /// long as the caller waits.
 fn stall(route: &Forward) -> Duration {
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -38,6 +38,8 @@
     pub prefix: Option<u64>,
     /// What it asks of an engine; none where only the size of its prompt or body is known.
     pub demand: Option<Demand>,
+    /// Regions that it may go to, sorted; none for all.
+    pub regions: Option<Box<[name::Region]>>,
     /// How urgent it is.
     pub priority: Priority,
     /// When the whole answer is due.
@@ -151,6 +153,7 @@
             demand: self.demand,
             priority: self.priority,
             excluded: excluded.to_vec(),
+            regions: self.regions.clone(),
             deadline: self.deadline,
         }
     }
@@ -388,7 +391,9 @@
 fn no_upstream(refusal: &routing::Refusal) -> Refusal {
     use routing::Reason as Why;
     let (status, code) = match refusal.reason {
-        Why::NoUpstream | Why::NotServed => (StatusCode::SERVICE_UNAVAILABLE, "no-upstream"),
+        Why::NoUpstream | Why::NotServed | Why::Region => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no-upstream")
+        }
         Why::NotAllowed => (StatusCode::FORBIDDEN, "not-allowed"),
         Why::Withdrawn => (StatusCode::GONE, "version-withdrawn"),
         Why::Deadline => (StatusCode::GATEWAY_TIMEOUT, "timed-out"),
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -286,6 +286,7 @@
         demand: want.demand,
         priority: want.priority,
         excluded: &want.excluded,
+        regions: want.regions.as_deref(),
         deadline: want.deadline,
     }
 }
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -47,6 +47,7 @@
         reserve: 0,
         keys: Vec::new(),
         priority: None,
+        regions: Vec::new(),
     };
     Config {
         services: Map::new(services.iter().map(service).collect()),
