--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -221,12 +221,12 @@
     let (parts, body) = request.into_parts();
     let head = match read_head(shared, &parts, framing) {
         Ok(head) => head,
-        Err(refusal) => return refuse(shared, refusal, None, true),
+        Err(refusal) => return refuse(shared, &refusal, None, true),
     };
     let id = head.id.clone();
     let body = match collect(body, **shared.limits.load()).await {
         Ok(body) => body,
-        Err(refusal) => return refuse(shared, refusal, Some(&id), true),
+        Err(refusal) => return refuse(shared, &refusal, Some(&id), true),
     };
     let gone = CancellationToken::new();
     let guard = gone.clone().drop_guard();
@@ -245,12 +245,12 @@
     let leaving = shared.leaving.is_cancelled();
     match reply {
         Ok(Reply::Passed(passed)) => pass(passed, leaving),
-        Ok(Reply::Refused(refusal)) => refuse(shared, refusal, Some(&id), leaving),
+        Ok(Reply::Refused(refusal)) => refuse(shared, &refusal, Some(&id), leaving),
         Err(error) => {
             let message = format!("the request's task ended without a reply: {error}");
             let status = StatusCode::BAD_GATEWAY;
             let refusal = Refusal::may_have_run(status, "internal", message);
-            refuse(shared, refusal, Some(&id), leaving)
+            refuse(shared, &refusal, Some(&id), leaving)
         }
     }
 }
@@ -281,12 +281,12 @@
 
 fn refuse<H: Handler>(
     shared: &Shared<H>,
-    refusal: Refusal,
+    refusal: &Refusal,
     id: Option<&str>,
     leaving: bool,
 ) -> Response<Body> {
     if id.is_none() || refusal.code == "body-too-large" {
-        shared.handler.unreadable(&refusal);
+        shared.handler.unreadable(refusal);
     }
     let mut response = Response::new(body::whole(refusal.json(request::Id(0))));
     *response.status_mut() = refusal.status;
--- a/crates/server/src/assembly.rs
+++ b/crates/server/src/assembly.rs
@@ -23,11 +23,9 @@
 use session::Signer;
 use settings::{Settings, Sink};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use timeline::{Kind, Metric, Recorder};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 /// Longest wait for the rating of an answer that is held back.
 const RATING_LIMIT: Span = Span::from_secs(2);
@@ -130,17 +128,9 @@
         verdicts: Vec::new(),
         braked: Vec::new(),
     });
-    let core = Core {
-        clock,
-        in_force: configuration.in_force.clone(),
-        decider,
-        slack: bounds(&settings).slack,
-        streams: TaskTracker::new(),
-        recorder,
-        metric,
-        draining: AtomicBool::new(false),
-        closing: AtomicBool::new(false),
-    };
+    let observed = (clock, recorder, metric);
+    let in_force = configuration.in_force.clone();
+    let core = Core::new(observed, in_force, decider, bounds(&settings).slack);
     let context = Arc::new(Context {
         core,
         contact,
--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -33,6 +33,27 @@
 }
 
 impl Core {
+    /// What requests are decided with from now on, with time and records by `observed`.
+    pub fn new(
+        observed: (Clock, Recorder, Metric),
+        in_force: watch::Receiver<Option<Arc<Snapshot>>>,
+        decider: decider::Handle,
+        slack: Span,
+    ) -> Self {
+        let (clock, recorder, metric) = observed;
+        Self {
+            clock,
+            in_force,
+            decider,
+            slack,
+            streams: TaskTracker::new(),
+            recorder,
+            metric,
+            draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+        }
+    }
+
     /// What is in force; none until the log, the store or a fellow told.
     pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
         self.in_force.borrow().clone()
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -133,11 +133,22 @@
     ),
     Choose(Box<Want>, oneshot::Sender<Result<Choice, routing::Refusal>>),
     Finish(Choice, Outcome),
-    FirstEventOf(name::Upstream, u64),
-    Loads(oneshot::Sender<Loads>),
-    HearLoads(name::Instance, Loads, usize),
     Retry(u32, Moment, oneshot::Sender<Option<Span>>),
-    Request(name::Service),
+    Rated(Rated),
+    Measured(name::Service, name::Version, Span, Tokens),
+    Sampling(id::Service, id::Version, Generation, oneshot::Sender<Share>),
+    News(Box<News>),
+    Knowledge(oneshot::Sender<Knowledge>),
+    Watched(oneshot::Sender<Vec<name::Upstream>>),
+    RatingsOut(bool),
+    Totals(oneshot::Sender<Vec<Telling>>),
+    Reserves(oneshot::Sender<Vec<reserve::Usage>>),
+    Leave,
+    Forwarded(Forwarded),
+}
+
+/// Messages that only requests which are passed on need.
+enum Forwarded {
     Release(
         release::Query,
         Generation,
@@ -149,17 +160,11 @@
     Reports(oneshot::Sender<Vec<release::Report>>),
     HearReports(Vec<release::Report>),
     Written(name::Service, name::Version, Ruling),
+    Request(name::Service),
     Repeat(name::Service, u32, oneshot::Sender<bool>),
-    Rated(Rated),
-    Measured(name::Service, name::Version, Span, Tokens),
-    Sampling(id::Service, id::Version, Generation, oneshot::Sender<Share>),
-    News(Box<News>),
-    Knowledge(oneshot::Sender<Knowledge>),
-    Watched(oneshot::Sender<Vec<name::Upstream>>),
-    RatingsOut(bool),
-    Totals(oneshot::Sender<Vec<Telling>>),
-    Reserves(oneshot::Sender<Vec<reserve::Usage>>),
-    Leave,
+    FirstEventOf(name::Upstream, u64),
+    Loads(oneshot::Sender<Loads>),
+    HearLoads(name::Instance, Loads, usize),
 }
 
 /// Asks the task.
@@ -252,7 +257,10 @@
 
     /// Notes that the first event of a choice has come.
     pub async fn started(&self, choice: &Choice) {
-        let message = Message::FirstEventOf(choice.upstream.clone(), choice.ticket());
+        let message = Message::Forwarded(Forwarded::FirstEventOf(
+            choice.upstream.clone(),
+            choice.ticket(),
+        ));
         self.tell(message).await;
     }
 
@@ -262,12 +270,16 @@
     ///
     /// The instance is closing.
     pub async fn loads(&self) -> Result<Loads, Closed> {
-        self.ask(Message::Loads).await
+        self.ask(|reply| Message::Forwarded(Forwarded::Loads(reply)))
+            .await
     }
 
     /// Takes in what another instance has running, one of so many others.
     pub async fn hear_loads(&self, instance: name::Instance, loads: Loads, others: usize) {
-        self.tell(Message::HearLoads(instance, loads, others)).await;
+        self.tell(Message::Forwarded(Forwarded::HearLoads(
+            instance, loads, others,
+        )))
+        .await;
     }
 
     /// The delay before a retry; none if it may not be retried.
@@ -282,7 +294,8 @@
 
     /// Counts a request of a service whose repeats are bounded.
     pub async fn request(&self, service: name::Service) {
-        self.tell(Message::Request(service)).await;
+        self.tell(Message::Forwarded(Forwarded::Request(service)))
+            .await;
     }
 
     /// The release that runs a request of a service whose upstreams register themselves; none where
@@ -296,7 +309,7 @@
         query: release::Query,
         generation: Generation,
     ) -> Result<Result<Option<id::Version>, Stale>, Closed> {
-        self.ask(|reply| Message::Release(query, generation, reply))
+        self.ask(|reply| Message::Forwarded(Forwarded::Release(query, generation, reply)))
             .await
     }
 
@@ -307,14 +320,19 @@
         version: name::Version,
         noted: release::Noted,
     ) {
-        self.tell(Message::Answered(service, version, noted)).await;
+        self.tell(Message::Forwarded(Forwarded::Answered(
+            service, version, noted,
+        )))
+        .await;
     }
 
     /// Takes in how long the smallest model of a service took to the first event of an answer that
     /// is on time within an objective.
     pub async fn first_event(&self, service: name::Service, time: Span, objective: Span) {
-        self.tell(Message::FirstEvent(service, time, objective))
-            .await;
+        self.tell(Message::Forwarded(Forwarded::FirstEvent(
+            service, time, objective,
+        )))
+        .await;
     }
 
     /// How much of the engines' time better answers of a service may take now.
@@ -323,7 +341,8 @@
     ///
     /// The instance is closing.
     pub async fn governor(&self, service: name::Service) -> Result<Governor, Closed> {
-        self.ask(|reply| Message::Governor(service, reply)).await
+        self.ask(|reply| Message::Forwarded(Forwarded::Governor(service, reply)))
+            .await
     }
 
     /// What to tell other instances of trials of releases.
@@ -332,17 +351,22 @@
     ///
     /// The instance is closing.
     pub async fn reports(&self) -> Result<Vec<release::Report>, Closed> {
-        self.ask(Message::Reports).await
+        self.ask(|reply| Message::Forwarded(Forwarded::Reports(reply)))
+            .await
     }
 
     /// Takes in what another instance told of trials of releases.
     pub async fn hear_reports(&self, reports: Vec<release::Report>) {
-        self.tell(Message::HearReports(reports)).await;
+        self.tell(Message::Forwarded(Forwarded::HearReports(reports)))
+            .await;
     }
 
     /// Ends the trial of a release, whose ruling is on the store.
     pub async fn written(&self, service: name::Service, target: name::Version, ruling: Ruling) {
-        self.tell(Message::Written(service, target, ruling)).await;
+        self.tell(Message::Forwarded(Forwarded::Written(
+            service, target, ruling,
+        )))
+        .await;
     }
 
     /// Whether a request of a service may be sent once more within the bound on repeats, which
@@ -352,7 +376,7 @@
     ///
     /// The instance is closing.
     pub async fn repeat(&self, service: name::Service, reserve: u32) -> Result<bool, Closed> {
-        self.ask(|reply| Message::Repeat(service, reserve, reply))
+        self.ask(|reply| Message::Forwarded(Forwarded::Repeat(service, reserve, reply)))
             .await
     }
 
@@ -593,39 +617,9 @@
                 self.balancer.finish(choice, outcome, now);
                 self.waiting.drain(&mut self.balancer, now);
             }
-            Message::FirstEventOf(upstream, ticket) => self.balancer.started(&upstream, ticket),
-            Message::Loads(reply) => {
-                let _ = reply.send(self.balancer.loads());
-            }
-            Message::HearLoads(instance, loads, others) => {
-                self.balancer.hear_loads(&instance, loads, others, now);
-            }
             Message::Retry(retry, deadline, reply) => {
                 let _ = reply.send(self.balancer.retry(retry, deadline, now));
             }
-            Message::Release(query, generation, reply) => {
-                let _ = reply.send(self.release(query, generation, now));
-            }
-            Message::Answered(service, version, noted) => {
-                self.releases.answered(&service, &version, noted);
-            }
-            Message::FirstEvent(service, time, objective) => {
-                self.governor(service, now).observe(time, objective, now);
-            }
-            Message::Governor(service, reply) => {
-                let _ = reply.send(self.governor(service, now).clone());
-            }
-            Message::Reports(reply) => {
-                let _ = reply.send(self.releases.reports(now));
-            }
-            Message::HearReports(reports) => self.releases.hear(reports, now),
-            Message::Written(service, target, ruling) => {
-                self.releases.written(&service, &target, ruling);
-            }
-            Message::Request(service) => self.allowance(service).request(now),
-            Message::Repeat(service, reserve, reply) => {
-                let _ = reply.send(self.allowance(service).repeat(reserve, now));
-            }
             Message::Rated(rated) => self.rated(&rated, now),
             Message::Measured(service, version, latency, output) => {
                 self.judge.measure(&service, &version, latency, output);
@@ -653,10 +647,46 @@
             Message::Reserves(reply) => {
                 let _ = reply.send(self.waiting.reserves(now));
             }
+            Message::Forwarded(message) => self.take_forwarded(message, now),
             Message::Leave => self.balancer.leave(now),
         }
     }
 
+    fn take_forwarded(&mut self, message: Forwarded, now: Moment) {
+        match message {
+            Forwarded::Release(query, generation, reply) => {
+                let _ = reply.send(self.release(query, generation, now));
+            }
+            Forwarded::Answered(service, version, noted) => {
+                self.releases.answered(&service, &version, noted);
+            }
+            Forwarded::FirstEvent(service, time, objective) => {
+                self.governor(service, now).observe(time, objective, now);
+            }
+            Forwarded::Governor(service, reply) => {
+                let _ = reply.send(self.governor(service, now).clone());
+            }
+            Forwarded::Reports(reply) => {
+                let _ = reply.send(self.releases.reports(now));
+            }
+            Forwarded::HearReports(reports) => self.releases.hear(reports, now),
+            Forwarded::Written(service, target, ruling) => {
+                self.releases.written(&service, &target, ruling);
+            }
+            Forwarded::Request(service) => self.allowance(service).request(now),
+            Forwarded::Repeat(service, reserve, reply) => {
+                let _ = reply.send(self.allowance(service).repeat(reserve, now));
+            }
+            Forwarded::FirstEventOf(upstream, ticket) => self.balancer.started(&upstream, ticket),
+            Forwarded::Loads(reply) => {
+                let _ = reply.send(self.balancer.loads());
+            }
+            Forwarded::HearLoads(instance, loads, others) => {
+                self.balancer.hear_loads(&instance, loads, others, now);
+            }
+        }
+    }
+
     fn configure(&mut self, snapshot: Arc<Snapshot>, now: Moment) {
         self.balancer
             .configure(&snapshot.config, snapshot.generation, now);
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -325,7 +325,7 @@
             let wait = expiry.map_or(Duration::from_secs(3600), |at| at.since(now).duration());
             let change = tokio::select! {
                 read = received.recv() => match read {
-                    Some(read) => self.take(read),
+                    Some(read) => self.take(&read),
                     None => return,
                 },
                 () = tokio::time::sleep(wait) => self.fold.expire(self.parts.clock.now()),
@@ -339,7 +339,7 @@
         }
     }
 
-    fn take(&mut self, read: Read) -> Change {
+    fn take(&mut self, read: &Read) -> Change {
         let now = self.parts.clock.now();
         let change = match &read.batch {
             Batch::Listing(listing) => self.fold.list(read.topic, listing, now, read.lapsing),
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -22,13 +22,12 @@
 use settings::forward::Settings;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use timeline::{Kind, Metric, Recorder, Sink};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 /// Most requests that wait for one pool of upstreams.
 const QUEUE: usize = 256;
@@ -81,17 +80,9 @@
         let metric = Metric::open(&settings.name, None).context("metrics")?;
         let clock = Clock::start();
         let (in_force, watched) = watch::channel(None);
-        let core = Core {
-            clock,
-            in_force: watched,
-            decider: spawn_decider(&settings, clock, &stopping),
-            slack: Bounds::default().slack,
-            streams: TaskTracker::new(),
-            recorder,
-            metric,
-            draining: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
-        };
+        let decider = spawn_decider(&settings, clock, &stopping);
+        let observed = (clock, recorder, metric);
+        let core = Core::new(observed, watched, decider, Bounds::default().slack);
         let shared = Arc::new(Shared {
             core,
             freshness: Freshness::new(settings.bounds.key_life),
--- a/tests/forward_soak.rs
+++ b/tests/forward_soak.rs
@@ -54,7 +54,7 @@
 async fn run(seed: u64) -> Vec<String> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut system = System::open(seed).await;
-    let load = load::spawn(system.addresses(), seed);
+    let load = load::spawn(&system.addresses(), seed);
     let end = tokio::time::Instant::now() + FAULTS;
     while tokio::time::Instant::now() < end {
         system.fault(&mut random).await;
--- a/tests/forward_soak/load.rs
+++ b/tests/forward_soak/load.rs
@@ -46,11 +46,11 @@
     stop: CancellationToken,
 }
 
-pub fn spawn(addresses: Vec<SocketAddr>, seed: u64) -> Load {
+pub fn spawn(addresses: &[SocketAddr], seed: u64) -> Load {
     let stop = CancellationToken::new();
     let mut callers = JoinSet::new();
     for caller in 0..CALLERS {
-        let (addresses, stop) = (addresses.clone(), stop.clone());
+        let (addresses, stop) = (addresses.to_vec(), stop.clone());
         callers.spawn(async move { call(&addresses, seed * 1000 + caller, stop).await });
     }
     Load { callers, stop }
