--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -3,7 +3,7 @@
 use crate::call::Call;
 use crate::decider::Rated;
 use crate::relay::Relay;
-use crate::tries::{self, Dispatch, GivenUp, Job, Taken};
+use crate::tries::{self, Dispatch, GivenUp, Job, Taken, Turn};
 use crate::version::{self, Assignment};
 use billing::usage;
 use caller::{Chat, Refusal, Reply, Streamed, Whole};
@@ -300,8 +300,8 @@
 impl Dispatch for Complete<'_> {
     type Value = Completion;
 
-    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Completion, Failure> {
-        let call = self.run.body(self.version, choice.priority, end);
+    async fn dispatch(&self, choice: &Choice, turn: Turn) -> Result<Completion, Failure> {
+        let call = self.run.body(self.version, choice.priority, turn.end);
         self.run
             .call
             .context
@@ -320,8 +320,8 @@
 impl Dispatch for Open<'_> {
     type Value = (upstream::Stream, Option<Chunk>);
 
-    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Self::Value, Failure> {
-        let call = self.run.body(self.version, choice.priority, end);
+    async fn dispatch(&self, choice: &Choice, turn: Turn) -> Result<Self::Value, Failure> {
+        let call = self.run.body(self.version, choice.priority, turn.end);
         let mut stream = self
             .run
             .call
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream, up to the point from which it can't be tried again unseen.
 
 use crate::forward::front::Shared;
-use crate::tries::Dispatch;
+use crate::tries::{Dispatch, Turn};
 use bytes::Bytes;
 use caller::forward::{Content, Passed};
 use config::Forward;
@@ -207,15 +207,15 @@
 impl Dispatch for Open<'_> {
     type Value = Opened;
 
-    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Opened, Failure> {
+    async fn dispatch(&self, choice: &Choice, turn: Turn) -> Result<Opened, Failure> {
         // An upstream that registered itself is addressed by its incarnation, so that another one
         // which was given its address refuses the request.
         let incarnation = choice.upstream.as_str();
-        let sending = self.sending(choice, incarnation, end);
+        let sending = self.sending(choice, incarnation, turn.end);
         let sent = Instant::now();
         let patient = match self.patience {
-            Some(patience) => end.min(sent + patience.duration()),
-            None => end,
+            Some(patience) if !turn.last => turn.end.min(sent + patience.duration()),
+            _ => turn.end,
         };
         let sending = Sending {
             end: patient,
--- a/crates/server/src/plain.rs
+++ b/crates/server/src/plain.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Call;
 use crate::once;
-use crate::tries::{self, Dispatch, GivenUp, Job, Taken};
+use crate::tries::{self, Dispatch, GivenUp, Job, Taken, Turn};
 use adoption::Snapshot;
 use billing::usage;
 use caller::{Plain, Refusal, Reply, Whole};
@@ -157,11 +157,11 @@
 impl Dispatch for Run<'_> {
     type Value = Answer;
 
-    async fn dispatch(&self, choice: &Choice, end: Instant) -> Result<Answer, Failure> {
+    async fn dispatch(&self, choice: &Choice, turn: Turn) -> Result<Answer, Failure> {
         self.call
             .context
             .pool
-            .call(choice.address, &self.body(end))
+            .call(choice.address, &self.body(turn.end))
             .await
     }
 }
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -182,16 +182,25 @@
     }
 }
 
+/// What holds for one try.
+#[derive(Clone, Copy, Debug)]
+pub struct Turn {
+    /// When it has to have ended.
+    pub end: Instant,
+    /// Whether no other try can follow it, so that it is waited for as long as the caller waits.
+    pub last: bool,
+}
+
 /// Sends a request to one upstream.
 pub trait Dispatch: Sync {
     /// What an upstream that takes it gives.
     type Value: Send;
 
-    /// Sends the request to the upstream of a choice; it has to end by an instant.
+    /// Sends the request to the upstream of a choice.
     fn dispatch(
         &self,
         choice: &Choice,
-        end: Instant,
+        turn: Turn,
     ) -> impl Future<Output = Result<Self::Value, Failure>> + Send;
 }
 
@@ -243,10 +252,13 @@
             .count("generation", job.snapshot.generation.0)
             .record();
         let sent = Instant::now();
-        let end = core.clock.instant(choice.end.min(job.deadline));
+        let turn = Turn {
+            end: core.clock.instant(choice.end.min(job.deadline)),
+            last: !job.repeatable || !history.leaves_two(job.attempts),
+        };
         let dispatched = tokio::select! {
             biased;
-            dispatched = dispatch.dispatch(&choice, end) => dispatched,
+            dispatched = dispatch.dispatch(&choice, turn) => dispatched,
             () = job.gone.cancelled() => {
                 core.decider.finish(choice, Outcome::Cancelled).await;
                 return Err(GivenUp::Refused(gone()));
