--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod events;
 mod fold;
 pub mod head;
+pub mod hop;
 mod resolve;
 pub mod source;
 
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -359,7 +359,7 @@
         }
     }
 
-    /// Takes in records one by one, and keeps those that change something to be told on.
+    /// Takes in records one by one, and keeps those that change something to be relayed.
     fn apply(&mut self, topic: Topic, items: &[Item], now: Moment, lapsing: bool) -> Change {
         let mut sum = Change::default();
         for item in items {
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -13,13 +13,13 @@
 /// Topics that are followed.
 pub const FOLLOWED: [Topic; 2] = [Topic::Operator, Topic::Upstreams];
 
-/// How long a record that changed something is told on.
+/// How long a record that changed something is relayed.
 const TOLD_FOR: Span = Span::from_millis(2500);
 
-/// Largest record that is told on, in bytes; others read longer ones themselves.
+/// Largest record that is relayed, in bytes; others read longer ones themselves.
 const TOLD_BYTES: usize = 4096;
 
-/// Most records that are told on at once.
+/// Most records that are relayed at once.
 const TOLD_RECORDS: usize = 24;
 
 /// By how much what another instance confirmed is dated back for the way of its datagram, beside the
@@ -124,7 +124,7 @@
         self.known(topic).wake.notified().await;
     }
 
-    /// Keeps a record that changed something, to be told on.
+    /// Keeps a record that changed something, to be relayed.
     pub fn tell(&self, topic: Topic, item: &Item, now: Moment) {
         if item.value.len() > TOLD_BYTES {
             return;
@@ -139,7 +139,7 @@
         told.drain(..excess);
     }
 
-    /// The records to tell on.
+    /// The records to relay.
     pub fn told(&self, now: Moment) -> Vec<Told> {
         let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
         told.retain(|one| now.since(one.at) < TOLD_FOR);
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -10,8 +10,9 @@
 use forward::dialect::Order;
 use forward::events::Splitter;
 use forward::head::Request;
+use forward::hop;
 use hyper::StatusCode;
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::HeaderMap;
 use quality::release;
 use routing::{Choice, hash};
 use std::sync::Mutex;
@@ -19,21 +20,6 @@
 use upstream::forward::{Answered, Sending};
 use upstream::{Failure, Reason};
 
-/// Headers of one connection, which are not passed on.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    // hyper writes the length of what it sends.
-    header::CONTENT_LENGTH,
-];
-/// Another one, for which hyper has no constant.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
 /// Repeats that are left to tries after failures when a better model is asked.
 const RETRY_RESERVE: u32 = 4;
 
@@ -239,16 +225,7 @@
 /// The headers of an answer without those of its connection.
 pub fn passed_headers(headers: &HeaderMap) -> HeaderMap {
     let mut passed = headers.clone();
-    let listed: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_BY_HOP.iter().chain([&KEEP_ALIVE]).chain(&listed) {
-        passed.remove(name);
-    }
+    hop::strip(&mut passed, &[]);
     passed
 }
 
