Tell other instances the sessions that keep the old release in a trial

Sessions that would change sides are told in beacons. Test first: a_session_that_moves_to_another_instance_keeps_its_release.

--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -141,6 +141,8 @@
   /** Whether the ruling is on the store. */
   5: required bool written,
   6: required list<Counted> evidence,
+  /** Sessions on the old release that would begin on the new one, by hash. */
+  7: required list<i64> kept,
 }
 
 /** What an instance has running at an upstream. */
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -1480,10 +1480,12 @@
   /// Whether the ruling is on the store.
   pub written: bool,
   pub evidence: Vec<Counted>,
+  /// Sessions on the old release that would begin on the new one, by hash.
+  pub kept: Vec<i64>,
 }
 
 impl Trial {
-  pub fn new(service_name: String, target: String, age_us: i64, ruling: Ruling, written: bool, evidence: Vec<Counted>) -> Trial {
+  pub fn new(service_name: String, target: String, age_us: i64, ruling: Ruling, written: bool, evidence: Vec<Counted>, kept: Vec<i64>) -> Trial {
     Trial {
       service_name,
       target,
@@ -1491,6 +1493,7 @@
       ruling,
       written,
       evidence,
+      kept,
     }
   }
 }
@@ -1504,6 +1507,7 @@
     let mut f_4: Option<Ruling> = None;
     let mut f_5: Option<bool> = None;
     let mut f_6: Option<Vec<Counted>> = None;
+    let mut f_7: Option<Vec<i64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1541,6 +1545,16 @@
           i_prot.read_list_end()?;
           f_6 = Some(val);
         },
+        7 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_9 = i_prot.read_i64()?;
+            val.push(list_elem_9);
+          }
+          i_prot.read_list_end()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1554,6 +1568,7 @@
     verify_required_field_exists("Trial.ruling", &f_4)?;
     verify_required_field_exists("Trial.written", &f_5)?;
     verify_required_field_exists("Trial.evidence", &f_6)?;
+    verify_required_field_exists("Trial.kept", &f_7)?;
     let ret = Trial {
       service_name: f_1.expect("auto-generated code should have checked for presence of required fields"),
       target: f_2.expect("auto-generated code should have checked for presence of required fields"),
@@ -1561,6 +1576,7 @@
       ruling: f_4.expect("auto-generated code should have checked for presence of required fields"),
       written: f_5.expect("auto-generated code should have checked for presence of required fields"),
       evidence: f_6.expect("auto-generated code should have checked for presence of required fields"),
+      kept: f_7.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -1589,6 +1605,13 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("kept", TType::List, 7))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::I64, self.kept.len() as i32))?;
+    for e in &self.kept {
+      o_prot.write_i64(*e)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1917,8 +1940,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Trial> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_9 = Trial::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_9);
+            let list_elem_10 = Trial::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_10);
           }
           i_prot.read_list_end()?;
           f_4 = Some(val);
@@ -1927,8 +1950,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<UpstreamLoad> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_10 = UpstreamLoad::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_10);
+            let list_elem_11 = UpstreamLoad::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_11);
           }
           i_prot.read_list_end()?;
           f_5 = Some(val);
@@ -1937,8 +1960,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_11 = Sight::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_11);
+            let list_elem_12 = Sight::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_12);
           }
           i_prot.read_list_end()?;
           f_6 = Some(val);
@@ -1947,8 +1970,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Told> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_12 = Told::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_12);
+            let list_elem_13 = Told::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_13);
           }
           i_prot.read_list_end()?;
           f_7 = Some(val);
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -36,6 +36,9 @@
     pub written: bool,
     /// What each life of an instance has counted.
     pub evidence: Vec<(name::Instance, Evidence)>,
+    /// Sessions on the old release that would begin on the new one, by hash: an instance to which their
+    /// callers move must not take them for new ones.
+    pub kept: Vec<u64>,
     /// Whether the old release may be stopped now.
     pub complete: bool,
 }
@@ -52,8 +55,11 @@
 #[derive(Debug)]
 struct Session {
     hash: u64,
+    position: u64,
     version: name::Version,
     seen: Moment,
+    /// Whether it was seen here, rather than told by another instance.
+    own: bool,
 }
 
 /// The releases of all services at one instance.
@@ -127,7 +133,13 @@
         };
         let id = config.version(version.as_str())?;
         if let Some(hash) = query.session {
-            self.remember(hash, version, now);
+            self.remember(Session {
+                hash,
+                position: query.position,
+                version,
+                seen: now,
+                own: true,
+            });
         }
         Some(id)
     }
@@ -176,6 +188,10 @@
             if trial.condemned() {
                 trial.rule(Ruling::Bad);
             }
+            let old = trial.old.clone();
+            for hash in report.kept {
+                self.keep(hash, &old, now);
+            }
         }
     }
 
@@ -193,6 +209,7 @@
                 ruling: trial.ruling(),
                 written: trial.written,
                 evidence: trial.evidence(&self.own),
+                kept: self.kept(trial, now),
                 complete: trial.complete(now),
             });
         }
@@ -225,21 +242,49 @@
         (now.since(session.seen) <= self.session_gap).then_some(&session.version)
     }
 
-    fn remember(&mut self, hash: u64, version: name::Version, seen: Moment) {
-        let session = Session {
-            hash,
-            version,
-            seen,
-        };
-        match self
+    fn remember(&mut self, session: Session) {
+        let found = self
             .sessions
-            .binary_search_by_key(&hash, |session| session.hash)
-        {
+            .binary_search_by_key(&session.hash, |known| known.hash);
+        match found {
             Ok(index) => self.sessions[index] = session,
             Err(index) => self.sessions.insert(index, session),
         }
     }
 
+    /// Takes in a session on the old release of which another instance told.
+    fn keep(&mut self, hash: u64, version: &name::Version, now: Moment) {
+        let found = self
+            .sessions
+            .binary_search_by_key(&hash, |known| known.hash);
+        if found.is_ok_and(|index| self.sessions[index].own) {
+            return;
+        }
+        self.remember(Session {
+            hash,
+            position: 0,
+            version: version.clone(),
+            seen: now,
+            own: false,
+        });
+    }
+
+    /// Sessions on the old release that would begin on the new one.
+    fn kept(&self, trial: &Trial, now: Moment) -> Vec<u64> {
+        if trial.ruling().is_some() {
+            return Vec::new();
+        }
+        let mut kept = Vec::new();
+        for session in &self.sessions {
+            let old = session.own && session.version == trial.old;
+            let recent = now.since(session.seen) <= self.session_gap;
+            if old && recent && drawn(trial, session.position, now) {
+                kept.push(session.hash);
+            }
+        }
+        kept
+    }
+
     fn prune(&mut self, now: Moment) {
         if now.since(self.pruned) < self.session_gap {
             return;
@@ -270,13 +315,14 @@
     unknown: bool,
     now: Moment,
 ) -> name::Version {
-    let drawn = query.position % 1_000_000 < u64::from(trial.share(now).ppm());
     let new = match (trial.ruling(), pinned) {
         (Some(Ruling::Good), _) => true,
         (Some(Ruling::Bad), _) => false,
         (None, Some(version)) if *version == trial.new => true,
         (None, Some(_)) => trial.moves_sessions(now),
-        (None, None) => drawn && !unknown && is_served(config, &trial.new, now),
+        (None, None) => {
+            drawn(trial, query.position, now) && !unknown && is_served(config, &trial.new, now)
+        }
     };
     if new {
         trial.new.clone()
@@ -285,6 +331,11 @@
     }
 }
 
+/// Whether a position in the split falls to the new release.
+fn drawn(trial: &Trial, position: u64, now: Moment) -> bool {
+    position % 1_000_000 < u64::from(trial.share(now).ppm())
+}
+
 /// Whether a release has an upstream in service that is warm.
 fn is_served(config: &Config, version: &name::Version, now: Moment) -> bool {
     let Some(version) = config.version(version.as_str()) else {
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -409,3 +409,26 @@
     load(&mut governor, now, 5, 900);
     expect_that!(governor.patience(objective, true), gt(objective));
 }
+
+/// Pattern: machines are stopped in turn during a trial, and their callers move to others.
+#[gtest]
+fn a_session_that_moves_to_another_instance_keeps_its_release() {
+    let mut first = releases();
+    let mut second = releases();
+    let ordered = config(None);
+    for one in [&mut first, &mut second] {
+        one.configure(&before_the_order());
+    }
+    first.assign(&before_the_order(), query(Some(9), 0), after(0));
+    for one in [&mut first, &mut second] {
+        one.configure(&ordered);
+    }
+    first.assign(&ordered, query(Some(9), 0), after(2000));
+    let reports = first.reports(after(2100));
+    expect_that!(reports[0].kept, container_eq([9]));
+    second.hear(reports, after(2100));
+    let moved = second.assign(&ordered, query(Some(9), 0), after(3000));
+    expect_that!(moved, some(eq(old())));
+    let unseen = second.assign(&ordered, query(Some(8), 0), after(3000));
+    expect_that!(unseen, some(eq(new())));
+}
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -35,6 +35,8 @@
 const FANOUT: usize = 16;
 /// Lives of instances whose evidence one beacon carries, the sender's first.
 const CARRIED: usize = 24;
+/// Sessions that one beacon carries.
+const KEPT: usize = 256;
 /// How long an instance that is not heard of counts as live: cold upstreams are shared with it.
 const LIFE: Span = Span::from_secs(8);
 /// Time that the next instance in the order waits for the one before to write.
@@ -475,6 +477,12 @@
         },
         written: report.written,
         evidence: report.evidence.iter().take(CARRIED).map(counted).collect(),
+        kept: report
+            .kept
+            .iter()
+            .take(KEPT)
+            .map(|&hash| hash as i64)
+            .collect(),
     }
 }
 
@@ -507,6 +515,7 @@
         },
         written: trial.written,
         evidence,
+        kept: trial.kept.iter().map(|&hash| hash as u64).collect(),
         complete: false,
     })
 }
