Say once what the two fronts and the feed said twice

Cause, from reading the change: the wait for a newer configuration stood in both fronts, the list of live instances was made twice in one round, when the operators' topic was confirmed was kept in two places, and the digest of the upstreams was made again after every read, though it changes only with a read of that topic or an expiry. Change: Core::settle, Task::live, Freshness::age; the digest is made where it can change; a field of registrations and a method of the server that nothing reads are gone.

--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -163,11 +163,6 @@
         self.connections.close();
         self.connections.wait().await;
     }
-
-    /// How many tasks the server runs: connections and requests, and one that accepts.
-    pub fn tasks(&self) -> usize {
-        self.connections.len()
-    }
 }
 
 async fn accept<H: Handler>(listener: TcpListener, shared: Arc<Shared<H>>) {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -166,8 +166,6 @@
 /// What an upstream that registered itself says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
-    /// Names this life of it, which requests are addressed to.
-    pub incarnation: Box<str>,
     /// When it started, in milliseconds since the Unix epoch.
     pub born: u64,
     /// Until when it is in cold start.
--- a/crates/forward/src/resolve.rs
+++ b/crates/forward/src/resolve.rs
@@ -159,7 +159,6 @@
         fencing: Fencing::Ignored,
         state,
         registration: Some(Registration {
-            incarnation: known.name.as_str().into(),
             born: registration.born,
             cold_until: known.cold_until,
             cold_rate: service.cold_rate.max(0.0) as u32,
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -178,7 +178,6 @@
         fencing: Fencing::Ignored,
         state: Presence::In,
         registration: Some(Registration {
-            incarnation: name.into(),
             born: 1,
             cold_until: Moment(0),
             cold_rate: 10,
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -20,7 +20,6 @@
             Moment(0)
         };
         upstream.registration = Some(Registration {
-            incarnation: upstream.name.as_str().into(),
             born: 1,
             cold_until: until,
             cold_rate: 40,
--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -6,10 +6,14 @@
 use entity::{Generation, Span};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 use timeline::{Metric, Recorder};
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
+/// Longest wait for a configuration that the decider had before it was in force.
+const SETTLE: Duration = Duration::from_millis(5);
+
 /// What every request is decided with, whichever front took it.
 pub struct Core {
     /// The clock.
@@ -65,6 +69,18 @@
             .map_or(Generation(0), |snapshot| snapshot.generation)
     }
 
+    /// Waits until a newer configuration is in force, or for a moment: the decider can have it a little
+    /// earlier.
+    pub async fn settle(&self, snapshot: &Snapshot) {
+        let mut in_force = self.in_force.clone();
+        let newer = in_force.wait_for(|now| {
+            now.as_ref()
+                .is_some_and(|now| now.generation > snapshot.generation)
+        });
+        // The request is resolved again, whether or not there is a newer configuration.
+        let _ = tokio::time::timeout(SETTLE, newer).await;
+    }
+
     /// Whether no new request is taken any more.
     pub fn is_closing(&self) -> bool {
         self.closing.load(Ordering::Relaxed)
--- a/crates/server/src/forward/belief.rs
+++ b/crates/server/src/forward/belief.rs
@@ -17,11 +17,9 @@
     Moment(time.tv_sec() as u64 * 1_000_000 + time.tv_nsec() as u64 / 1000)
 }
 
-/// When the configuration was last known to be the newest.
+/// How long keys are taken to be valid after the configuration was last known to be the newest.
 #[derive(Debug)]
 pub struct Belief {
-    /// Microseconds of boot time; 0 before the first read.
-    confirmed: AtomicU64,
     /// Microseconds; [`FOREVER`] where a belief is never given up.
     life: AtomicU64,
 }
@@ -37,7 +35,6 @@
     /// A belief that is given up `life` after it was last confirmed, if ever.
     pub fn new(life: Option<Span>) -> Self {
         Self {
-            confirmed: AtomicU64::new(0),
             life: AtomicU64::new(micros(life)),
         }
     }
@@ -47,31 +44,18 @@
         self.life.store(micros(life), Ordering::Relaxed);
     }
 
-    /// Notes that a read which was sent at `sent` found nothing newer than what is known.
-    pub fn confirm(&self, sent: Moment) {
-        self.confirmed.fetch_max(sent.0, Ordering::Relaxed);
-    }
-
-    /// The age of what is known; none before the first read.
-    pub fn age(&self, now: Moment) -> Option<Span> {
-        match self.confirmed.load(Ordering::Relaxed) {
-            0 => None,
-            confirmed => Some(now.since(Moment(confirmed))),
-        }
-    }
-
     /// Whether new callers had better go elsewhere: keys will soon have to be refused.
-    pub fn wanes(&self, now: Moment) -> bool {
+    pub fn wanes(&self, age: Option<Span>) -> bool {
         let life = self.life.load(Ordering::Relaxed);
-        let Some(age) = self.age(now) else {
+        let Some(age) = age else {
             return true;
         };
         life != FOREVER && age.as_micros() as f64 > life as f64 * WANING
     }
 
     /// Whether keys may still be taken to be valid.
-    pub fn holds(&self, now: Moment) -> bool {
-        let Some(age) = self.age(now) else {
+    pub fn holds(&self, age: Option<Span>) -> bool {
+        let Some(age) = age else {
             return false;
         };
         let life = self.life.load(Ordering::Relaxed);
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -328,11 +328,9 @@
                     Some(read) => self.take(&read),
                     None => return,
                 },
-                () = tokio::time::sleep(wait) => self.fold.expire(self.parts.clock.now()),
+                () = tokio::time::sleep(wait) => self.expire(),
             };
             self.note(&change);
-            let freshness = &self.parts.shared.freshness;
-            freshness.set_digest(Topic::Upstreams, self.fold.digest(Topic::Upstreams));
             if change.routing && self.fold.complete() {
                 self.enforce().await;
             }
@@ -359,6 +357,14 @@
         }
     }
 
+    fn expire(&mut self) -> Change {
+        let change = self.fold.expire(self.parts.clock.now());
+        let digest = self.fold.digest(Topic::Upstreams);
+        let freshness = &self.parts.shared.freshness;
+        freshness.set_digest(Topic::Upstreams, digest);
+        change
+    }
+
     /// Takes in records one by one, and keeps those that change something to be relayed.
     fn apply(&mut self, topic: Topic, items: &[Item], now: Moment, lapsing: bool) -> Change {
         let mut sum = Change::default();
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -89,11 +89,8 @@
 
     /// Notes that a read which was sent at `sent` found nothing else than what is known.
     pub fn confirm(&self, topic: Topic, sent: Moment) {
-        let known = self.known(topic);
-        known.confirmed.fetch_max(sent.0, Ordering::Relaxed);
-        if topic == Topic::Operator {
-            self.belief.confirm(sent);
-        }
+        let confirmed = &self.known(topic).confirmed;
+        confirmed.fetch_max(sent.0, Ordering::Relaxed);
     }
 
     /// The age of what is known of a topic; none before the first read.
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -7,6 +7,7 @@
 use crate::forward::run::{Run, timeline_id};
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
+use forward::source::Topic;
 use std::sync::Arc;
 use timeline::{Counter, Kind};
 use upstream::forward::Pool;
@@ -49,7 +50,8 @@
         if self.core.snapshot().is_none() {
             return Err("no configuration is known here yet");
         }
-        if self.freshness.belief.wanes(boot_time()) {
+        let age = self.freshness.age(Topic::Operator, boot_time());
+        if self.freshness.belief.wanes(age) {
             return Err("the keys in force have not been confirmed recently");
         }
         Ok(())
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -343,14 +343,7 @@
     /// Tells the decider who shares cold upstreams.
     async fn tell_members(&mut self) {
         let now = self.now();
-        let live = |peer: &&Peer| now.since(peer.heard) < LIFE;
-        let mut names: Vec<name::Instance> = self
-            .peers
-            .iter()
-            .filter(live)
-            .map(|peer| peer.name.clone())
-            .collect();
-        names.push(self.parts.own.clone());
+        let names = self.live(now).cloned().collect();
         self.version += 1;
         let members = Members::new(self.version, names);
         let decider = &self.parts.shared.core.decider;
@@ -421,17 +414,18 @@
         now
     }
 
+    /// The live instances, this one included.
+    fn live(&self, now: Moment) -> impl Iterator<Item = &name::Instance> {
+        let live = move |peer: &&Peer| now.since(peer.heard) < LIFE;
+        let others = self.peers.iter().filter(live);
+        others
+            .map(|peer| &peer.name)
+            .chain(std::iter::once(&self.parts.own))
+    }
+
     /// This instance's place in the order of those that do something for all.
     fn rank(&self, key: &str, now: Moment) -> u64 {
-        let live = |peer: &&Peer| now.since(peer.heard) < LIFE;
-        let mut names: Vec<&name::Instance> = self
-            .peers
-            .iter()
-            .filter(live)
-            .map(|peer| &peer.name)
-            .collect();
-        names.push(&self.parts.own);
-        let ranked = rendezvous::ranked(names.into_iter(), |name| name, key);
+        let ranked = rendezvous::ranked(self.live(now), |name| name, key);
         let rank = ranked.iter().position(|name| **name == self.parts.own);
         rank.unwrap_or_default() as u64
     }
--- a/crates/server/src/forward/probe.rs
+++ b/crates/server/src/forward/probe.rs
@@ -4,6 +4,7 @@
 use crate::forward::front::Shared;
 use bytes::Bytes;
 use entity::Span;
+use forward::source::Topic;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -75,7 +76,7 @@
 
 fn metrics(shared: &Shared) -> Response<Full<Bytes>> {
     let core = &shared.core;
-    let age = shared.freshness.belief.age(boot_time());
+    let age = shared.freshness.age(Topic::Operator, boot_time());
     let age = age.map_or(f64::NAN, Span::as_secs_f64);
     core.metric.set("config_age_seconds", age);
     core.metric.set("generation", core.generation().0 as f64);
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -14,6 +14,7 @@
 use entity::unit::Bytes;
 use entity::{Moment, Span, id, name};
 use forward::head::Model;
+use forward::source::Topic;
 use hyper::StatusCode;
 use quality::governor::Governor;
 use quality::release;
@@ -28,8 +29,6 @@
 const MAX_GENERATIONS: u32 = 50;
 /// When to come back to an instance that can't serve yet.
 const WAIT: Span = Span::from_millis(300);
-/// Longest wait for a newer configuration after the decider had one.
-const SETTLE: Duration = Duration::from_millis(5);
 /// Further upstreams that a request may be sent to beyond those that may run it.
 const UNRUN_TRIES: u32 = 3;
 /// Bytes that stand for one token where upstreams are compared by the sizes of prompts.
@@ -98,14 +97,14 @@
                 self.shared.core.decider.request(service).await;
             }
             if !self.assign(&mut resolved).await {
-                self.settle(&resolved.snapshot).await;
+                self.shared.core.settle(&resolved.snapshot).await;
                 continue;
             }
             self.note_route(&resolved);
             match self.attempt(&resolved, &mut history).await {
                 Ok(reply) => return Ok(reply),
                 Err(GivenUp::Refused(refusal)) => return Err(truthful(refusal, history.ran())),
-                Err(GivenUp::Stale) => self.settle(&resolved.snapshot).await,
+                Err(GivenUp::Stale) => self.shared.core.settle(&resolved.snapshot).await,
             }
         }
         let message = "the configuration changes too fast";
@@ -136,17 +135,6 @@
         }
     }
 
-    /// Waits until a newer configuration is in force, or for a moment.
-    async fn settle(&self, snapshot: &Snapshot) {
-        let mut in_force = self.shared.core.in_force.clone();
-        let newer = in_force.wait_for(|now| {
-            now.as_ref()
-                .is_some_and(|now| now.generation > snapshot.generation)
-        });
-        // After the wait the request is resolved again, whether or not there is a newer one.
-        let _ = tokio::time::timeout(SETTLE, newer).await;
-    }
-
     /// The request in the configuration that is in force now; none where it may not run any more.
     pub async fn resolve_again(&self) -> Option<Resolved> {
         match self.resolve() {
@@ -177,13 +165,9 @@
                 "no configuration is known here yet",
             ));
         };
-        let now = boot_time();
-        let current = self
-            .shared
-            .freshness
-            .belief
-            .age(now)
-            .is_some_and(|age| age < CURRENT);
+        let freshness = &self.shared.freshness;
+        let age = freshness.age(Topic::Operator, boot_time());
+        let current = age.is_some_and(|age| age < CURRENT);
         let head = &self.arrival.request.head;
         let config = &snapshot.config;
         let Some(route) = config::forward::find(&config.forwards, &head.host, head.path()) else {
@@ -200,7 +184,7 @@
         let (organisation, payer) = if route.public {
             (forward::public(config), None)
         } else {
-            if !self.shared.freshness.belief.holds(now) {
+            if !freshness.belief.holds(age) {
                 let message = "the keys in force have not been confirmed recently";
                 return Err(refuse("stale", message));
             }
@@ -452,7 +436,8 @@
     fn note_route(&self, resolved: &Resolved) {
         let core = &self.shared.core;
         let config = &resolved.snapshot.config;
-        let age = self.shared.freshness.belief.age(boot_time());
+        let freshness = &self.shared.freshness;
+        let age = freshness.age(Topic::Operator, boot_time());
         let release = resolved
             .version
             .map(|version| &config.versions[version].name);
--- a/crates/server/src/front.rs
+++ b/crates/server/src/front.rs
@@ -76,7 +76,7 @@
             match self.attempt(request, snapshot.clone()).await {
                 Ok(reply) => return Ok(reply),
                 Err(GivenUp::Refused(refusal)) => return Err(refusal),
-                Err(GivenUp::Stale) => self.settle(&snapshot).await,
+                Err(GivenUp::Stale) => self.context.core.settle(&snapshot).await,
             }
         }
         let message = "the configuration changes too fast";
@@ -85,16 +85,6 @@
         Err(refusal.unclaimed(request.idempotency.as_ref()))
     }
 
-    /// Waits until the decider has the configuration in force too, or for a moment.
-    async fn settle(&self, snapshot: &Snapshot) {
-        let mut in_force = self.context.configuration.in_force.clone();
-        let newer = in_force.wait_for(|now| {
-            now.as_ref()
-                .is_some_and(|now| now.generation > snapshot.generation)
-        });
-        let _ = tokio::time::timeout(std::time::Duration::from_millis(5), newer).await;
-    }
-
     async fn attempt(
         &self,
         request: &Arc<Request>,
