Give a choice back where a caller leaves while its stream is resumed

Cause, from reading the change: the relay dropped the tries when its caller left, and with them a choice of an upstream that then counted as running there for good. Change: the caller's leaving cancels the token of the tries, which is the way that all other requests end. Ruled out: requests before their first event, whose tries end by that token already.

--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -13,6 +13,7 @@
 use timeline::{Counter, Kind};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use upstream::{Failure, Reason};
 
 /// Passes a stream on, and goes on with it at another upstream where it breaks off.
@@ -155,11 +156,19 @@
         let resolved = run.resolve_again().await?;
         let mut open = run.open(&resolved, self.model.as_ref());
         open.last_event = self.last;
-        let job = run.job(&resolved, self.model.as_ref());
+        let gone = CancellationToken::new();
+        let mut job = run.job(&resolved, self.model.as_ref());
+        job.gone = gone.clone();
         let core = &run.shared.core;
+        // A caller that leaves cancels the tries, which give their choice back; they are not dropped.
+        let watch = async {
+            pieces.closed().await;
+            gone.cancel();
+            std::future::pending().await
+        };
         let resumed = tokio::select! {
             resumed = tries::resume(core, &job, &mut self.history, &open) => resumed,
-            () = pieces.closed() => return None,
+            never = watch => never,
         };
         let Taken { value, choice, .. } = resumed.ok()?;
         let Opened::Stream(begun) = value else {
