Decide on better answers and on silent tries by the work that waits

Change: a choice tells the work that is ahead of it; the governor learns the time that engines take for it. Whether a doubtful answer is escalated is decided when it comes, by the level and by the expected wait; patience grows with the expected wait; the last run asks the largest model only where that is soon. Both outcomes are logged with what decided them.

--- a/crates/entity/src/time.rs
+++ b/crates/entity/src/time.rs
@@ -68,6 +68,11 @@
         self.0.as_secs_f64()
     }
 
+    /// The span multiplied by a factor; 0 for one that is not positive.
+    pub fn scaled(self, factor: f64) -> Self {
+        Self::from_micros((self.as_micros() as f64 * factor) as u64)
+    }
+
     /// The same as a [`Duration`].
     pub const fn duration(self) -> Duration {
         self.0
--- a/crates/quality/src/governor.rs
+++ b/crates/quality/src/governor.rs
@@ -5,6 +5,10 @@
 //! time the first answers take, and lowers the share of escalations by multiplicative decrease and
 //! additive increase (Chiu and Jain, 1989), so that instances which share engines settle on a common
 //! level without a message.
+//!
+//! That takes some seconds. A clump of requests, such as callers that come back together after an
+//! outage, is over by then, so that the work which waits at the engines at this moment counts too: the
+//! governor learns how long engines take for a unit of it, and expects the wait from that.
 
 use entity::{Moment, Span};
 
@@ -32,6 +36,28 @@
 const NEWEST: f64 = 0.12;
 /// Most that one answer counts for: one that hung says little about the others.
 const LARGEST: f64 = 1.0;
+/// Share of the objective that the first event of a better answer may be expected to take up to which
+/// escalations go on unhindered, and from which on there are none.
+const WAIT: (f64, f64) = (0.8, 1.6);
+/// How many times as long as expected an answer may take before it is given up on.
+const UNEXPECTED: f64 = 3.0;
+/// Weight of what came before in the sums of time and work, for each answer.
+const FORGET: f64 = 0.95;
+
+/// The first event of an answer, or a doubtful answer that was dropped.
+#[derive(Clone, Copy, Debug)]
+pub struct First {
+    /// How long it took.
+    pub time: Span,
+    /// Within which it is on time.
+    pub objective: Span,
+    /// Work that was at the engine before it, in tokens; none where that is not known.
+    pub ahead: Option<f64>,
+    /// Whether the smallest model was asked.
+    pub smallest: bool,
+    /// Whether it came. One that was given up on took longer than its time says.
+    pub came: bool,
+}
 
 /// Watches the first answers of one service's engines.
 #[derive(Clone, Debug)]
@@ -40,6 +66,9 @@
     pressure: f64,
     level: f64,
     stepped: Moment,
+    /// Sums over the last answers: seconds to their first events, and work in tokens.
+    time: f64,
+    work: f64,
 }
 
 impl Governor {
@@ -49,13 +78,21 @@
             pressure: 0.0,
             level: if restarted { RESTARTED } else { 1.0 },
             stepped: now,
+            time: 0.0,
+            work: 0.0,
         }
     }
 
-    /// Takes in how long the smallest model took to the first event of an answer that is on time
-    /// within `objective`.
-    pub fn observe(&mut self, time: Span, objective: Span, now: Moment) {
-        let share = time.as_secs_f64() / objective.as_secs_f64().max(1e-3);
+    /// Takes in the first event of an answer.
+    pub fn observe(&mut self, first: First, now: Moment) {
+        if let (Some(ahead), true) = (first.ahead, first.came) {
+            self.time = FORGET * self.time + first.time.as_secs_f64();
+            self.work = FORGET * self.work + ahead;
+        }
+        if !first.smallest {
+            return;
+        }
+        let share = first.time.as_secs_f64() / first.objective.as_secs_f64().max(1e-3);
         self.pressure += NEWEST * (share.min(LARGEST) - self.pressure);
         if now.since(self.stepped) < PERIOD {
             return;
@@ -73,27 +110,39 @@
         self.level
     }
 
+    /// How long engines take for so much work before a first event; nothing before any answer told.
+    pub fn expected(&self, ahead: f64) -> Span {
+        if self.work <= 0.0 {
+            return Span::ZERO;
+        }
+        Span::from_micros((ahead * self.time / self.work * 1e6) as u64)
+    }
+
     /// How long the first event of an answer that is on time within `objective` is waited for while
-    /// another try is possible. The usual time follows the load, so that a busy engine is not taken
-    /// for a dead one.
-    pub fn patience(&self, objective: Span, smallest: bool) -> Span {
+    /// another try is possible, where so much work is `ahead` of it. The usual time follows the load,
+    /// so that a busy engine is not taken for a dead one.
+    pub fn patience(&self, objective: Span, smallest: bool, ahead: Option<f64>) -> Span {
         let usual = if smallest {
             self.pressure
         } else {
             LARGER * self.pressure
         };
         let share = (OVERDUE * usual).clamp(PATIENCE.0, PATIENCE.1);
-        Span::from_micros((share * objective.as_micros() as f64) as u64)
+        let expected = self.expected(ahead.unwrap_or_default());
+        objective.scaled(share).max(expected.scaled(UNEXPECTED))
     }
 
-    /// The confidence below which an answer is escalated, where `full` is the one without load.
-    /// Background work gives way first.
-    pub fn threshold(&self, full: u8, background: bool) -> u8 {
+    /// The confidence below which an answer is escalated, where `full` is the one without load and a
+    /// better answer is expected to take `wait` of its objective to its first event. Background work
+    /// gives way first.
+    pub fn threshold(&self, full: u8, background: bool, wait: f64) -> u8 {
         let level = if background {
             (2.0 * self.level - 1.0).max(0.0)
         } else {
             self.level
         };
-        (f64::from(full) * level).round() as u8
+        let (free, none) = WAIT;
+        let room = ((none - wait) / (none - free)).clamp(0.0, 1.0);
+        (f64::from(full) * level * room).round() as u8
     }
 }
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -8,7 +8,7 @@
 use entity::unit::{Cost, Share};
 use entity::{Map, Moment, Span, name};
 use googletest::prelude::*;
-use quality::governor::Governor;
+use quality::governor::{First, Governor};
 use quality::release::{Noted, Query, Releases};
 use quality::trial::{Answer, Ruling, Side, Trial};
 
@@ -360,12 +360,23 @@
     );
 }
 
+/// A first event of the smallest model, before which 100 tokens for each millisecond were read.
+fn first(millis: u64) -> First {
+    First {
+        time: Span::from_millis(millis),
+        objective: Span::from_secs(1),
+        ahead: Some(100.0 * millis as f64),
+        smallest: true,
+        came: true,
+    }
+}
+
 /// Plays answers that take a share of their objective, for some seconds.
 fn load(governor: &mut Governor, from: Moment, seconds: u64, millis: u64) -> Moment {
     let mut now = from;
     for _ in 0..seconds * 20 {
         now = now + Span::from_millis(50);
-        governor.observe(Span::from_millis(millis), Span::from_secs(1), now);
+        governor.observe(first(millis), now);
     }
     now
 }
@@ -378,7 +389,7 @@
     expect_that!(governor.level(), eq(1.0));
     let now = load(&mut governor, now, 4, 900);
     expect_that!(governor.level(), lt(0.05));
-    expect_that!(governor.threshold(60, false), le(3));
+    expect_that!(governor.threshold(60, false, 0.0), le(3));
     load(&mut governor, now, 5, 60);
     expect_that!(governor.level(), eq(1.0));
 }
@@ -392,8 +403,8 @@
         now = load(&mut governor, now, 1, 400);
     }
     expect_that!(
-        governor.threshold(60, true),
-        lt(governor.threshold(60, false))
+        governor.threshold(60, true, 0.0),
+        lt(governor.threshold(60, false, 0.0))
     );
 }
 
@@ -403,10 +414,42 @@
     let mut governor = Governor::new(true, START);
     let now = load(&mut governor, START, 5, 60);
     let objective = Span::from_secs(1);
-    let idle = governor.patience(objective, true);
+    let idle = governor.patience(objective, true, None);
     expect_that!(idle, lt(Span::from_millis(600)));
     load(&mut governor, now, 5, 900);
-    expect_that!(governor.patience(objective, true), gt(objective));
+    expect_that!(governor.patience(objective, true, None), gt(objective));
+}
+
+/// Pattern: callers that come back together after an outage, while the engines were free.
+#[gtest]
+fn a_clump_is_neither_escalated_nor_given_up_before_its_turn() {
+    let mut governor = Governor::new(false, START);
+    load(&mut governor, START, 5, 60);
+    expect_that!(governor.level(), eq(1.0));
+    // What waits at the engines now takes them two seconds.
+    let ahead = 200_000.0;
+    let wait = governor.expected(ahead);
+    expect_that!(wait, ge(Span::from_millis(1990)));
+    expect_that!(wait, le(Span::from_millis(2010)));
+    expect_that!(governor.threshold(60, false, wait.as_secs_f64()), eq(0));
+    let patience = governor.patience(Span::from_secs(1), true, Some(ahead));
+    expect_that!(patience, gt(Span::from_secs(4)));
+}
+
+/// Pattern: an engine that hangs, which says nothing about how fast engines read.
+#[gtest]
+fn answers_that_never_came_do_not_count_as_slow_engines() {
+    let mut governor = Governor::new(false, START);
+    load(&mut governor, START, 5, 60);
+    let before = governor.expected(1000.0);
+    for millis in 0..20 {
+        let hung = First {
+            came: false,
+            ..first(5000)
+        };
+        governor.observe(hung, START + Span::from_millis(6000 + millis));
+    }
+    expect_that!(governor.expected(1000.0), eq(before));
 }
 
 /// Pattern: machines are stopped in turn during a trial, and their callers move to others.
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -1,7 +1,7 @@
 //! The balancer of one instance: what it knows about upstreams, and the choice of one for each
 //! dispatch.
 
-use crate::demand::{Demand, Loads};
+use crate::demand::{Demand, Loads, OTHER_ZONE};
 use crate::filter::{ASSUMED_LIVE, Filter, Grant, Reason, Work};
 use crate::hash;
 use crate::load::Load;
@@ -66,6 +66,7 @@
     upstream: id::Upstream,
     grant: Grant,
     affinity: Affinity,
+    ahead: Option<f64>,
     score: f64,
     tied: bool,
 }
@@ -193,6 +194,22 @@
     /// instances only two upstreams are compared, picked at random ("the power of two choices",
     /// Mitzenmacher, 2001).
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
+        let candidates = self.allowed(query, now)?;
+        let sharers = self.sharers(candidates[0].upstream);
+        let best = self.best(&candidates, sharers);
+        Ok(self.begin(best, query, now))
+    }
+
+    /// Work before the first event of the answer at the upstream where it is least, in tokens; none
+    /// where no upstream can take the request now, or it tells no demand. Nothing is chosen.
+    pub fn outlook(&self, query: &Query, now: Moment) -> Option<f64> {
+        let candidates = self.allowed(query, now).ok()?;
+        let ahead = candidates.iter().filter_map(|candidate| candidate.ahead);
+        ahead.min_by(f64::total_cmp)
+    }
+
+    /// The upstreams that may take a request of the configuration in force.
+    fn allowed(&self, query: &Query, now: Moment) -> Result<Vec<Candidate>, Refusal> {
         if query.generation != self.generation {
             return Err(refusal(Reason::Generation));
         }
@@ -205,13 +222,9 @@
             deadline: query.deadline,
             priority: query.priority,
         };
-        let filter = self.filter(now);
-        filter.permitted(&work).map_err(refusal)?;
+        self.filter(now).permitted(&work).map_err(refusal)?;
         let asked = (query.prefix, query.demand);
-        let candidates = self.candidates(&work, asked, now).map_err(refusal)?;
-        let sharers = self.sharers(candidates[0].upstream);
-        let best = self.best(&candidates, sharers);
-        Ok(self.begin(best, query, now))
+        self.candidates(&work, asked, now).map_err(refusal)
     }
 
     /// Applies every filter to a choice again, immediately before its dispatch.
@@ -345,22 +358,24 @@
                 sharers,
                 affinity,
             };
-            let score = match demand {
-                Some(demand) => {
-                    let mut work = state.work();
-                    if let Some(others) = others.get(upstream) {
-                        work.pending += others.pending;
-                        work.running += others.running;
-                    }
-                    let other_zone = zone != Some(self.config.upstreams[upstream].zone);
-                    demand.cost(affinity, work, other_zone)
+            let ahead = demand.map(|demand| {
+                let mut work = state.work();
+                if let Some(others) = others.get(upstream) {
+                    work.pending += others.pending;
+                    work.running += others.running;
                 }
+                demand.ahead(affinity, work)
+            });
+            let score = match ahead {
+                Some(ahead) if zone == Some(self.config.upstreams[upstream].zone) => ahead,
+                Some(ahead) => ahead + OTHER_ZONE,
                 None => score::score(&self.config, zone, place, state, now),
             };
             candidates.push(Candidate {
                 upstream,
                 grant,
                 affinity,
+                ahead,
                 score,
                 tied: affinity != Affinity::None,
             });
@@ -449,6 +464,7 @@
             address: upstream.address,
             grant: candidate.grant,
             end: query.deadline,
+            ahead: candidate.ahead,
             ticket,
             config: Arc::clone(&self.config),
             generation: self.generation,
--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -21,7 +21,7 @@
 const KEPT_ELSEWHERE: f64 = 0.1;
 
 /// What reaching another zone costs, in tokens.
-const OTHER_ZONE: f64 = 400.0;
+pub(crate) const OTHER_ZONE: f64 = 400.0;
 
 /// What a generation asks of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -54,10 +54,10 @@
         self.weight * (f64::from(self.own) + f64::from(self.shared) * (1.0 - kept))
     }
 
-    /// What the request costs at an engine: its own work and what it waits for. The lowest is best.
-    pub fn cost(&self, affinity: Affinity, engine: Work, other_zone: bool) -> f64 {
-        let distance = if other_zone { OTHER_ZONE } else { 0.0 };
-        self.work(affinity) + engine.pending + RUNNING * engine.running + distance
+    /// Work at an engine before the first event of the answer, in tokens: the request's own and what
+    /// it waits for.
+    pub fn ahead(&self, affinity: Affinity, engine: Work) -> f64 {
+        self.work(affinity) + engine.pending + RUNNING * engine.running
     }
 }
 
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -59,6 +59,9 @@
     pub made: Moment,
     /// The moment after which the dispatch has to be ended, whatever its caller's deadline.
     pub end: Moment,
+    /// Work at the upstream before the first event of the answer, the request's own included, in
+    /// tokens; none where the request told no demand.
+    pub ahead: Option<f64>,
     pub(crate) ticket: u64,
     pub(crate) config: Arc<Config>,
     pub(crate) generation: Generation,
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -89,6 +89,25 @@
     }
 }
 
+/// Pattern: callers that come back together after an outage.
+#[gtest]
+fn a_clump_is_seen_in_the_outlook_at_once() {
+    let mut balancer = balancer(2, &[]);
+    let idle = balancer.outlook(&asking(short(), None), START).unwrap();
+    let mut running = Vec::new();
+    for _ in 0..8 {
+        running.push(choose(&mut balancer, long()));
+    }
+    // Four long prompts wait at each of the two engines.
+    let busy = balancer.outlook(&asking(short(), None), START).unwrap();
+    expect_that!(busy, gt(idle + 40_000.0));
+    for choice in running {
+        balancer.finish(choice, Outcome::Done { first_token: None }, START);
+    }
+    let after = balancer.outlook(&asking(short(), None), START);
+    expect_that!(after, some(eq(idle)));
+}
+
 #[gtest]
 fn what_another_instance_told_is_forgotten() {
     let mut balancer = balancer(1, &[]);
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -3,11 +3,11 @@
 //! Requests ask by message, so that each decision is made on one state, and nothing is locked.
 
 use crate::clock::Clock;
-use crate::waiting::{Reply, Waiting};
+use crate::waiting::{Reply, Waiting, query};
 use adoption::Snapshot;
 use entity::unit::{Bytes, Share, Tokens};
 use entity::{Generation, Moment, Span, id, name};
-use quality::governor::Governor;
+use quality::governor::{First, Governor};
 use quality::release::{self, Releases};
 use quality::totals::Telling;
 use quality::trial::Ruling;
@@ -155,8 +155,9 @@
         oneshot::Sender<Result<Option<id::Version>, Stale>>,
     ),
     Answered(name::Service, name::Version, release::Noted),
-    FirstEvent(name::Service, Span, Span),
+    FirstEvent(name::Service, First),
     Governor(name::Service, oneshot::Sender<Governor>),
+    Outlook(Box<Want>, oneshot::Sender<Option<f64>>),
     Reports(oneshot::Sender<Vec<release::Report>>),
     HearReports(Vec<release::Report>),
     Written(name::Service, name::Version, Ruling),
@@ -326,13 +327,21 @@
         .await;
     }
 
-    /// Takes in how long the smallest model of a service took to the first event of an answer that
-    /// is on time within an objective.
-    pub async fn first_event(&self, service: name::Service, time: Span, objective: Span) {
-        self.tell(Message::Forwarded(Forwarded::FirstEvent(
-            service, time, objective,
-        )))
-        .await;
+    /// Takes in the first event of an answer of a service.
+    pub async fn first_event(&self, service: name::Service, first: First) {
+        self.tell(Message::Forwarded(Forwarded::FirstEvent(service, first)))
+            .await;
+    }
+
+    /// The least work that would be before a request's first event at an upstream, in tokens; none
+    /// where no upstream can take it now.
+    ///
+    /// # Errors
+    ///
+    /// The instance is closing.
+    pub async fn outlook(&self, want: Want) -> Result<Option<f64>, Closed> {
+        self.ask(|reply| Message::Forwarded(Forwarded::Outlook(Box::new(want), reply)))
+            .await
     }
 
     /// How much of the engines' time better answers of a service may take now.
@@ -660,8 +669,11 @@
             Forwarded::Answered(service, version, noted) => {
                 self.releases.answered(&service, &version, noted);
             }
-            Forwarded::FirstEvent(service, time, objective) => {
-                self.governor(service, now).observe(time, objective, now);
+            Forwarded::FirstEvent(service, first) => {
+                self.governor(service, now).observe(first, now);
+            }
+            Forwarded::Outlook(want, reply) => {
+                let _ = reply.send(self.balancer.outlook(&query(&want), now));
             }
             Forwarded::Governor(service, reply) => {
                 let _ = reply.send(self.governor(service, now).clone());
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -1,21 +1,23 @@
 //! Sends a request to one upstream, up to the point from which it can't be tried again unseen.
 
+use crate::decider::{Closed, Want};
 use crate::forward::front::Shared;
 use crate::tries::{Dispatch, Turn};
 use bytes::Bytes;
 use caller::forward::{Content, Passed};
 use config::Forward;
-use entity::Span;
-use entity::name;
+use entity::{Span, name, request};
 use forward::dialect::Order;
 use forward::events::Splitter;
 use forward::head::Request;
 use forward::hop;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
+use quality::governor::{First, Governor};
 use quality::release;
 use routing::{Choice, hash};
 use std::sync::Mutex;
+use timeline::Kind;
 use tokio::time::Instant;
 use upstream::forward::{Answered, Sending};
 use upstream::{Failure, Reason};
@@ -27,6 +29,8 @@
 pub struct Open<'a> {
     /// What the instance shares.
     pub shared: &'a Shared,
+    /// The request's id in the time line.
+    pub id: request::Id,
     /// The request.
     pub request: &'a Request,
     /// Its route.
@@ -37,11 +41,10 @@
     pub organisation: Option<&'a name::Organisation>,
     /// The model that the router picked.
     pub model: Option<&'a name::Model>,
-    /// Confidence below which the answer of the model is dropped for one of a better model.
-    pub threshold: Option<u8>,
-    /// How long the first event, or the whole answer, is waited for; none to wait as long as the
-    /// caller does.
-    pub patience: Option<Span>,
+    /// Whether the answer is dropped for one of a better model where the model doubts it.
+    pub doubt: Option<Doubt>,
+    /// How long the first event, or the whole answer, is waited for.
+    pub patience: Patience,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
     /// How urgent it is.
@@ -52,6 +55,28 @@
     pub failed: Mutex<Option<Passed>>,
 }
 
+/// When an answer is dropped for one of a better model.
+#[derive(Clone, Debug)]
+pub struct Doubt {
+    /// Confidence below which it is dropped while engines are free.
+    pub below: u8,
+    /// Whether nobody waits for it, so that it gives way to others.
+    pub background: bool,
+    /// What the better model is wanted for.
+    pub better: Want,
+}
+
+/// How long the first event, or the whole answer, of one try is waited for.
+#[derive(Clone, Debug)]
+pub enum Patience {
+    /// As long as the caller waits.
+    Caller,
+    /// So long.
+    Fixed(Span),
+    /// By the load of the engines.
+    Load(Governor),
+}
+
 /// What an upstream gave.
 #[derive(Debug)]
 pub enum Opened {
@@ -119,15 +144,57 @@
 
     /// Whether the answer is dropped for one of a better model, which is a repeat for the service.
     async fn is_doubtful(&self, confidence: Option<u8>) -> bool {
-        let (Some(threshold), Some(confidence)) = (self.threshold, confidence) else {
+        let (Some(doubt), Some(confidence)) = (&self.doubt, confidence) else {
             return false;
         };
-        if confidence >= threshold {
+        if confidence >= doubt.below {
             return false;
         }
+        // A decider that has ended leaves the answer as it is.
+        self.escalates(doubt, confidence).await.unwrap_or(false)
+    }
+
+    /// Whether the engines have the time for a better answer, and the bound on repeats allows it.
+    async fn escalates(&self, doubt: &Doubt, confidence: u8) -> Result<bool, Closed> {
         let decider = &self.shared.core.decider;
-        let allowed = decider.repeat(self.service.clone(), RETRY_RESERVE).await;
-        allowed.unwrap_or(false)
+        let governor = decider.governor(self.service.clone()).await?;
+        let ahead = decider.outlook(doubt.better.clone()).await?;
+        let objective = self.route.objective.as_secs_f64().max(1e-3);
+        // Where the configuration has just changed, the outlook is unknown: the level alone decides.
+        let wait = governor.expected(ahead.unwrap_or_default());
+        let share = wait.as_secs_f64() / objective;
+        let threshold = governor.threshold(doubt.below, doubt.background, share);
+        let escalates =
+            confidence < threshold && decider.repeat(self.service.clone(), RETRY_RESERVE).await?;
+        let kind = if escalates {
+            Kind::Escalated
+        } else {
+            Kind::Accepted
+        };
+        let draft = self.shared.core.recorder.event(kind).request(self.id);
+        draft
+            .count("confidence", u64::from(confidence))
+            .count("threshold", u64::from(threshold))
+            .count("level", (governor.level() * 100.0) as u64)
+            .text("expected", wait)
+            .record();
+        Ok(escalates)
+    }
+
+    /// When a try is given up on that began now.
+    fn patient(&self, choice: &Choice, turn: Turn) -> Instant {
+        let patience = match &self.patience {
+            Patience::Caller => return turn.end,
+            Patience::Fixed(span) => *span,
+            Patience::Load(governor) => {
+                let smallest = self.doubt.is_some();
+                governor.patience(self.route.objective, smallest, choice.ahead)
+            }
+        };
+        if turn.last {
+            return turn.end;
+        }
+        turn.end.min(Instant::now() + patience.duration())
     }
 
     async fn stream(&self, mut answered: Answered, end: Instant) -> Result<Opened, Failure> {
@@ -174,9 +241,15 @@
             },
         };
         let decider = &self.shared.core.decider;
-        if let (Some(_), Some(time)) = (self.threshold, time) {
-            let objective = self.route.objective;
-            decider.first_event(service.clone(), time, objective).await;
+        if let (Some(time), true) = (time, self.route.repeat.streams()) {
+            let first = First {
+                time,
+                objective: self.route.objective,
+                ahead: choice.ahead,
+                smallest: self.doubt.is_some(),
+                came: opened.is_ok(),
+            };
+            decider.first_event(service.clone(), first).await;
         }
         let model = self.model.map_or(0, |model| hash::text(model.as_str()));
         let noted = release::Noted {
@@ -199,10 +272,7 @@
         let incarnation = choice.upstream.as_str();
         let sending = self.sending(choice, incarnation, turn.end);
         let sent = Instant::now();
-        let patient = match self.patience {
-            Some(patience) if !turn.last => turn.end.min(sent + patience.duration()),
-            _ => turn.end,
-        };
+        let patient = self.patient(choice, turn);
         let sending = Sending {
             end: patient,
             ..sending
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -2,7 +2,7 @@
 
 use crate::forward::belief::boot_time;
 use crate::forward::front::{Cascade, Shared};
-use crate::forward::open::{Begun, Open, Opened, passed_headers, promises};
+use crate::forward::open::{Begun, Doubt, Open, Opened, Patience, passed_headers, promises};
 use crate::forward::relay::Relay;
 use crate::tries::{self, GivenUp, History, Job, Taken};
 use adoption::Snapshot;
@@ -40,6 +40,9 @@
 const BACKGROUND_SHARE: u16 = 70;
 /// Level of the governor above which the last run of a request asks the largest model.
 const LIGHT_LOAD: f64 = 0.5;
+/// Share of its objective that the last run's first event may be expected to take with the largest
+/// model.
+const LIGHT_WAIT: f64 = 0.3;
 /// Share of its objective after which a whole answer that has not come is given up on for another
 /// try, so that the second one can still be on time.
 const PLAIN_PATIENCE: f64 = 0.6;
@@ -265,6 +268,7 @@
     pub fn open<'a>(&'a self, resolved: &'a Resolved, model: Option<&'a name::Model>) -> Open<'a> {
         Open {
             shared: &self.shared,
+            id: self.id,
             request: &self.arrival.request,
             route: &resolved.route,
             service: resolved.snapshot.config.services[resolved.service]
@@ -272,8 +276,8 @@
                 .clone(),
             organisation: resolved.payer.as_ref(),
             model,
-            threshold: None,
-            patience: None,
+            doubt: None,
+            patience: Patience::Caller,
             last_event: self.arrival.request.head.last_event,
             urgency: resolved.route.priority.min(9),
             picky: resolved.route.repeat.repeatable(),
@@ -290,10 +294,10 @@
         let service = &resolved.snapshot.config.services[resolved.service].name;
         let governor = core.decider.governor(service.clone()).await;
         let governor = governor.map_err(|_| GivenUp::Refused(tries::closing(history.ran())))?;
-        let (model, threshold) = self.model(resolved, history, &governor);
+        let (model, doubt) = self.model(resolved, history, &governor).await;
         let mut open = self.open(resolved, model.as_ref());
-        open.threshold = threshold;
-        open.patience = self.patience(resolved, history, &governor, threshold.is_some());
+        open.doubt = doubt;
+        open.patience = patience(&resolved.route, history, &governor);
         let job = self.job(resolved, model.as_ref());
         let taken = match tries::resume(core, &job, history, &open).await {
             Ok(taken) => taken,
@@ -319,11 +323,6 @@
             }
             Opened::Doubtful => {
                 core.metric.count(Counter::Escalations);
-                core.recorder
-                    .event(Kind::Escalated)
-                    .request(self.id)
-                    .text("upstream", &choice.upstream)
-                    .record();
                 core.decider.finish(choice, Outcome::Cancelled).await;
                 history.count_dropped();
                 // The next attempt asks the largest model.
@@ -375,14 +374,14 @@
         })
     }
 
-    /// The model to ask, where the router picks it, and the confidence below which its answer is
-    /// dropped for one of the largest model.
-    fn model(
+    /// The model to ask, where the router picks it, and when its answer is dropped for one of the
+    /// largest model.
+    async fn model(
         &self,
         resolved: &Resolved,
         history: &History,
         governor: &Governor,
-    ) -> (Option<name::Model>, Option<u8>) {
+    ) -> (Option<name::Model>, Option<Doubt>) {
         let head = &self.arrival.request.head;
         let route = &resolved.route;
         let (Some(Model::Any), Some(smallest), Some(largest)) =
@@ -398,40 +397,28 @@
         if history.dropped() {
             return (Some(largest.clone()), None);
         }
+        let better = self.job(resolved, Some(largest)).want(&[]);
         if history.leaves_two(route.attempts) && head.last_event.is_none() {
             let background = route.priority >= BACKGROUND;
             let share = if background { BACKGROUND_SHARE } else { 100 };
-            let full = u8::try_from(u16::from(full) * share / 100).unwrap_or(full);
-            let threshold = governor.threshold(full, background);
-            return (Some(smallest.clone()), Some(threshold));
+            let doubt = Doubt {
+                below: u8::try_from(u16::from(full) * share / 100).unwrap_or(full),
+                background,
+                better,
+            };
+            return (Some(smallest.clone()), Some(doubt));
         }
         // The last run: its answer is taken, whatever the model thinks of it.
-        if governor.level() > LIGHT_LOAD {
+        let ahead = self.shared.core.decider.outlook(better).await;
+        let wait = ahead.ok().flatten().map(|ahead| governor.expected(ahead));
+        let soon = wait.is_some_and(|wait| wait < route.objective.scaled(LIGHT_WAIT));
+        if soon && governor.level() > LIGHT_LOAD {
             (Some(largest.clone()), None)
         } else {
             (Some(smallest.clone()), None)
         }
     }
 
-    /// How long the first event, or the whole answer, of one try is waited for.
-    fn patience(
-        &self,
-        resolved: &Resolved,
-        history: &History,
-        governor: &Governor,
-        smallest: bool,
-    ) -> Option<Span> {
-        let route = &resolved.route;
-        if !route.repeat.repeatable() || !history.leaves_two(route.attempts) {
-            return None;
-        }
-        if route.repeat.streams() {
-            return Some(governor.patience(route.objective, smallest));
-        }
-        let micros = route.objective.as_micros() as f64 * PLAIN_PATIENCE;
-        Some(Span::from_micros(micros as u64))
-    }
-
     /// Records what the request was resolved to, and how old the configuration is.
     fn note_route(&self, resolved: &Resolved) {
         let core = &self.shared.core;
@@ -498,6 +485,17 @@
     }
 }
 
+/// How long the first event, or the whole answer, of one try is waited for.
+fn patience(route: &Forward, history: &History, governor: &Governor) -> Patience {
+    if !route.repeat.repeatable() || !history.leaves_two(route.attempts) {
+        return Patience::Caller;
+    }
+    if route.repeat.streams() {
+        return Patience::Load(governor.clone());
+    }
+    Patience::Fixed(route.objective.scaled(PLAIN_PATIENCE))
+}
+
 /// The regions that both a route and an organisation allow; none where neither names any.
 fn regions(route: &[name::Region], own: &[name::Region]) -> Option<Box<[name::Region]>> {
     if route.is_empty() && own.is_empty() {
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -142,7 +142,8 @@
 }
 
 impl Job {
-    fn want(&self, excluded: &[name::Upstream]) -> Want {
+    /// What the decider is asked for.
+    pub fn want(&self, excluded: &[name::Upstream]) -> Want {
         Want {
             generation: self.snapshot.generation,
             service: self.service,
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -275,7 +275,8 @@
     u32::try_from(units).unwrap_or(u32::MAX)
 }
 
-fn query(want: &Want) -> Query<'_> {
+/// What the balancer is asked.
+pub fn query(want: &Want) -> Query<'_> {
     Query {
         generation: want.generation,
         service: want.service,
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -71,6 +71,8 @@
     Retried = "retried",
     /// A dearer version is asked as well.
     Escalated = "escalated",
+    /// The answer of a cheaper version was taken although it is doubtful.
+    Accepted = "accepted",
     /// An answer to an abandoned try, or one that bears another request's id, was discarded.
     Discarded = "discarded",
     /// A caller got its whole answer.
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -92,6 +92,9 @@
         ),
         Kind::Retried => "tried again within the bound on repeats".to_owned(),
         Kind::Escalated => "the smallest model doubts its answer: the largest is asked".to_owned(),
+        Kind::Accepted => {
+            "a doubtful answer is taken, as a better one is not affordable".to_owned()
+        }
         Kind::Answered => "answered whole".to_owned(),
         Kind::Refused => format!("refused ({}): {}", field("code"), field("why")),
         Kind::Cancelled => "given up: the caller has gone, or the answer is overdue".to_owned(),
