Take no better answer where no engine has room for one

Cause: a test of the clump found that the outlook of a request is unknown both where the configuration has just changed and where all engines are full; the second was taken like the first, so that a doubtful answer was given up for one that had to wait here.

Change: the outlook tells why there is none; without room nothing is escalated. The test, which failed, covers both.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -200,12 +200,16 @@
         Ok(self.begin(best, query, now))
     }
 
-    /// Work before the first event of the answer at the upstream where it is least, in tokens; none
-    /// where no upstream can take the request now, or it tells no demand. Nothing is chosen.
-    pub fn outlook(&self, query: &Query, now: Moment) -> Option<f64> {
-        let candidates = self.allowed(query, now).ok()?;
+    /// Work before the first event of the answer at the upstream where it is least, in tokens. Nothing
+    /// is chosen.
+    ///
+    /// # Errors
+    ///
+    /// No upstream can take the request now.
+    pub fn outlook(&self, query: &Query, now: Moment) -> Result<f64, Refusal> {
+        let candidates = self.allowed(query, now)?;
         let ahead = candidates.iter().filter_map(|candidate| candidate.ahead);
-        ahead.min_by(f64::total_cmp)
+        Ok(ahead.min_by(f64::total_cmp).unwrap_or_default())
     }
 
     /// The upstreams that may take a request of the configuration in force.
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -157,7 +157,7 @@
     Answered(name::Service, name::Version, release::Noted),
     FirstEvent(name::Service, First),
     Governor(name::Service, oneshot::Sender<Governor>),
-    Outlook(Box<Want>, oneshot::Sender<Option<f64>>),
+    Outlook(Box<Want>, oneshot::Sender<Result<f64, routing::Refusal>>),
     Reports(oneshot::Sender<Vec<release::Report>>),
     HearReports(Vec<release::Report>),
     Written(name::Service, name::Version, Ruling),
@@ -333,13 +333,12 @@
             .await;
     }
 
-    /// The least work that would be before a request's first event at an upstream, in tokens; none
-    /// where no upstream can take it now.
+    /// The least work that would be before a request's first event at an upstream, in tokens.
     ///
     /// # Errors
     ///
-    /// The instance is closing.
-    pub async fn outlook(&self, want: Want) -> Result<Option<f64>, Closed> {
+    /// The outer one: the instance is closing. The inner one: no upstream can take it now.
+    pub async fn outlook(&self, want: Want) -> Result<Result<f64, routing::Refusal>, Closed> {
         self.ask(|reply| Message::Forwarded(Forwarded::Outlook(Box::new(want), reply)))
             .await
     }
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -158,10 +158,14 @@
     async fn escalates(&self, doubt: &Doubt, confidence: u8) -> Result<bool, Closed> {
         let decider = &self.shared.core.decider;
         let governor = decider.governor(self.service.clone()).await?;
-        let ahead = decider.outlook(doubt.better.clone()).await?;
+        let ahead = match decider.outlook(doubt.better.clone()).await? {
+            Ok(ahead) => ahead,
+            // The configuration has just changed: the level alone decides.
+            Err(refusal) if refusal.reason == routing::Reason::Generation => 0.0,
+            Err(_) => f64::INFINITY,
+        };
         let objective = self.route.objective.as_secs_f64().max(1e-3);
-        // Where the configuration has just changed, the outlook is unknown: the level alone decides.
-        let wait = governor.expected(ahead.unwrap_or_default());
+        let wait = governor.expected(ahead);
         let share = wait.as_secs_f64() / objective;
         let threshold = governor.threshold(doubt.below, doubt.background, share);
         let escalates =
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -410,7 +410,8 @@
         }
         // The last run: its answer is taken, whatever the model thinks of it.
         let ahead = self.shared.core.decider.outlook(better).await;
-        let wait = ahead.ok().flatten().map(|ahead| governor.expected(ahead));
+        let ahead = ahead.ok().and_then(Result::ok);
+        let wait = ahead.map(|ahead| governor.expected(ahead));
         let soon = wait.is_some_and(|wait| wait < route.objective.scaled(LIGHT_WAIT));
         if soon && governor.level() > LIGHT_LOAD {
             (Some(largest.clone()), None)
