Tell other instances what changed in a long configuration

Change: a long value is told as what changed since the one before, compressed with that as the dictionary (about 200 bytes); forward::news keeps what is told and what is needed to understand others, per topic, so that records of upstreams don't crowd out the configuration. A beacon's records are taken in before its hashes are compared, and an instance reads the store itself only where others go on knowing something else for 900 ms, or nobody confirms what it knows.

Ruled out: whole configurations in beacons (94 MB for each change), a request between instances for the record (a burst of 200 KB on links of 10 Mbit/s).

--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -167,7 +167,11 @@
   1: required i32 topic,
   2: required string key,
   3: required i64 position,
+  /** The value, or what changed since the value whose hash is given. */
   4: required binary value,
+  5: optional i64 base,
+  /** Length of the whole value in bytes, where only what changed is given. */
+  6: optional i32 length,
 }
 
 /** What an instance tells others in a datagram, which is not answered. */
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -1792,16 +1792,22 @@
   pub topic: i32,
   pub key: String,
   pub position: i64,
+  /// The value, or what changed since the value whose hash is given.
   pub value: Vec<u8>,
+  pub base: Option<i64>,
+  /// Length of the whole value in bytes, where only what changed is given.
+  pub length: Option<i32>,
 }
 
 impl Told {
-  pub fn new(topic: i32, key: String, position: i64, value: Vec<u8>) -> Told {
+  pub fn new<F5, F6>(topic: i32, key: String, position: i64, value: Vec<u8>, base: F5, length: F6) -> Told where F5: Into<Option<i64>>, F6: Into<Option<i32>> {
     Told {
       topic,
       key,
       position,
       value,
+      base: base.into(),
+      length: length.into(),
     }
   }
 }
@@ -1813,6 +1819,8 @@
     let mut f_2: Option<String> = None;
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<Vec<u8>> = None;
+    let mut f_5: Option<i64> = None;
+    let mut f_6: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1836,6 +1844,14 @@
           let val = i_prot.read_bytes()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i32()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1852,6 +1868,8 @@
       key: f_2.expect("auto-generated code should have checked for presence of required fields"),
       position: f_3.expect("auto-generated code should have checked for presence of required fields"),
       value: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      base: f_5,
+      length: f_6,
     };
     Ok(ret)
   }
@@ -1870,6 +1888,16 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("value", TType::String, 4))?;
     o_prot.write_bytes(&self.value)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.base {
+      o_prot.write_field_begin(&TFieldIdentifier::new("base", TType::I64, 5))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.length {
+      o_prot.write_field_begin(&TFieldIdentifier::new("length", TType::I32, 6))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod answer;
 pub mod catalog;
+pub mod delta;
 pub mod dialect;
 pub mod events;
 mod fold;
 pub mod head;
 pub mod hop;
+pub mod news;
 mod resolve;
 pub mod source;
 
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use timeline::Kind;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 /// How long a reader's read of the operators' topic waits for a record.
@@ -48,8 +48,9 @@
     Listing(Listing),
     /// What was appended.
     Page(Page),
-    /// What another instance told, of which the position in the topic says nothing.
-    Told(Vec<Item>),
+    /// What another instance told, of which the position in the topic says nothing; and whom to tell
+    /// that it was taken in.
+    Told(Vec<Item>, oneshot::Sender<()>),
 }
 
 #[derive(Debug)]
@@ -88,16 +89,18 @@
 }
 
 impl Handle {
-    /// Takes in records that another instance told.
+    /// Takes in records that another instance told, and waits until they count.
     pub async fn told(&self, topic: Topic, items: Vec<Item>) {
+        let (taken, wait) = oneshot::channel();
         let read = Read {
             topic,
-            batch: Batch::Told(items),
+            batch: Batch::Told(items, taken),
             sent: Moment(0),
             lapsing: false,
         };
         // Without a receiver the instance is closing.
         let _ = self.reads.send(read).await;
+        let _ = wait.await;
     }
 }
 
@@ -205,7 +208,7 @@
             next = Some(match &batch {
                 Batch::Listing(listing) => listing.end,
                 Batch::Page(page) => page.next,
-                Batch::Told(_) => continue,
+                Batch::Told(..) => continue,
             });
             let read = Read {
                 topic: self.topic,
@@ -325,7 +328,7 @@
             let wait = expiry.map_or(Duration::from_secs(3600), |at| at.since(now).duration());
             let change = tokio::select! {
                 read = received.recv() => match read {
-                    Some(read) => self.take(&read),
+                    Some(read) => self.take(read),
                     None => return,
                 },
                 () = tokio::time::sleep(wait) => self.expire(),
@@ -337,17 +340,29 @@
         }
     }
 
-    fn take(&mut self, read: &Read) -> Change {
+    fn take(&mut self, read: Read) -> Change {
         let now = self.parts.clock.now();
-        let change = match &read.batch {
-            Batch::Listing(listing) => self.fold.list(read.topic, listing, now, read.lapsing),
+        let mut told = None;
+        let change = match read.batch {
+            Batch::Listing(listing) => {
+                let mut news = self.parts.shared.freshness.news();
+                for item in &listing.items {
+                    news.keep(read.topic, item);
+                }
+                self.fold.list(read.topic, &listing, now, read.lapsing)
+            }
             Batch::Page(page) => self.apply(read.topic, &page.items, now, read.lapsing),
-            Batch::Told(items) => self.apply(read.topic, items, now, read.lapsing),
+            Batch::Told(items, taken) => {
+                told = Some(taken);
+                self.apply(read.topic, &items, now, read.lapsing)
+            }
         };
         let freshness = &self.parts.shared.freshness;
         freshness.set_digest(read.topic, self.fold.digest(read.topic));
-        if !matches!(read.batch, Batch::Told(_)) {
-            freshness.confirm(read.topic, read.sent);
+        match told {
+            // Nobody waits any more where the instance is closing.
+            Some(taken) => drop(taken.send(())),
+            None => freshness.confirm(read.topic, read.sent),
         }
         // The first read of a topic may complete the fold without changing what it routes by.
         let first = self.generation == Generation(0);
@@ -376,7 +391,7 @@
             let change = self.fold.page(topic, &page, now, lapsing);
             if change.routing && !lapsing {
                 let freshness = &self.parts.shared.freshness;
-                freshness.tell(topic, item, boot_time());
+                freshness.news().tell(topic, item, boot_time());
             }
             sum.add(change);
         }
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -5,47 +5,35 @@
 
 use crate::forward::belief::Belief;
 use entity::{Moment, Span};
-use forward::source::{Item, Topic};
+use forward::news::News;
+use forward::source::Topic;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
 /// Topics that are followed.
 pub const FOLLOWED: [Topic; 2] = [Topic::Operator, Topic::Upstreams];
 
-/// How long a record that changed something is relayed.
-const TOLD_FOR: Span = Span::from_millis(2500);
-
-/// Largest record that is relayed, in bytes; others read longer ones themselves.
-const TOLD_BYTES: usize = 4096;
-
-/// Most records that are relayed at once.
-const TOLD_RECORDS: usize = 24;
-
 /// By how much what another instance confirmed is dated back for the way of its datagram, beside the
 /// time that it waited here.
 const TRANSIT: Span = Span::from_millis(60);
 
+/// How long others may know something else before this instance reads itself: what changed is told
+/// within two rounds of datagrams.
+const DIFFERS: Span = Span::from_millis(900);
+
 /// How far one topic is known.
 #[derive(Debug, Default)]
 struct Known {
     digest: AtomicU64,
     /// When the last read was sent that found nothing else, in boot time; 0 before the first.
     confirmed: AtomicU64,
+    /// Since when others know something else by later reads, in boot time; 0 where they do not.
+    differs: AtomicU64,
     /// Wakes whoever follows the topic.
     wake: Notify,
 }
 
-/// A record that changed something.
-#[derive(Clone, Debug)]
-pub struct Told {
-    /// Its topic.
-    pub topic: Topic,
-    /// The record.
-    pub item: Item,
-    at: Moment,
-}
-
 /// How far the topics of the store are known.
 #[derive(Debug)]
 pub struct Freshness {
@@ -53,7 +41,7 @@
     pub belief: Belief,
     operator: Known,
     upstreams: Known,
-    told: Mutex<Vec<Told>>,
+    news: Mutex<News>,
     /// Whether this instance reads for others.
     reader: AtomicBool,
 }
@@ -65,7 +53,7 @@
             belief: Belief::new(life),
             operator: Known::default(),
             upstreams: Known::default(),
-            told: Mutex::default(),
+            news: Mutex::default(),
             reader: AtomicBool::new(true),
         }
     }
@@ -101,18 +89,27 @@
         }
     }
 
-    /// Takes in how far another instance knows a topic. Where it knows something else by a later
-    /// read, the topic is read.
+    /// Takes in how far another instance knows a topic. Where others go on knowing something else by
+    /// later reads, the topic is read.
     pub fn hear(&self, topic: Topic, digest: u64, age: Span, now: Moment) {
         let age = age + TRANSIT;
         let sent = now - age;
+        let known = self.known(topic);
         if digest == self.digest(topic) {
+            known.differs.store(0, Ordering::Relaxed);
             self.confirm(topic, sent);
             return;
         }
         let own = self.age(topic, now);
-        if own.is_some_and(|own| age < own) {
-            self.known(topic).wake.notify_one();
+        if own.is_none_or(|own| age >= own) {
+            return;
+        }
+        let since = known.differs.load(Ordering::Relaxed);
+        if since == 0 {
+            known.differs.store(now.0, Ordering::Relaxed);
+        } else if now.since(Moment(since)) > DIFFERS {
+            known.differs.store(now.0, Ordering::Relaxed);
+            known.wake.notify_one();
         }
     }
 
@@ -121,26 +118,9 @@
         self.known(topic).wake.notified().await;
     }
 
-    /// Keeps a record that changed something, to be relayed.
-    pub fn tell(&self, topic: Topic, item: &Item, now: Moment) {
-        if item.value.len() > TOLD_BYTES {
-            return;
-        }
-        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
-        told.push(Told {
-            topic,
-            item: item.clone(),
-            at: now,
-        });
-        let excess = told.len().saturating_sub(TOLD_RECORDS);
-        told.drain(..excess);
-    }
-
-    /// The records to relay.
-    pub fn told(&self, now: Moment) -> Vec<Told> {
-        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
-        told.retain(|one| now.since(one.at) < TOLD_FOR);
-        told.clone()
+    /// What this instance tells others of records, and knows to understand them.
+    pub fn news(&self) -> MutexGuard<'_, News> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether this instance reads for others.
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -6,7 +6,7 @@
 
 use crate::forward::belief::boot_time;
 use crate::forward::feed;
-use crate::forward::freshness::{self, FOLLOWED};
+use crate::forward::freshness::FOLLOWED;
 use crate::forward::front::Shared;
 use crate::rendezvous;
 use entity::{Moment, Offset, Span, name};
@@ -14,6 +14,8 @@
 use fellow::message::{self, Beacon};
 use forward::Source;
 use forward::catalog::{Entry, Instance};
+use forward::delta::Delta;
+use forward::news::{Content, Told};
 use forward::source::Topic;
 use quality::release::Report;
 use quality::trial::{Ruling, Tally};
@@ -267,30 +269,27 @@
 
     /// Records that changed something lately.
     fn told(&self) -> Vec<message::Told> {
-        let told = self.parts.shared.freshness.told(boot_time());
-        let one = |told: &freshness::Told| message::Told {
-            topic: number(told.topic),
-            key: told.item.key.to_string(),
-            position: told.item.offset.0 as i64,
-            value: told.item.value.to_vec(),
-        };
-        told.iter().map(one).collect()
+        let told = self.parts.shared.freshness.news().recent(boot_time());
+        told.into_iter().map(write_told).collect()
     }
 
     /// Takes in what another instance knows of the store, unless this one has been standing still:
     /// then it can't tell how long ago that was sent.
     async fn take_sights(&self, beacon: &Beacon) {
+        let told: Vec<Told> = beacon.told.iter().filter_map(read_told).collect();
+        let values = self.parts.shared.freshness.news().values(&told);
         for topic in FOLLOWED {
-            let of_topic = |told: &&message::Told| told.topic == number(topic);
-            let items: Vec<_> = beacon
-                .told
-                .iter()
-                .filter(of_topic)
-                .map(|told| {
-                    let offset = Offset(told.position.max(0) as u64);
-                    self.source.read(topic, &told.key, offset, &told.value)
-                })
-                .collect();
+            let mut items = Vec::new();
+            for value in &values {
+                match value {
+                    Ok(value) if value.topic == topic => {
+                        let (key, offset) = (&value.key, value.offset);
+                        items.push(self.source.read(topic, key, offset, &value.bytes));
+                    }
+                    Ok(_) => {}
+                    Err(error) => self.note("record", &error.to_string()),
+                }
+            }
             if !items.is_empty() {
                 self.parts.feed.told(topic, items).await;
             }
@@ -441,6 +440,45 @@
     }
 }
 
+fn write_told(told: Told) -> message::Told {
+    let (value, base, length) = match told.content {
+        Content::Whole(bytes) => (bytes, None, None),
+        Content::Delta(delta) => (
+            delta.bytes,
+            Some(delta.base as i64),
+            Some(delta.length as i32),
+        ),
+    };
+    message::Told {
+        topic: number(told.topic),
+        key: told.key.into(),
+        position: told.offset.0 as i64,
+        value: value.into(),
+        base,
+        length,
+    }
+}
+
+/// A record that another instance told; nothing where its topic is not followed here.
+fn read_told(told: &message::Told) -> Option<Told> {
+    let topic = FOLLOWED.iter().find(|topic| number(**topic) == told.topic);
+    let bytes: Box<[u8]> = told.value.clone().into();
+    let content = match (told.base, told.length) {
+        (Some(base), length) => Content::Delta(Delta {
+            base: base as u64,
+            length: u32::try_from(length.unwrap_or_default()).unwrap_or_default(),
+            bytes,
+        }),
+        (None, _) => Content::Whole(bytes),
+    };
+    Some(Told {
+        topic: *topic?,
+        key: told.key.as_str().into(),
+        offset: Offset(told.position.max(0) as u64),
+        content,
+    })
+}
+
 fn read_load(load: &message::UpstreamLoad) -> Option<(name::Upstream, Work)> {
     let work = Work {
         pending: f64::from(load.pending.max(0)),
