Keep beacons and choices mostly within the own zone

Change: a round goes to ten instances of the own zone and four of all; as those of other zones are heard too seldom then to be known as live, beacons mention eight live instances with their ages (routing::acquaintance). Among many sharers two of the three engines that are compared are in the own zone, if it has enough, and prefixes belong to engines there. Records are told for 4 s, as they need a round more.

--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -174,6 +174,15 @@
   6: optional i32 length,
 }
 
+/** An instance that the sender has heard of. */
+struct Acquaintance {
+  1: required string instance,
+  2: required string address,
+  3: optional string zone,
+  /** How long ago it was last heard of, in milliseconds. */
+  4: required i32 age_ms,
+}
+
 /** What an instance tells others in a datagram, which is not answered. */
 struct Beacon {
   1: required string instance,
@@ -185,6 +194,10 @@
   5: required list<UpstreamLoad> loads,
   6: required list<Sight> sights,
   7: required list<Told> told,
+  /** The sender's availability zone. */
+  8: optional string zone,
+  /** Some of the instances that it has heard of. */
+  9: optional list<Acquaintance> acquaintances,
 }
 
 struct Done {
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -1903,6 +1903,101 @@
   }
 }
 
+//
+// Acquaintance
+//
+
+/// An instance that the sender has heard of.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Acquaintance {
+  pub instance: String,
+  pub address: String,
+  pub zone: Option<String>,
+  /// How long ago it was last heard of, in milliseconds.
+  pub age_ms: i32,
+}
+
+impl Acquaintance {
+  pub fn new<F3>(instance: String, address: String, zone: F3, age_ms: i32) -> Acquaintance where F3: Into<Option<String>> {
+    Acquaintance {
+      instance,
+      address,
+      zone: zone.into(),
+      age_ms,
+    }
+  }
+}
+
+impl TSerializable for Acquaintance {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Acquaintance> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<String> = None;
+    let mut f_4: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_string()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i32()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Acquaintance.instance", &f_1)?;
+    verify_required_field_exists("Acquaintance.address", &f_2)?;
+    verify_required_field_exists("Acquaintance.age_ms", &f_4)?;
+    let ret = Acquaintance {
+      instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      address: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      zone: f_3,
+      age_ms: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Acquaintance");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("instance", TType::String, 1))?;
+    o_prot.write_string(&self.instance)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 2))?;
+    o_prot.write_string(&self.address)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.zone {
+      o_prot.write_field_begin(&TFieldIdentifier::new("zone", TType::String, 3))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I32, 4))?;
+    o_prot.write_i32(self.age_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Beacon
 //
@@ -1919,10 +2014,14 @@
   pub loads: Vec<UpstreamLoad>,
   pub sights: Vec<Sight>,
   pub told: Vec<Told>,
+  /// The sender's availability zone.
+  pub zone: Option<String>,
+  /// Some of the instances that it has heard of.
+  pub acquaintances: Option<Vec<Acquaintance>>,
 }
 
 impl Beacon {
-  pub fn new(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>) -> Beacon {
+  pub fn new<F8, F9>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>> {
     Beacon {
       instance,
       address,
@@ -1931,6 +2030,8 @@
       loads,
       sights,
       told,
+      zone: zone.into(),
+      acquaintances: acquaintances.into(),
     }
   }
 }
@@ -1945,6 +2046,8 @@
     let mut f_5: Option<Vec<UpstreamLoad>> = None;
     let mut f_6: Option<Vec<Sight>> = None;
     let mut f_7: Option<Vec<Told>> = None;
+    let mut f_8: Option<String> = None;
+    let mut f_9: Option<Vec<Acquaintance>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2004,6 +2107,20 @@
           i_prot.read_list_end()?;
           f_7 = Some(val);
         },
+        8 => {
+          let val = i_prot.read_string()?;
+          f_8 = Some(val);
+        },
+        9 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Acquaintance> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_14 = Acquaintance::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_14);
+          }
+          i_prot.read_list_end()?;
+          f_9 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2026,6 +2143,8 @@
       loads: f_5.expect("auto-generated code should have checked for presence of required fields"),
       sights: f_6.expect("auto-generated code should have checked for presence of required fields"),
       told: f_7.expect("auto-generated code should have checked for presence of required fields"),
+      zone: f_8,
+      acquaintances: f_9,
     };
     Ok(ret)
   }
@@ -2069,6 +2188,20 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.zone {
+      o_prot.write_field_begin(&TFieldIdentifier::new("zone", TType::String, 8))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.acquaintances {
+      o_prot.write_field_begin(&TFieldIdentifier::new("acquaintances", TType::List, 9))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/forward/src/news.rs
+++ b/crates/forward/src/news.rs
@@ -8,7 +8,7 @@
 use entity::{Moment, Offset, Span};
 
 /// How long a record that changed something is told: some rounds of datagrams.
-const TOLD_FOR: Span = Span::from_millis(2500);
+const TOLD_FOR: Span = Span::from_secs(4);
 
 /// Longest content that is told, in bytes; others read longer ones themselves.
 const TOLD_BYTES: usize = 4096;
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -28,6 +28,13 @@
 /// Upstreams of a pool that a prefix belongs to.
 const HOMES: usize = 2;
 
+/// Upstreams of the own zone from which on a prefix belongs to some of them: its prompts come from one
+/// session, whose caller stays in a zone, and need not cross to another.
+const ENOUGH_NEAR: usize = 2 * HOMES;
+
+/// Upstreams picked at random, beside the first one, that are compared where many instances share them.
+const PICKED: usize = 2;
+
 /// Weight of the newest prompt in the moving average of sizes.
 const NEWEST_PROMPT: f64 = 0.01;
 
@@ -69,6 +76,7 @@
     ahead: Option<f64>,
     score: f64,
     tied: bool,
+    near: bool,
 }
 
 impl Balancer {
@@ -191,7 +199,7 @@
     /// Chooses an upstream for a request.
     ///
     /// The score weighs what this instance sent itself, lagging load reports and caches. Among many
-    /// instances only two upstreams are compared, picked at random ("the power of two choices",
+    /// instances only a few upstreams are compared, picked at random ("the power of two choices",
     /// Mitzenmacher, 2001).
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
         let candidates = self.allowed(query, now)?;
@@ -370,8 +378,9 @@
                 }
                 demand.ahead(affinity, work)
             });
+            let near = zone == Some(self.config.upstreams[upstream].zone);
             let score = match ahead {
-                Some(ahead) if zone == Some(self.config.upstreams[upstream].zone) => ahead,
+                Some(ahead) if near => ahead,
                 Some(ahead) => ahead + OTHER_ZONE,
                 None => score::score(&self.config, zone, place, state, now),
             };
@@ -382,6 +391,7 @@
                 ahead,
                 score,
                 tied: affinity != Affinity::None,
+                near,
             });
         }
         // What a cold upstream bears is kept for when no warm one has room.
@@ -423,6 +433,16 @@
             let name = hash::text(self.config.upstreams[upstream].name.as_str());
             ranked.push((hash::weight(prefix, name), upstream));
         }
+        let zone = self.config.zone(self.zone.as_str());
+        let near = |upstream: id::Upstream| Some(self.config.upstreams[upstream].zone) == zone;
+        if ranked
+            .iter()
+            .filter(|(_, upstream)| near(*upstream))
+            .count()
+            >= ENOUGH_NEAR
+        {
+            ranked.retain(|(_, upstream)| near(*upstream));
+        }
         ranked.sort_unstable_by(|left, right| right.cmp(left));
         ranked.truncate(HOMES);
         ranked.into_iter().map(|(_, upstream)| upstream).collect()
@@ -430,17 +450,25 @@
 
     /// The best of all where few instances share the upstreams. Where many do, hardly anything of an
     /// upstream's load is this instance's own, and all instances would take the same: then the best
-    /// of two picked at random and of those that the prefix is tied to.
+    /// of three picked at random, two of them in the own zone if it has enough, and of those that the
+    /// prefix is tied to.
     fn best<'a>(&mut self, candidates: &'a [Candidate], sharers: usize) -> &'a Candidate {
         let count = candidates.len();
         let first = self.random.random_range(0..count);
-        let second = self.random.random_range(0..count);
+        let near: Vec<usize> = (0..count).filter(|&one| candidates[one].near).collect();
+        let mut picked = vec![first];
+        for _ in 0..PICKED {
+            picked.push(match near.len() {
+                0..ENOUGH_NEAR => self.random.random_range(0..count),
+                enough => near[self.random.random_range(0..enough)],
+            });
+        }
         let mut best = &candidates[first];
         // Equal scores go to the first in a random rotation.
-        for candidate in candidates[first..].iter().chain(&candidates[..first]) {
-            let compared = sharers <= FEW_SHARERS
-                || candidate.tied
-                || candidate.upstream == candidates[second].upstream;
+        for offset in 0..count {
+            let index = (first + offset) % count;
+            let candidate = &candidates[index];
+            let compared = sharers <= FEW_SHARERS || candidate.tied || picked.contains(&index);
             if compared && candidate.score < best.score {
                 best = candidate;
             }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is pure: moments and seeds are arguments, and a [`Balancer`] is owned by one
 //! task, which passes on what it hears and asks for an upstream for each dispatch.
 
+pub mod acquaintance;
 pub mod admission;
 pub mod allowance;
 pub mod balancer;
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -7,7 +7,7 @@
 use entity::{Moment, Span, name};
 use googletest::prelude::*;
 use routing::demand::{Demand, Work};
-use routing::{Balancer, Choice, Outcome, Query};
+use routing::{Balancer, Choice, Members, Outcome, Query};
 
 /// A balancer before registered engines.
 fn balancer(engines: usize, cold: &[usize]) -> Balancer {
@@ -147,6 +147,48 @@
     expect_true!(elsewhere);
 }
 
+/// A balancer that shares 40 engines of two zones with 99 others.
+fn crowded() -> Balancer {
+    let mut balancer = balancer(40, &[]);
+    let members = Members::new(1, (0..100).map(common::instance).collect());
+    balancer.members(members, START, START);
+    balancer
+}
+
+/// Choices of a prompt each, none of which has been finished, by whether they are in the own zone.
+fn nearby(balancer: &mut Balancer, count: usize) -> usize {
+    let mut near = 0;
+    for _ in 0..count {
+        let choice = choose(balancer, short());
+        // Engines stand in the two zones in turn, the first one in the own.
+        let number: usize = choice.upstream.as_str()[7..].parse().unwrap();
+        near += usize::from(number % 2 == 0);
+        balancer.finish(choice, Outcome::Cancelled, START);
+    }
+    near
+}
+
+/// Pattern: an ordinary day, on which bytes between zones are paid for.
+#[gtest]
+fn many_instances_keep_to_their_own_zone() {
+    expect_that!(nearby(&mut crowded(), 400), gt(380));
+}
+
+/// Pattern: callers who have moved to one zone.
+#[gtest]
+fn work_spills_to_another_zone_when_the_own_one_is_busy() {
+    let mut balancer = crowded();
+    let work = Work {
+        pending: 9000.0,
+        running: 3.0,
+    };
+    let near = (0..40).step_by(2).map(common::engine);
+    let loads = near.map(|name| (name, work)).collect();
+    balancer.hear_loads(&"north-2".parse().unwrap(), loads, 1, START);
+    // Two of the three that are compared are near, so that half of the third ones are elsewhere.
+    expect_that!(nearby(&mut balancer, 400), lt(240));
+}
+
 #[gtest]
 fn work_counts_until_the_first_event() {
     let mut balancer = balancer(1, &[]);
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -110,6 +110,7 @@
         let parts = peers::Parts {
             shared: shared.clone(),
             own: settings.name.clone(),
+            zone: settings.zone.clone(),
             address: settings.fellow_address,
             feed,
         };
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -19,8 +19,8 @@
 use forward::source::Topic;
 use quality::release::Report;
 use quality::trial::{Ruling, Tally};
-use rand::seq::IndexedRandom;
 use routing::Members;
+use routing::acquaintance::{Acquaintances, FANOUT, Peer};
 use routing::demand::Work;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,14 +33,12 @@
 const SMALL_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two rounds among many, so that a bad release is stopped everywhere within a second.
 const LARGE_PERIOD: Duration = Duration::from_millis(400);
-/// Instances up to which all are told in each round; beyond, so many are drawn.
-const FANOUT: usize = 16;
 /// Lives of instances whose evidence one beacon carries, the sender's first.
 const CARRIED: usize = 24;
 /// Sessions that one beacon carries.
 const KEPT: usize = 256;
-/// How long an instance that is not heard of counts as live: cold upstreams are shared with it.
-const LIFE: Span = Span::from_secs(8);
+/// Instances that one beacon tells of: together, the beacons of a round tell of each several times.
+const MENTIONED: usize = 8;
 /// Time that the next instance in the order waits for the one before to write.
 const TURN: Span = Span::from_millis(500);
 /// Instances that read the store for all.
@@ -58,20 +56,14 @@
     pub shared: Arc<Shared>,
     /// This instance.
     pub own: name::Instance,
+    /// Its zone.
+    pub zone: name::Zone,
     /// Where it takes datagrams.
     pub address: SocketAddr,
     /// Takes records that others told.
     pub feed: feed::Handle,
 }
 
-/// Another instance.
-#[derive(Clone, Debug)]
-struct Peer {
-    name: name::Instance,
-    address: SocketAddr,
-    heard: Moment,
-}
-
 /// A ruling that waits to be written.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -84,8 +76,7 @@
     parts: Parts,
     source: S,
     socket: Socket,
-    /// Sorted by name.
-    peers: Vec<Peer>,
+    peers: Acquaintances,
     pending: Vec<Pending>,
     version: u64,
     /// When the task last had nothing left to take in.
@@ -104,10 +95,10 @@
 ) -> std::io::Result<()> {
     let socket = Socket::bind(parts.address).await?;
     let task = Task {
+        peers: Acquaintances::new(parts.own.clone(), parts.zone.clone()),
         parts,
         source,
         socket,
-        peers: Vec::new(),
         pending: Vec::new(),
         version: 0,
         caught_up: Moment(0),
@@ -173,7 +164,12 @@
         let now = self.now();
         for item in listing.items {
             if let Ok(Some(Entry::Instance(instance))) = item.entry {
-                self.heard(&instance.name, instance.address, now);
+                self.peers.hear_of(Peer {
+                    name: instance.name,
+                    address: instance.address,
+                    zone: None,
+                    heard: now,
+                });
             }
         }
     }
@@ -191,30 +187,26 @@
             .record();
     }
 
-    fn heard(&mut self, name: &name::Instance, address: SocketAddr, heard: Moment) {
-        if *name == self.parts.own {
-            return;
-        }
-        let peer = Peer {
-            name: name.clone(),
-            address,
-            heard,
-        };
-        match self.peers.binary_search_by(|known| known.name.cmp(name)) {
-            Ok(index) => self.peers[index] = peer,
-            Err(index) => self.peers.insert(index, peer),
-        }
-    }
-
     async fn take(&mut self, beacon: &Beacon) {
         let (Ok(name), Ok(address)) = (beacon.instance.parse(), beacon.address.parse()) else {
             self.note("beacon", "the sender has no valid name or address");
             return;
         };
+        let now = self.now();
         if beacon.leaving {
-            self.peers.retain(|peer| peer.name != name);
+            self.peers.leave(&name, now);
         } else {
-            self.heard(&name, address, self.now());
+            self.peers.hear(Peer {
+                name: name.clone(),
+                address,
+                zone: beacon.zone.as_ref().and_then(|zone| zone.parse().ok()),
+                heard: now,
+            });
+        }
+        for mentioned in beacon.acquaintances.iter().flatten() {
+            if let Some(peer) = read_acquaintance(mentioned, now) {
+                self.peers.hear_of(peer);
+            }
         }
         let decider = &self.parts.shared.core.decider;
         let loads = beacon.loads.iter().filter_map(read_load).collect();
@@ -239,6 +231,8 @@
             loads: self.loads().await,
             sights: self.sights(),
             told: self.told(),
+            zone: Some(self.parts.zone.to_string()),
+            acquaintances: Some(self.mentioned()),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
@@ -327,13 +321,23 @@
         loads.unwrap_or_default().iter().map(load).collect()
     }
 
+    /// Some of the instances that this one has heard of.
+    fn mentioned(&self) -> Vec<message::Acquaintance> {
+        let now = self.now();
+        let mut random = rand::rng();
+        let sample = self.peers.sample(MENTIONED, now, &mut random);
+        let write = |peer: &Peer| message::Acquaintance {
+            instance: peer.name.to_string(),
+            address: peer.address.to_string(),
+            zone: peer.zone.as_ref().map(ToString::to_string),
+            age_ms: (now.since(peer.heard).as_micros() / 1000) as i32,
+        };
+        sample.into_iter().map(write).collect()
+    }
+
     async fn send(&self, payload: &[u8]) {
-        let chosen: Vec<SocketAddr> = self
-            .peers
-            .sample(&mut rand::rng(), FANOUT)
-            .map(|peer| peer.address)
-            .collect();
-        for address in chosen {
+        let listeners = self.peers.listeners(&mut rand::rng());
+        for address in listeners {
             // A datagram that can't be sent is as good as a lost one.
             let _ = self.socket.send(payload, address).await;
         }
@@ -342,7 +346,7 @@
     /// Tells the decider who shares cold upstreams.
     async fn tell_members(&mut self) {
         let now = self.now();
-        let names = self.live(now).cloned().collect();
+        let names = self.peers.live(now).cloned().collect();
         self.version += 1;
         let members = Members::new(self.version, names);
         let decider = &self.parts.shared.core.decider;
@@ -413,18 +417,9 @@
         now
     }
 
-    /// The live instances, this one included.
-    fn live(&self, now: Moment) -> impl Iterator<Item = &name::Instance> {
-        let live = move |peer: &&Peer| now.since(peer.heard) < LIFE;
-        let others = self.peers.iter().filter(live);
-        others
-            .map(|peer| &peer.name)
-            .chain(std::iter::once(&self.parts.own))
-    }
-
     /// This instance's place in the order of those that do something for all.
     fn rank(&self, key: &str, now: Moment) -> u64 {
-        let ranked = rendezvous::ranked(self.live(now), |name| name, key);
+        let ranked = rendezvous::ranked(self.peers.live(now), |name| name, key);
         let rank = ranked.iter().position(|name| **name == self.parts.own);
         rank.unwrap_or_default() as u64
     }
@@ -440,6 +435,17 @@
     }
 }
 
+/// An instance that another one has heard of; nothing where its name or address is none.
+fn read_acquaintance(told: &message::Acquaintance, now: Moment) -> Option<Peer> {
+    let age = Span::from_millis(u64::try_from(told.age_ms).unwrap_or_default());
+    Some(Peer {
+        name: told.instance.parse().ok()?,
+        address: told.address.parse().ok()?,
+        zone: told.zone.as_ref().and_then(|zone| zone.parse().ok()),
+        heard: now - age,
+    })
+}
+
 fn write_told(told: Told) -> message::Told {
     let (value, base, length) = match told.content {
         Content::Whole(bytes) => (bytes, None, None),
