--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod front;
 mod instance;
 mod open;
+mod payload;
 mod peers;
 mod probe;
 mod relay;
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -8,20 +8,22 @@
 use crate::forward::feed;
 use crate::forward::freshness::FOLLOWED;
 use crate::forward::front::Shared;
+use crate::forward::payload::{
+    number, read_acquaintance, read_load, read_told, read_trial, write_acquaintance, write_load,
+    write_told, write_trial,
+};
 use crate::rendezvous;
-use entity::{Moment, Offset, Span, name};
+use entity::{Moment, Span, name};
 use fellow::beacon::{self, Socket};
 use fellow::message::{self, Beacon};
 use forward::Source;
 use forward::catalog::{Entry, Instance};
-use forward::delta::Delta;
-use forward::news::{Content, Told};
+use forward::news::Told;
 use forward::source::Topic;
 use quality::release::Report;
-use quality::trial::{Ruling, Tally};
+use quality::trial::Ruling;
 use routing::Members;
 use routing::acquaintance::{Acquaintances, FANOUT, Peer};
-use routing::demand::Work;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,10 +35,6 @@
 const SMALL_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two rounds among many, so that a bad release is stopped everywhere within a second.
 const LARGE_PERIOD: Duration = Duration::from_millis(400);
-/// Lives of instances whose evidence one beacon carries, the sender's first.
-const CARRIED: usize = 24;
-/// Sessions that one beacon carries.
-const KEPT: usize = 256;
 /// Instances that one beacon tells of: together, the beacons of a round tell of each several times.
 const MENTIONED: usize = 8;
 /// Time that the next instance in the order waits for the one before to write.
@@ -212,7 +210,7 @@
         let loads = beacon.loads.iter().filter_map(read_load).collect();
         decider.hear_loads(name, loads, self.peers.len()).await;
         self.take_sights(beacon).await;
-        let reports: Vec<Report> = beacon.trials.iter().filter_map(read).collect();
+        let reports: Vec<Report> = beacon.trials.iter().filter_map(read_trial).collect();
         if !reports.is_empty() {
             decider.hear_reports(reports).await;
         }
@@ -227,7 +225,7 @@
             instance: self.parts.own.to_string(),
             address: self.parts.address.to_string(),
             leaving,
-            trials: reports.iter().map(write).collect(),
+            trials: reports.iter().map(write_trial).collect(),
             loads: self.loads().await,
             sights: self.sights(),
             told: self.told(),
@@ -313,12 +311,7 @@
     /// What this instance has running. An instance that is closing tells of nothing.
     async fn loads(&self) -> Vec<message::UpstreamLoad> {
         let loads = self.parts.shared.core.decider.loads().await;
-        let load = |(upstream, work): &(name::Upstream, Work)| message::UpstreamLoad {
-            upstream: upstream.to_string(),
-            pending: work.pending as i32,
-            count: work.running as i32,
-        };
-        loads.unwrap_or_default().iter().map(load).collect()
+        loads.unwrap_or_default().iter().map(write_load).collect()
     }
 
     /// Some of the instances that this one has heard of.
@@ -326,12 +319,7 @@
         let now = self.now();
         let mut random = rand::rng();
         let sample = self.peers.sample(MENTIONED, now, &mut random);
-        let write = |peer: &Peer| message::Acquaintance {
-            instance: peer.name.to_string(),
-            address: peer.address.to_string(),
-            zone: peer.zone.as_ref().map(ToString::to_string),
-            age_ms: (now.since(peer.heard).as_micros() / 1000) as i32,
-        };
+        let write = |peer| write_acquaintance(peer, now);
         sample.into_iter().map(write).collect()
     }
 
@@ -424,136 +412,3 @@
         rank.unwrap_or_default() as u64
     }
 }
-
-/// The number of a topic in a beacon.
-fn number(topic: Topic) -> i32 {
-    match topic {
-        Topic::Operator => 0,
-        Topic::Upstreams => 1,
-        Topic::Progress => 2,
-        Topic::Instances => 3,
-    }
-}
-
-/// An instance that another one has heard of; nothing where its name or address is none.
-fn read_acquaintance(told: &message::Acquaintance, now: Moment) -> Option<Peer> {
-    let age = Span::from_millis(u64::try_from(told.age_ms).unwrap_or_default());
-    Some(Peer {
-        name: told.instance.parse().ok()?,
-        address: told.address.parse().ok()?,
-        zone: told.zone.as_ref().and_then(|zone| zone.parse().ok()),
-        heard: now - age,
-    })
-}
-
-fn write_told(told: Told) -> message::Told {
-    let (value, base, length) = match told.content {
-        Content::Whole(bytes) => (bytes, None, None),
-        Content::Delta(delta) => (
-            delta.bytes,
-            Some(delta.base as i64),
-            Some(delta.length as i32),
-        ),
-    };
-    message::Told {
-        topic: number(told.topic),
-        key: told.key.into(),
-        position: told.offset.0 as i64,
-        value: value.into(),
-        base,
-        length,
-    }
-}
-
-/// A record that another instance told; nothing where its topic is not followed here.
-fn read_told(told: &message::Told) -> Option<Told> {
-    let topic = FOLLOWED.iter().find(|topic| number(**topic) == told.topic);
-    let bytes: Box<[u8]> = told.value.clone().into();
-    let content = match (told.base, told.length) {
-        (Some(base), length) => Content::Delta(Delta {
-            base: base as u64,
-            length: u32::try_from(length.unwrap_or_default()).unwrap_or_default(),
-            bytes,
-        }),
-        (None, _) => Content::Whole(bytes),
-    };
-    Some(Told {
-        topic: *topic?,
-        key: told.key.as_str().into(),
-        offset: Offset(told.position.max(0) as u64),
-        content,
-    })
-}
-
-fn read_load(load: &message::UpstreamLoad) -> Option<(name::Upstream, Work)> {
-    let work = Work {
-        pending: f64::from(load.pending.max(0)),
-        running: f64::from(load.count.max(0)),
-    };
-    Some((load.upstream.parse().ok()?, work))
-}
-
-fn write(report: &Report) -> message::Trial {
-    let counted = |(life, evidence): &(name::Instance, Vec<(u64, Tally)>)| {
-        let tallies = evidence.iter().map(|(kind, tally)| message::Tally {
-            kind: *kind as i64,
-            old_count: tally.old as i32,
-            old_bad: tally.old_bad as i32,
-            new_count: tally.new as i32,
-            new_bad: tally.new_bad as i32,
-        });
-        message::Counted::new(life.to_string(), tallies.collect())
-    };
-    message::Trial {
-        service_name: report.service.to_string(),
-        target: report.target.to_string(),
-        age_us: report.age.as_micros() as i64,
-        ruling: match report.ruling {
-            None => message::Ruling::OPEN,
-            Some(Ruling::Good) => message::Ruling::GOOD,
-            Some(Ruling::Bad) => message::Ruling::BAD,
-        },
-        written: report.written,
-        evidence: report.evidence.iter().take(CARRIED).map(counted).collect(),
-        kept: report
-            .kept
-            .iter()
-            .take(KEPT)
-            .map(|&hash| hash as i64)
-            .collect(),
-    }
-}
-
-/// What a beacon says of a trial; nothing where its names are no names.
-fn read(trial: &message::Trial) -> Option<Report> {
-    let count = |number: i32| u32::try_from(number).unwrap_or(0);
-    let mut evidence = Vec::new();
-    for counted in &trial.evidence {
-        let mut tallies: Vec<(u64, Tally)> = Vec::new();
-        for tally in &counted.tallies {
-            let read = Tally {
-                old: count(tally.old_count),
-                old_bad: count(tally.old_bad),
-                new: count(tally.new_count),
-                new_bad: count(tally.new_bad),
-            };
-            tallies.push((tally.kind as u64, read));
-        }
-        tallies.sort_by_key(|(kind, _)| *kind);
-        evidence.push((counted.life.parse().ok()?, tallies));
-    }
-    Some(Report {
-        service: trial.service_name.parse().ok()?,
-        target: trial.target.parse().ok()?,
-        age: Span::from_micros(trial.age_us.max(0) as u64),
-        ruling: match trial.ruling {
-            message::Ruling::GOOD => Some(Ruling::Good),
-            message::Ruling::BAD => Some(Ruling::Bad),
-            _ => None,
-        },
-        written: trial.written,
-        evidence,
-        kept: trial.kept.iter().map(|&hash| hash as u64).collect(),
-        complete: false,
-    })
-}
