Pass sessions of a trial on once; tell more records of upstreams

An instance tells the sessions that it saw to 14 of 75 others a round, since beacons stay mostly in the zone; nobody passed them on.

Change: sessions that another instance told are passed on once (Report::passed_on); a beacon carries a sample where there are too many. For DRAIN, by inference: twice the records of a topic are told, and differences about upstreams wait for 450 ms instead of 900.

Ruled out: passing sessions on without end, as they would not be forgotten.

--- a/crates/fellow/fellow.thrift
+++ b/crates/fellow/fellow.thrift
@@ -143,6 +143,8 @@
   6: required list<Counted> evidence,
   /** Sessions on the old release that would begin on the new one, by hash. */
   7: required list<i64> kept,
+  /** The same of others that told the sender. */
+  8: optional list<i64> passed_on,
 }
 
 /** What an instance has running at an upstream. */
--- a/crates/fellow/src/gen/fellow.rs
+++ b/crates/fellow/src/gen/fellow.rs
@@ -1482,10 +1482,12 @@
   pub evidence: Vec<Counted>,
   /// Sessions on the old release that would begin on the new one, by hash.
   pub kept: Vec<i64>,
+  /// The same of others that told the sender.
+  pub passed_on: Option<Vec<i64>>,
 }
 
 impl Trial {
-  pub fn new(service_name: String, target: String, age_us: i64, ruling: Ruling, written: bool, evidence: Vec<Counted>, kept: Vec<i64>) -> Trial {
+  pub fn new<F8>(service_name: String, target: String, age_us: i64, ruling: Ruling, written: bool, evidence: Vec<Counted>, kept: Vec<i64>, passed_on: F8) -> Trial where F8: Into<Option<Vec<i64>>> {
     Trial {
       service_name,
       target,
@@ -1494,6 +1496,7 @@
       written,
       evidence,
       kept,
+      passed_on: passed_on.into(),
     }
   }
 }
@@ -1508,6 +1511,7 @@
     let mut f_5: Option<bool> = None;
     let mut f_6: Option<Vec<Counted>> = None;
     let mut f_7: Option<Vec<i64>> = None;
+    let mut f_8: Option<Vec<i64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1555,6 +1559,16 @@
           i_prot.read_list_end()?;
           f_7 = Some(val);
         },
+        8 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_10 = i_prot.read_i64()?;
+            val.push(list_elem_10);
+          }
+          i_prot.read_list_end()?;
+          f_8 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1577,6 +1591,7 @@
       written: f_5.expect("auto-generated code should have checked for presence of required fields"),
       evidence: f_6.expect("auto-generated code should have checked for presence of required fields"),
       kept: f_7.expect("auto-generated code should have checked for presence of required fields"),
+      passed_on: f_8,
     };
     Ok(ret)
   }
@@ -1612,6 +1627,15 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.passed_on {
+      o_prot.write_field_begin(&TFieldIdentifier::new("passed_on", TType::List, 8))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::I64, fld_var.len() as i32))?;
+      for e in fld_var {
+        o_prot.write_i64(*e)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2071,8 +2095,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Trial> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_10 = Trial::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_10);
+            let list_elem_11 = Trial::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_11);
           }
           i_prot.read_list_end()?;
           f_4 = Some(val);
@@ -2081,8 +2105,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<UpstreamLoad> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_11 = UpstreamLoad::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_11);
+            let list_elem_12 = UpstreamLoad::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_12);
           }
           i_prot.read_list_end()?;
           f_5 = Some(val);
@@ -2091,8 +2115,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_12 = Sight::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_12);
+            let list_elem_13 = Sight::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_13);
           }
           i_prot.read_list_end()?;
           f_6 = Some(val);
@@ -2101,8 +2125,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Told> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_13 = Told::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_13);
+            let list_elem_14 = Told::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_14);
           }
           i_prot.read_list_end()?;
           f_7 = Some(val);
@@ -2115,8 +2139,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Acquaintance> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_14 = Acquaintance::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_14);
+            let list_elem_15 = Acquaintance::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_15);
           }
           i_prot.read_list_end()?;
           f_9 = Some(val);
--- a/crates/forward/src/news.rs
+++ b/crates/forward/src/news.rs
@@ -8,13 +8,16 @@
 use entity::{Moment, Offset, Span};
 
 /// How long a record that changed something is told: some rounds of datagrams.
-const TOLD_FOR: Span = Span::from_secs(4);
+const TOLD_FOR: Span = Span::from_millis(2500);
+
+/// How long a delta is told: one that is missed makes the later ones useless.
+const DELTA_FOR: Span = Span::from_secs(4);
 
 /// Longest content that is told, in bytes; others read longer ones themselves.
 const TOLD_BYTES: usize = 4096;
 
 /// Most records of one topic that are told at once.
-const TOLD_RECORDS: usize = 24;
+const TOLD_RECORDS: usize = 48;
 
 /// What is told of a value.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -117,7 +120,13 @@
 
     /// What is told now, in the order in which it was taken in.
     pub fn recent(&mut self, now: Moment) -> Vec<Told> {
-        self.recent.retain(|(from, _)| now.since(*from) < TOLD_FOR);
+        self.recent.retain(|(from, told)| {
+            let life = match told.content {
+                Content::Whole(_) => TOLD_FOR,
+                Content::Delta(_) => DELTA_FOR,
+            };
+            now.since(*from) < life
+        });
         self.recent.iter().map(|(_, told)| told.clone()).collect()
     }
 
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -39,6 +39,8 @@
     /// Sessions on the old release that would begin on the new one, by hash: an instance to which their
     /// callers move must not take them for new ones.
     pub kept: Vec<u64>,
+    /// The same of others that told this instance: in a large deployment each tells only some.
+    pub passed_on: Vec<u64>,
     /// Whether the old release may be stopped now.
     pub complete: bool,
 }
@@ -58,8 +60,18 @@
     position: u64,
     version: name::Version,
     seen: Moment,
-    /// Whether it was seen here, rather than told by another instance.
-    own: bool,
+    origin: Origin,
+}
+
+/// Where a session is known from, the closest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Origin {
+    /// It was seen here.
+    Own,
+    /// The instance that saw it told.
+    Told,
+    /// Another instance passed that on.
+    PassedOn,
 }
 
 /// The releases of all services at one instance.
@@ -138,7 +150,7 @@
                 position: query.position,
                 version,
                 seen: now,
-                own: true,
+                origin: Origin::Own,
             });
         }
         Some(id)
@@ -190,7 +202,10 @@
             }
             let old = trial.old.clone();
             for hash in report.kept {
-                self.keep(hash, &old, now);
+                self.keep(hash, &old, Origin::Told, now);
+            }
+            for hash in report.passed_on {
+                self.keep(hash, &old, Origin::PassedOn, now);
             }
         }
     }
@@ -209,7 +224,8 @@
                 ruling: trial.ruling(),
                 written: trial.written,
                 evidence: trial.evidence(&self.own),
-                kept: self.kept(trial, now),
+                kept: self.kept(trial, Origin::Own, now),
+                passed_on: self.kept(trial, Origin::Told, now),
                 complete: trial.complete(now),
             });
         }
@@ -253,32 +269,38 @@
     }
 
     /// Takes in a session on the old release of which another instance told.
-    fn keep(&mut self, hash: u64, version: &name::Version, now: Moment) {
+    fn keep(&mut self, hash: u64, version: &name::Version, origin: Origin, now: Moment) {
         let found = self
             .sessions
             .binary_search_by_key(&hash, |known| known.hash);
-        if found.is_ok_and(|index| self.sessions[index].own) {
-            return;
+        if let Ok(index) = found {
+            let known = &self.sessions[index];
+            let valid = now.since(known.seen) <= self.session_gap;
+            if known.origin == Origin::Own || valid && known.origin < origin {
+                return;
+            }
         }
         self.remember(Session {
             hash,
             position: 0,
             version: version.clone(),
             seen: now,
-            own: false,
+            origin,
         });
     }
 
-    /// Sessions on the old release that would begin on the new one.
-    fn kept(&self, trial: &Trial, now: Moment) -> Vec<u64> {
+    /// Sessions on the old release that would begin on the new one, of one origin.
+    fn kept(&self, trial: &Trial, origin: Origin, now: Moment) -> Vec<u64> {
         if trial.ruling().is_some() {
             return Vec::new();
         }
         let mut kept = Vec::new();
         for session in &self.sessions {
-            let old = session.own && session.version == trial.old;
+            let old = session.origin == origin && session.version == trial.old;
             let recent = now.since(session.seen) <= self.session_gap;
-            if old && recent && drawn(trial, session.position, now) {
+            // Who told of a session has found that it would begin on the new release.
+            let moves = origin != Origin::Own || drawn(trial, session.position, now);
+            if old && recent && moves {
                 kept.push(session.hash);
             }
         }
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -474,3 +474,29 @@
     let unseen = second.assign(&ordered, query(Some(8), 0), after(3000));
     expect_that!(unseen, some(eq(new())));
 }
+
+/// Pattern: the same among many instances, each of which tells only some of the others.
+#[gtest]
+fn a_session_is_passed_on_once_to_instances_that_its_own_did_not_tell() {
+    let ordered = config(None);
+    let mut all = [releases(), releases(), releases(), releases()];
+    for one in &mut all {
+        one.configure(&before_the_order());
+    }
+    all[0].assign(&before_the_order(), query(Some(9), 0), after(0));
+    for one in &mut all {
+        one.configure(&ordered);
+    }
+    for index in 0..3 {
+        let reports = all[index].reports(after(2100));
+        all[index + 1].hear(reports, after(2100));
+    }
+    let passed_on = all[1].reports(after(2200));
+    expect_that!(passed_on[0].kept, is_empty());
+    expect_that!(passed_on[0].passed_on, container_eq([9]));
+    let moved = all[2].assign(&ordered, query(Some(9), 0), after(3000));
+    expect_that!(moved, some(eq(old())));
+    // It is not passed on for ever: it would never be forgotten.
+    let unseen = all[3].assign(&ordered, query(Some(9), 0), after(3000));
+    expect_that!(unseen, some(eq(new())));
+}
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -18,10 +18,13 @@
 /// time that it waited here.
 const TRANSIT: Span = Span::from_millis(60);
 
-/// How long others may know something else before this instance reads itself: what changed is told
-/// within two rounds of datagrams.
+/// How long others may know something else of the operators before this instance reads itself: what
+/// changed is told within two rounds of datagrams.
 const DIFFERS: Span = Span::from_millis(900);
 
+/// The same of upstreams, which must get nothing two seconds after they leave.
+const UPSTREAMS_DIFFER: Span = Span::from_millis(450);
+
 /// How far one topic is known.
 #[derive(Debug, Default)]
 struct Known {
@@ -107,7 +110,7 @@
         let since = known.differs.load(Ordering::Relaxed);
         if since == 0 {
             known.differs.store(now.0, Ordering::Relaxed);
-        } else if now.since(Moment(since)) > DIFFERS {
+        } else if now.since(Moment(since)) > patience(topic) {
             known.differs.store(now.0, Ordering::Relaxed);
             known.wake.notify_one();
         }
@@ -136,3 +139,10 @@
         }
     }
 }
+
+fn patience(topic: Topic) -> Span {
+    match topic {
+        Topic::Upstreams => UPSTREAMS_DIFFER,
+        Topic::Operator | Topic::Progress | Topic::Instances => DIFFERS,
+    }
+}
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -8,12 +8,13 @@
 use forward::source::Topic;
 use quality::release::Report;
 use quality::trial::{Ruling, Tally};
+use rand::seq::IndexedRandom;
 use routing::acquaintance::Peer;
 use routing::demand::Work;
 
 /// Lives of instances whose evidence one beacon carries, the sender's first.
 const CARRIED: usize = 24;
-/// Sessions that one beacon carries.
+/// Sessions that one beacon carries of one origin.
 const KEPT: usize = 256;
 
 /// The number of a topic in a beacon.
@@ -105,6 +106,12 @@
     Some((load.upstream.parse().ok()?, work))
 }
 
+/// As many of the sessions as one beacon carries.
+fn some(sessions: &[u64]) -> Vec<i64> {
+    let drawn = sessions.sample(&mut rand::rng(), KEPT);
+    drawn.map(|&hash| hash as i64).collect()
+}
+
 /// What is told of a trial.
 pub fn write_trial(report: &Report) -> message::Trial {
     let counted = |(life, evidence): &(name::Instance, Vec<(u64, Tally)>)| {
@@ -128,17 +135,14 @@
         },
         written: report.written,
         evidence: report.evidence.iter().take(CARRIED).map(counted).collect(),
-        kept: report
-            .kept
-            .iter()
-            .take(KEPT)
-            .map(|&hash| hash as i64)
-            .collect(),
+        kept: some(&report.kept),
+        passed_on: Some(some(&report.passed_on)),
     }
 }
 
 /// What a beacon says of a trial; nothing where its names are no names.
 pub fn read_trial(trial: &message::Trial) -> Option<Report> {
+    let passed_on = trial.passed_on.iter().flatten();
     let count = |number: i32| u32::try_from(number).unwrap_or(0);
     let mut evidence = Vec::new();
     for counted in &trial.evidence {
@@ -167,6 +171,7 @@
         written: trial.written,
         evidence,
         kept: trial.kept.iter().map(|&hash| hash as u64).collect(),
+        passed_on: passed_on.map(|&hash| hash as u64).collect(),
         complete: false,
     })
 }
