Keep beacons small enough for slow links

A round of 14 beacons of some 14 KB takes a third of a second on a link of 10 Mbit/s; taking 256 sessions in from each raised the processor time by half.

Change: 24 records of a topic and 24 passed-on sessions a beacon; records that were taken in are not read again.

--- a/crates/forward/src/news.rs
+++ b/crates/forward/src/news.rs
@@ -6,6 +6,7 @@
 use crate::delta::{self, Delta};
 use crate::source::{Item, Topic};
 use entity::{Moment, Offset, Span};
+use std::collections::VecDeque;
 
 /// How long a record that changed something is told: some rounds of datagrams.
 const TOLD_FOR: Span = Span::from_millis(2500);
@@ -16,8 +17,13 @@
 /// Longest content that is told, in bytes; others read longer ones themselves.
 const TOLD_BYTES: usize = 4096;
 
-/// Most records of one topic that are told at once.
-const TOLD_RECORDS: usize = 48;
+/// Most records of one topic that are told at once: a round of beacons must leave a slow link free for
+/// the events of streams.
+const TOLD_RECORDS: usize = 24;
+
+/// Records that others told of which this instance remembers that it took them in: each is told many
+/// times, and reading one takes longer than all else in a beacon.
+const TAKEN_RECORDS: usize = 256;
 
 /// What is told of a value.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,6 +67,8 @@
     recent: Vec<(Moment, Told)>,
     /// The newest long values, one of each key.
     long: Vec<Value>,
+    /// What others told lately, the oldest first.
+    taken: VecDeque<(Offset, Topic, Box<str>)>,
 }
 
 impl News {
@@ -130,15 +138,18 @@
         self.recent.iter().map(|(_, told)| told.clone()).collect()
     }
 
-    /// The values that another instance told, in its order. What builds on a value that is not known
-    /// here is left out: it is read from the store.
+    /// The values that another instance told, in its order, without those that were given before. What
+    /// builds on a value that is not known here is left out: it is read from the store.
     ///
     /// # Errors
     ///
     /// A record is damaged, which says nothing of the others.
-    pub fn values(&self, told: &[Told]) -> Vec<Result<Value, delta::Error>> {
+    pub fn values(&mut self, told: &[Told]) -> Vec<Result<Value, delta::Error>> {
         let mut values: Vec<Result<Value, delta::Error>> = Vec::new();
         for one in told {
+            if self.was_taken(one) {
+                continue;
+            }
             let same = |value: &&Value| value.topic == one.topic && value.key == one.key;
             let bytes = match &one.content {
                 Content::Whole(bytes) => Ok(bytes.clone()),
@@ -152,6 +163,9 @@
                     }
                 }
             };
+            if bytes.is_ok() {
+                self.take(one);
+            }
             values.push(bytes.map(|bytes| Value {
                 topic: one.topic,
                 key: one.key.clone(),
@@ -161,4 +175,19 @@
         }
         values
     }
+
+    fn was_taken(&self, told: &Told) -> bool {
+        let mut taken = self.taken.iter();
+        taken.any(|(offset, topic, key)| {
+            *offset == told.offset && *topic == told.topic && *key == told.key
+        })
+    }
+
+    fn take(&mut self, told: &Told) {
+        if self.taken.len() == TAKEN_RECORDS {
+            self.taken.pop_front();
+        }
+        let one = (told.offset, told.topic, told.key.clone());
+        self.taken.push_back(one);
+    }
 }
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -14,8 +14,11 @@
 
 /// Lives of instances whose evidence one beacon carries, the sender's first.
 const CARRIED: usize = 24;
-/// Sessions that one beacon carries of one origin.
+/// Sessions of its own that one beacon carries.
 const KEPT: usize = 256;
+/// Sessions of others that one beacon carries: together, the beacons of a round carry each several
+/// times, and taking in more would keep a small machine from its requests.
+const PASSED_ON: usize = 24;
 
 /// The number of a topic in a beacon.
 pub fn number(topic: Topic) -> i32 {
@@ -106,9 +109,9 @@
     Some((load.upstream.parse().ok()?, work))
 }
 
-/// As many of the sessions as one beacon carries.
-fn some(sessions: &[u64]) -> Vec<i64> {
-    let drawn = sessions.sample(&mut rand::rng(), KEPT);
+/// At most so many of the sessions, drawn at random.
+fn some(sessions: &[u64], most: usize) -> Vec<i64> {
+    let drawn = sessions.sample(&mut rand::rng(), most);
     drawn.map(|&hash| hash as i64).collect()
 }
 
@@ -135,8 +138,8 @@
         },
         written: report.written,
         evidence: report.evidence.iter().take(CARRIED).map(counted).collect(),
-        kept: some(&report.kept),
-        passed_on: Some(some(&report.passed_on)),
+        kept: some(&report.kept, KEPT),
+        passed_on: Some(some(&report.passed_on, PASSED_ON)),
     }
 }
 
