Serve connections of both fronts by one function

Texts of refusals stay, so each front keeps its own for a slow body.

Ruled out: fellow's accept loop, which ends at once on a cancellation, where these take connections that wait first.

--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -4,7 +4,8 @@
 //! [`Handler`].
 
 use crate::body::{self, Body};
-use crate::framing::{Framing, Ledger, Scanned};
+use crate::connection;
+use crate::framing::Framing;
 use crate::reply::Refusal;
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -13,14 +14,9 @@
 use entity::request;
 use forward::head::{Head, Request};
 use forward::{Dialect, dialect};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -34,10 +30,6 @@
 
 pub use crate::body::Piece;
 
-/// Pause after a failed accept, such as one for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Smallest read buffer that hyper allows, in bytes.
-const MIN_HEADER: usize = 8192;
 /// Longest time for a body to arrive; callers give a request up that is not read within a second
 /// or a third of their time.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
@@ -146,7 +138,12 @@
             closing: shutdown.closing,
             tasks: connections.clone(),
         });
-        connections.spawn(accept(listener, shared));
+        let tasks = connections.clone();
+        connections.spawn(async move {
+            let closing = shared.closing.clone();
+            let take = |stream| drop(tasks.spawn(serve(stream, shared.clone())));
+            connection::accept(listener, &closing, take).await;
+        });
         Ok(Self {
             address,
             connections,
@@ -165,46 +162,17 @@
     }
 }
 
-async fn accept<H: Handler>(listener: TcpListener, shared: Arc<Shared<H>>) {
-    loop {
-        let accepted = tokio::select! {
-            // Connections that wait are accepted first, so that a shutdown cuts none of them off.
-            biased;
-            accepted = listener.accept() => accepted,
-            () = shared.closing.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        shared.tasks.spawn(serve(stream, shared.clone()));
-    }
-}
-
 async fn serve<H: Handler>(stream: TcpStream, shared: Arc<Shared<H>>) {
     // Both only make the connection better: it serves without them.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
     let limits = **shared.limits.load();
-    let header = usize::try_from(limits.header.0).unwrap_or(usize::MAX);
-    let ledger = Ledger::default();
-    let scanned = Scanned::new(stream, ledger.clone());
     let closing = shared.closing.clone();
-    let service = service_fn(move |request| {
-        let (shared, framing) = (shared.clone(), ledger.next());
-        async move { Ok::<_, Infallible>(answer(&shared, request, framing).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle.duration())
-        .max_buf_size(header.max(MIN_HEADER))
-        .serve_connection(TokioIo::new(scanned), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = connection.await;
+    let answer = |request, framing| {
+        let shared = shared.clone();
+        async move { answer(&shared, request, framing).await }
+    };
+    connection::serve(stream, (limits.header, limits.idle), &closing, answer).await;
 }
 
 async fn answer<H: Handler>(
@@ -304,23 +272,10 @@
 }
 
 async fn collect(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
-    let size = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
-    let collected = tokio::time::timeout(BODY_LIMIT, Limited::new(body, size).collect()).await;
-    let Ok(collected) = collected else {
+    let read = body::read(body, limits.body, BODY_LIMIT).await;
+    read.unwrap_or_else(|_| {
         let status = StatusCode::REQUEST_TIMEOUT;
         let message = format!("the body did not arrive within {}", Span::from(BODY_LIMIT));
-        return Err(Refusal::not_run(status, "slow-body", message));
-    };
-    match collected {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let message = format!("the body has more than {}", limits.body);
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Refusal::not_run(status, "body-too-large", message))
-        }
-        Err(error) => {
-            let status = StatusCode::BAD_REQUEST;
-            Err(Refusal::not_run(status, "bad-body", error.to_string()))
-        }
-    }
+        Err(Refusal::not_run(status, "slow-body", message))
+    })
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,6 +4,7 @@
 //! and where it runs is decided by the [`Handler`].
 
 mod body;
+pub mod connection;
 pub mod forward;
 pub mod framing;
 pub mod headers;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,37 +1,28 @@
 //! Accepts connections and runs each request as a task of its own.
 
 use crate::body::{self, Body};
-use crate::framing::{Framing, Ledger, Scanned};
+use crate::connection;
+use crate::framing::Framing;
 use crate::parse::{self, bad};
 use crate::reply::{Refusal, Reply};
 use crate::request::{Request, Target};
 use bytes::Bytes;
 use entity::unit;
 use entity::{Span, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Pause after a failed accept, such as one for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Smallest read buffer that hyper allows, in bytes.
-const MIN_HEADER: usize = 8192;
-
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// The reply to one request. It runs as a task of its own, which goes on when the caller goes.
@@ -96,7 +87,11 @@
             limits,
             requests: requests.clone(),
         });
-        connections.spawn(accept(listener, shared, cancel, connections.clone()));
+        let tasks = connections.clone();
+        connections.spawn(async move {
+            let take = |stream| drop(tasks.spawn(serve(stream, shared.clone(), cancel.clone())));
+            connection::accept(listener, &cancel, take).await;
+        });
         Ok(Self {
             address,
             connections,
@@ -118,55 +113,19 @@
     }
 }
 
-async fn accept<H: Handler>(
-    listener: TcpListener,
-    shared: Arc<Shared<H>>,
-    cancel: CancellationToken,
-    connections: TaskTracker,
-) {
-    loop {
-        let accepted = tokio::select! {
-            // Connections that wait are accepted first, so that a shutdown cuts none of them off.
-            biased;
-            accepted = listener.accept() => accepted,
-            () = cancel.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        connections.spawn(serve(stream, shared.clone(), cancel.clone()));
-    }
-}
-
 async fn serve<H: Handler>(stream: TcpStream, shared: Arc<Shared<H>>, cancel: CancellationToken) {
     let _ = stream.set_nodelay(true);
-    let header = usize::try_from(shared.limits.header.0)
-        .unwrap_or(usize::MAX)
-        .max(MIN_HEADER);
-    let idle = shared.limits.idle.duration();
-    let ledger = Ledger::default();
-    let scanned = Scanned::new(stream, ledger.clone());
-    let service = service_fn(move |request| {
-        let (shared, framing) = (shared.clone(), ledger.next());
+    let limits = shared.limits;
+    let answer = |request, framing| {
+        let shared = shared.clone();
         async move {
-            Ok::<_, Infallible>(match framing {
+            match framing {
                 Framing::Sound => answer(&shared, request).await,
                 Framing::Ambiguous => ambiguous(),
-            })
+            }
         }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(header)
-        .serve_connection(TokioIo::new(scanned), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = cancel.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    let _ = connection.await;
+    };
+    connection::serve(stream, (limits.header, limits.idle), &cancel, answer).await;
 }
 
 /// The refusal of a request whose body has two lengths, after which nothing on the connection can be
@@ -275,26 +234,10 @@
 }
 
 async fn collect(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
-    let size = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
-    let collected = Limited::new(body, size).collect();
-    let Ok(collected) = tokio::time::timeout(limits.read.duration(), collected).await else {
+    let read = body::read(body, limits.body, limits.read.duration()).await;
+    read.unwrap_or_else(|_| {
         let message = "the body did not arrive in time";
-        return Err(Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "slow-body",
-            message,
-        ));
-    };
-    match collected {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let message = format!("the body has more than {}", limits.body);
-            Err(Refusal::not_run(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body-too-large",
-                message,
-            ))
-        }
-        Err(error) => Err(bad("bad-body", error.to_string())),
-    }
+        let status = StatusCode::REQUEST_TIMEOUT;
+        Err(Refusal::not_run(status, "slow-body", message))
+    })
 }
--- a/crates/server/src/forward/probe.rs
+++ b/crates/server/src/forward/probe.rs
@@ -3,6 +3,7 @@
 use crate::forward::belief::boot_time;
 use crate::forward::front::Shared;
 use bytes::Bytes;
+use caller::connection;
 use entity::Span;
 use forward::source::Topic;
 use http_body_util::Full;
@@ -19,8 +20,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-/// Pause after a failed accept, such as one for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Where metrics are read.
 const METRICS: &str = "/metrics";
 /// How long an idle connection is kept; the balancer asks once a second.
@@ -39,24 +38,12 @@
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
-        tokio::select! {
-            () = cancel.cancelled() => {}
-            () = accept(listener, shared) => {}
-        }
+        let take = |stream| drop(tokio::spawn(serve(stream, shared.clone())));
+        connection::accept(listener, &cancel, take).await;
     });
     Ok(address)
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        tokio::spawn(serve(stream, shared.clone()));
-    }
-}
-
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
     let service = service_fn(move |request: Request<Incoming>| {
         let response = if request.uri().path() == METRICS {
