Look up or insert in sorted pairs by one function

Cause: seven places, four of them new, wrote out the same search and insert in a vector of pairs; releases searched for services and sessions three times each.

Change: entity::sorted::entry, Releases::service and Releases::session.

Ruled out: vectors of structures that bear their own key; the closure for the key would be as long as the search.

Conclusion: behaviour as before.

--- a/crates/entity/src/lib.rs
+++ b/crates/entity/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod offset;
 pub mod place;
 pub mod request;
+pub mod sorted;
 pub mod time;
 pub mod unit;
 
--- a/crates/journal/src/usage/task.rs
+++ b/crates/journal/src/usage/task.rs
@@ -6,7 +6,7 @@
 use billing::held::{Full, Held};
 use billing::usage::{Entry, Record, STREAM, encode_one};
 use bytes::Bytes;
-use entity::{Moment, Span, name, request};
+use entity::{Moment, Span, name, request, sorted};
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -249,12 +249,7 @@
     }
 
     fn drops_of(&mut self, fellow: &name::Instance) -> &mut Vec<request::Id> {
-        let found = self.drops.binary_search_by(|(name, _)| name.cmp(fellow));
-        let index = found.unwrap_or_else(|index| {
-            self.drops.insert(index, (fellow.clone(), Vec::new()));
-            index
-        });
-        &mut self.drops[index].1
+        sorted::entry(&mut self.drops, fellow, Vec::new)
     }
 
     fn confirm(&mut self, fellow: &name::Instance, requests: &[request::Id]) {
@@ -404,12 +399,7 @@
     fellow: &name::Instance,
     record: &Record,
 ) -> bool {
-    let found = asks.binary_search_by(|(name, _)| name.cmp(fellow));
-    let index = found.unwrap_or_else(|index| {
-        asks.insert(index, (fellow.clone(), Vec::new()));
-        index
-    });
-    let records = &mut asks[index].1;
+    let records = sorted::entry(asks, fellow, Vec::new);
     let fits = records.len() < MESSAGE_RECORDS;
     if fits {
         records.push(record.clone());
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -107,10 +107,7 @@
     /// Takes over a configuration.
     pub fn configure(&mut self, config: &Config) {
         for (id, service) in config.services.iter() {
-            let found = self
-                .services
-                .binary_search_by(|known| known.name.cmp(&service.name));
-            let index = found.unwrap_or_else(|index| {
+            let index = self.service(&service.name).unwrap_or_else(|index| {
                 let new = Service {
                     name: service.name.clone(),
                     current: None,
@@ -128,10 +125,7 @@
     pub fn assign(&mut self, config: &Config, query: Query, now: Moment) -> Option<id::Version> {
         self.prune(now);
         let name = &config.services[query.service].name;
-        let index = self
-            .services
-            .binary_search_by(|known| known.name.cmp(name))
-            .ok()?;
+        let index = self.service(name).ok()?;
         let young = now.since(self.begun) < self.session_gap;
         let service = &self.services[index];
         let pinned = query.session.and_then(|hash| self.pinned(hash, now));
@@ -242,27 +236,29 @@
         }
     }
 
+    /// The position of a service, or where it belongs.
+    fn service(&self, name: &name::Service) -> Result<usize, usize> {
+        self.services.binary_search_by(|known| known.name.cmp(name))
+    }
+
+    /// The position of a session, or where it belongs.
+    fn session(&self, hash: u64) -> Result<usize, usize> {
+        self.sessions
+            .binary_search_by_key(&hash, |known| known.hash)
+    }
+
     fn trial(&mut self, service: &name::Service) -> Option<&mut Trial> {
-        let found = self
-            .services
-            .binary_search_by(|known| known.name.cmp(service));
-        self.services[found.ok()?].trial.as_mut()
+        let index = self.service(service).ok()?;
+        self.services[index].trial.as_mut()
     }
 
     fn pinned(&self, hash: u64, now: Moment) -> Option<&name::Version> {
-        let index = self
-            .sessions
-            .binary_search_by_key(&hash, |session| session.hash)
-            .ok()?;
-        let session = &self.sessions[index];
+        let session = &self.sessions[self.session(hash).ok()?];
         (now.since(session.seen) <= self.session_gap).then_some(&session.version)
     }
 
     fn remember(&mut self, session: Session) {
-        let found = self
-            .sessions
-            .binary_search_by_key(&session.hash, |known| known.hash);
-        match found {
+        match self.session(session.hash) {
             Ok(index) => self.sessions[index] = session,
             Err(index) => self.sessions.insert(index, session),
         }
@@ -270,10 +266,7 @@
 
     /// Takes in a session on the old release of which another instance told.
     fn keep(&mut self, hash: u64, version: &name::Version, origin: Origin, now: Moment) {
-        let found = self
-            .sessions
-            .binary_search_by_key(&hash, |known| known.hash);
-        if let Ok(index) = found {
+        if let Ok(index) = self.session(hash) {
             let known = &self.sessions[index];
             let valid = now.since(known.seen) <= self.session_gap;
             if known.origin == Origin::Own || valid && known.origin < origin {
--- a/crates/quality/src/trial.rs
+++ b/crates/quality/src/trial.rs
@@ -5,9 +5,8 @@
 //! release is no worse, the rest follows in steps. An answer counts as bad if it failed, or took much
 //! longer than answers of the old release to requests of the same kind usually do.
 
-use entity::name;
 use entity::unit::Share;
-use entity::{Moment, Span};
+use entity::{Moment, Span, name, sorted};
 
 /// Share of the exposure bound that a release under trial is given in the first half.
 const FIRST_SHARE: f64 = 0.6;
@@ -282,12 +281,7 @@
     }
 
     fn keep(&mut self, kind: u64, time: Span) {
-        let found = self.times.binary_search_by_key(&kind, |(known, _)| *known);
-        let index = found.unwrap_or_else(|index| {
-            self.times.insert(index, (kind, Vec::new()));
-            index
-        });
-        let times = &mut self.times[index].1;
+        let times = sorted::entry(&mut self.times, &kind, Vec::new);
         if times.len() == TIMES {
             times.remove(0);
         }
@@ -303,8 +297,5 @@
 }
 
 fn add(evidence: &mut Evidence, kind: u64, tally: Tally) {
-    match evidence.binary_search_by_key(&kind, |(known, _)| *known) {
-        Ok(index) => evidence[index].1.add(tally),
-        Err(index) => evidence.insert(index, (kind, tally)),
-    }
+    sorted::entry(evidence, &kind, Tally::default).add(tally);
 }
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -6,7 +6,7 @@
 use crate::waiting::{Reply, Waiting, query};
 use adoption::Snapshot;
 use entity::unit::{Bytes, Share, Tokens};
-use entity::{Generation, Moment, Span, id, name};
+use entity::{Generation, Moment, Span, id, name, sorted};
 use quality::governor::{First, Governor};
 use quality::release::{self, Releases};
 use quality::totals::Telling;
@@ -572,28 +572,15 @@
         }
     }
 
-    fn allowance(&mut self, service: name::Service) -> &mut Allowance {
-        let found = self
-            .allowances
-            .binary_search_by(|(known, _)| known.cmp(&service));
-        let index = found.unwrap_or_else(|index| {
-            let allowance = Allowance::new(self.repeats);
-            self.allowances.insert(index, (service, allowance));
-            index
-        });
-        &mut self.allowances[index].1
+    fn allowance(&mut self, service: &name::Service) -> &mut Allowance {
+        let repeats = self.repeats;
+        sorted::entry(&mut self.allowances, service, || Allowance::new(repeats))
     }
 
-    fn governor(&mut self, service: name::Service, now: Moment) -> &mut Governor {
-        let found = self
-            .governors
-            .binary_search_by(|(known, _)| known.cmp(&service));
-        let index = found.unwrap_or_else(|index| {
-            let governor = Governor::new(self.restarted, now);
-            self.governors.insert(index, (service, governor));
-            index
-        });
-        &mut self.governors[index].1
+    fn governor(&mut self, service: &name::Service, now: Moment) -> &mut Governor {
+        let restarted = self.restarted;
+        let new = || Governor::new(restarted, now);
+        sorted::entry(&mut self.governors, service, new)
     }
 
     fn generation(&self) -> Generation {
@@ -669,13 +656,13 @@
                 self.releases.answered(&service, &version, noted);
             }
             Forwarded::FirstEvent(service, first) => {
-                self.governor(service, now).observe(first, now);
+                self.governor(&service, now).observe(first, now);
             }
             Forwarded::Outlook(want, reply) => {
                 let _ = reply.send(self.balancer.outlook(&query(&want), now));
             }
             Forwarded::Governor(service, reply) => {
-                let _ = reply.send(self.governor(service, now).clone());
+                let _ = reply.send(self.governor(&service, now).clone());
             }
             Forwarded::Reports(reply) => {
                 let _ = reply.send(self.releases.reports(now));
@@ -684,9 +671,9 @@
             Forwarded::Written(service, target, ruling) => {
                 self.releases.written(&service, &target, ruling);
             }
-            Forwarded::Request(service) => self.allowance(service).request(now),
+            Forwarded::Request(service) => self.allowance(&service).request(now),
             Forwarded::Repeat(service, reserve, reply) => {
-                let _ = reply.send(self.allowance(service).repeat(reserve, now));
+                let _ = reply.send(self.allowance(&service).repeat(reserve, now));
             }
             Forwarded::FirstEventOf(upstream, ticket) => self.balancer.started(&upstream, ticket),
             Forwarded::Loads(reply) => {
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -5,7 +5,7 @@
 
 use crate::decider::Want;
 use config::Config;
-use entity::{Moment, Span, name};
+use entity::{Moment, Span, name, sorted};
 use routing::admission::{Entry, Queue, Shed};
 use routing::reserve;
 use routing::{Balancer, Choice, Query, Reason, Refusal};
@@ -227,14 +227,11 @@
     }
 
     fn queue(&mut self, key: &Key) -> &mut Queue<Waiter> {
-        let found = self.queues.binary_search_by(|(other, _)| other.cmp(key));
-        let index = found.unwrap_or_else(|index| {
+        sorted::entry(&mut self.queues, key, || {
             let mut queue = Queue::new(self.bound);
             set_shares(&mut queue, &self.config, &self.own, &self.live);
-            self.queues.insert(index, (key.clone(), queue));
-            index
-        });
-        &mut self.queues[index].1
+            queue
+        })
     }
 }
 
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -5,8 +5,8 @@
 
 use crate::failure::{Failure, Reason};
 use bytes::Bytes;
-use entity::Span;
 use entity::request::Ran;
+use entity::{Span, sorted};
 use forward::dialect::{Dialect, Order};
 use forward::{Answer, Head};
 use http_body_util::{BodyExt, Full};
@@ -211,12 +211,7 @@
         }
         let mut idle = self.idle();
         let address = connection.address;
-        let found = idle.binary_search_by_key(&address, |(address, _)| *address);
-        let index = found.unwrap_or_else(|index| {
-            idle.insert(index, (address, Vec::new()));
-            index
-        });
-        let connections = &mut idle[index].1;
+        let connections = sorted::entry(&mut idle, &address, Vec::new);
         if connections.len() < IDLE_COUNT {
             connections.push(Idle { connection, until });
         }
