Give routes one type before and after their services are resolved

Cause: catalog::Route repeated config::Forward field by field, because one names services and the other has ids. The feed copied each record into a page of its own to have it folded.

Change: Forward and Destination are generic over what stands for a service; catalog has aliases. Fold::record takes one record without a copy. The tests of the fold set up two upstreams in one place.

Ruled out: names in both, as a lookup by name would come to each request.

Conclusion: behaviour as before.

--- a/crates/config/src/forward.rs
+++ b/crates/config/src/forward.rs
@@ -30,18 +30,18 @@
     }
 }
 
-/// Where a part of a route's requests goes.
+/// Where a part of a route's requests goes. The service is a name before it is resolved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Destination {
+pub struct Destination<S = id::Service> {
     /// The service.
-    pub service: id::Service,
+    pub service: S,
     /// Its share, in relation to the others'.
     pub weight: u32,
 }
 
-/// Requests to one host whose path has a prefix.
+/// Requests to one host whose path has a prefix. Services are names before they are resolved.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Forward {
+pub struct Forward<S = id::Service> {
     /// The host.
     pub host: Box<str>,
     /// The prefix, with a slash at both ends.
@@ -62,11 +62,11 @@
     pub priority: u8,
     /// Models that the router may pick from, the smallest first; empty where the caller picks.
     pub models: Vec<name::Model>,
-    /// Where the requests go; never empty.
-    pub destinations: Vec<Destination>,
+    /// Where the requests go; never empty once it is resolved.
+    pub destinations: Vec<Destination<S>>,
     /// Whether callers need no key.
     pub public: bool,
-    /// Regions that requests may go to, sorted; empty for all.
+    /// Regions that requests may go to, sorted once it is resolved; empty for all.
     pub regions: Vec<name::Region>,
 }
 
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -1,6 +1,6 @@
 //! What operators publish and upstreams register, with names still to be resolved.
 
-use config::forward::{Limits, Repeat};
+use config::forward::{self, Limits};
 use config::{Key, Progress};
 use entity::name;
 use entity::unit::Cost;
@@ -22,45 +22,11 @@
     pub limits: Limits,
 }
 
-/// Where a part of a route's requests goes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Destination {
-    /// The service.
-    pub service: name::Service,
-    /// Its share, in relation to the others'.
-    pub weight: u32,
-}
+/// A route whose services are still to be resolved.
+pub type Route = forward::Forward<name::Service>;
 
-/// Requests to one host whose path has a prefix.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Route {
-    /// Its name, for logs.
-    pub name: Box<str>,
-    /// The host.
-    pub host: Box<str>,
-    /// The prefix, with a slash at both ends.
-    pub prefix: Box<str>,
-    /// Whether requests may be repeated.
-    pub repeat: Repeat,
-    /// The longest time for a whole answer.
-    pub timeout: Span,
-    /// The time within which an answer, or the first event of a stream, is on time.
-    pub objective: Span,
-    /// The longest pause between two events of a stream that is on time.
-    pub pause: Option<Span>,
-    /// The most upstreams that one request may be sent to.
-    pub attempts: u32,
-    /// How urgent it is; 0 is the most urgent.
-    pub priority: u8,
-    /// Models that the router may pick from, the smallest first; empty where the caller picks.
-    pub models: Vec<name::Model>,
-    /// Where the requests go.
-    pub destinations: Vec<Destination>,
-    /// Whether callers need no key.
-    pub public: bool,
-    /// Regions that requests may go to; empty for all.
-    pub regions: Vec<name::Region>,
-}
+/// Where a part of a route's requests goes.
+pub type Destination = forward::Destination<name::Service>;
 
 /// A model that engines of a service run.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/forward/src/fold.rs
+++ b/crates/forward/src/fold.rs
@@ -202,11 +202,18 @@
     pub fn page(&mut self, topic: Topic, page: &Page, now: Moment, lapsing: bool) -> Change {
         let mut change = Change::default();
         for item in &page.items {
-            self.item(topic, item, now, lapsing, &mut change);
+            change.add(self.record(topic, item, now, lapsing));
         }
         change
     }
 
+    /// Takes in one record.
+    pub fn record(&mut self, topic: Topic, item: &Item, now: Moment, lapsing: bool) -> Change {
+        let mut change = Change::default();
+        self.item(topic, item, now, lapsing, &mut change);
+        change
+    }
+
     /// Drops upstreams whose entries lapsed and did not come back.
     pub fn expire(&mut self, now: Moment) -> Change {
         let mut change = Change::default();
--- a/crates/forward/tests/fold.rs
+++ b/crates/forward/tests/fold.rs
@@ -70,6 +70,14 @@
         .collect()
 }
 
+/// A fold that knows two upstreams.
+fn two_upstreams() -> Fold {
+    let mut fold = Fold::default();
+    let both = vec![ready("i-1", 1), ready("i-2", 2)];
+    list(&mut fold, Topic::Upstreams, both, false);
+    fold
+}
+
 #[gtest]
 fn nothing_is_complete_before_all_topics_were_listed() {
     let mut fold = Fold::default();
@@ -143,13 +151,7 @@
 
 #[gtest]
 fn an_upstream_that_lapsed_during_an_outage_is_used_until_its_grace_ends() {
-    let mut fold = Fold::default();
-    list(
-        &mut fold,
-        Topic::Upstreams,
-        vec![ready("i-1", 1), ready("i-2", 2)],
-        false,
-    );
+    let mut fold = two_upstreams();
     let gone = vec![item("i-1", 3, None), item("i-2", 4, None)];
     page(&mut fold, Topic::Upstreams, gone, NOW, true);
     expect_that!(names(&fold), container_eq(["i-1", "i-2"]));
@@ -170,13 +172,7 @@
 
 #[gtest]
 fn a_new_listing_removes_what_it_does_not_have() {
-    let mut fold = Fold::default();
-    list(
-        &mut fold,
-        Topic::Upstreams,
-        vec![ready("i-1", 1), ready("i-2", 2)],
-        false,
-    );
+    let mut fold = two_upstreams();
     let change = list(&mut fold, Topic::Upstreams, vec![ready("i-2", 9)], false);
     expect_true!(change.routing);
     expect_that!(names(&fold), container_eq(["i-2"]));
@@ -184,13 +180,7 @@
 
 #[gtest]
 fn an_unreadable_entry_names_no_upstream_and_harms_no_other() {
-    let mut fold = Fold::default();
-    list(
-        &mut fold,
-        Topic::Upstreams,
-        vec![ready("i-1", 1), ready("i-2", 2)],
-        false,
-    );
+    let mut fold = two_upstreams();
     let torn = Item {
         key: "i-1".into(),
         offset: Offset(3),
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -384,11 +384,7 @@
     fn apply(&mut self, topic: Topic, items: &[Item], now: Moment, lapsing: bool) -> Change {
         let mut sum = Change::default();
         for item in items {
-            let page = Page {
-                items: vec![item.clone()],
-                next: item.offset,
-            };
-            let change = self.fold.page(topic, &page, now, lapsing);
+            let change = self.fold.record(topic, item, now, lapsing);
             if change.routing && !lapsing {
                 let freshness = &self.parts.shared.freshness;
                 freshness.news().tell(topic, item, boot_time());
