Let an opened request refer to its run instead of copying from it

Cause: Open held ten fields that follow from the request and what it was resolved to. Each cascaded request prepared what the largest model would be wanted for, also where the answer was sure. Whether another try can follow was checked in run::patience and again by Turn::last, and the bound on listeners was compared in two places.

Change: Open refers to the run and the resolved request; the better model's want is made once a model doubts its answer; the check is left to Turn::last; Acquaintances::are_few.

Ruled out: one message for governor and outlook, which are needed apart.

Conclusion: behaviour as before.

--- a/crates/routing/src/acquaintance.rs
+++ b/crates/routing/src/acquaintance.rs
@@ -11,7 +11,7 @@
 /// it may have been on its way.
 const BACK: Span = Span::from_secs(2);
 /// Instances up to which all are told in each round; beyond, some are drawn.
-pub const FANOUT: usize = 16;
+const FANOUT: usize = 16;
 /// Instances drawn of the own zone, where news spreads within two rounds.
 const NEAR: usize = 10;
 /// Instances drawn of all, which take news to other zones; bytes between zones are paid for.
@@ -62,6 +62,11 @@
         self.peers.is_empty()
     }
 
+    /// Whether they are so few that all are told in each round.
+    pub fn are_few(&self) -> bool {
+        self.peers.len() <= FANOUT
+    }
+
     /// Takes in that an instance itself was heard.
     pub fn hear(&mut self, peer: Peer) {
         if let Ok(index) = self.departure(&peer.name) {
@@ -131,7 +136,7 @@
 
     /// Who is told in one round: all of a few, else some of the own zone and some of all.
     pub fn listeners(&self, random: &mut impl Rng) -> Vec<SocketAddr> {
-        if self.peers.len() <= FANOUT {
+        if self.are_few() {
             return self.peers.iter().map(|peer| peer.address).collect();
         }
         let is_near = |peer: &&Peer| peer.zone.as_ref().is_none_or(|zone| *zone == self.zone);
--- a/crates/server/src/forward/open.rs
+++ b/crates/server/src/forward/open.rs
@@ -1,12 +1,13 @@
 //! Sends a request to one upstream, up to the point from which it can't be tried again unseen.
 
-use crate::decider::{Closed, Want};
-use crate::forward::front::Shared;
+use crate::core::Core;
+use crate::decider::Closed;
+use crate::forward::run::{Resolved, Run};
 use crate::tries::{Dispatch, Turn};
 use bytes::Bytes;
 use caller::forward::{Content, Passed};
 use config::Forward;
-use entity::{Span, name, request};
+use entity::{Span, name};
 use forward::dialect::Order;
 use forward::events::Splitter;
 use forward::head::Request;
@@ -22,48 +23,38 @@
 use upstream::forward::{Answered, Sending};
 use upstream::{Failure, Reason};
 
+/// The least urgent priority that a request may be sent with.
+const LEAST_URGENT: u8 = 9;
 /// Repeats that are left to tries after failures when a better model is asked.
 const RETRY_RESERVE: u32 = 4;
 
 /// A request as it is sent to an upstream.
 pub struct Open<'a> {
-    /// What the instance shares.
-    pub shared: &'a Shared,
-    /// The request's id in the time line.
-    pub id: request::Id,
     /// The request.
-    pub request: &'a Request,
-    /// Its route.
-    pub route: &'a Forward,
-    /// The service that runs it.
-    pub service: name::Service,
-    /// Who pays for it; none where the route is open to anybody.
-    pub organisation: Option<&'a name::Organisation>,
+    pub run: &'a Run,
+    /// What it was resolved to.
+    pub resolved: &'a Resolved,
     /// The model that the router picked.
     pub model: Option<&'a name::Model>,
-    /// Whether the answer is dropped for one of a better model where the model doubts it.
-    pub doubt: Option<Doubt>,
-    /// How long the first event, or the whole answer, is waited for.
+    /// When the answer is dropped for one of a better model; none where it is taken as it is.
+    pub doubt: Option<Doubt<'a>>,
+    /// How long the first event, or the whole answer, is waited for while another try can follow.
     pub patience: Patience,
     /// The last event that the caller has.
     pub last_event: Option<u64>,
-    /// How urgent it is.
-    pub urgency: u8,
-    /// Whether a failed answer is worth another try, so that it is not taken at once.
-    pub picky: bool,
     /// The last failed answer, which is passed on where no try gives a better one.
     pub failed: Mutex<Option<Passed>>,
 }
 
 /// When an answer is dropped for one of a better model.
-#[derive(Clone, Debug)]
-pub struct Doubt {
+#[derive(Clone, Copy, Debug)]
+pub struct Doubt<'a> {
     /// Confidence below which it is dropped while engines are free.
     pub below: u8,
     /// Whether nobody waits for it, so that it gives way to others.
     pub background: bool,
-    /// What the better model is wanted for.
-    pub better: Want,
+    /// The better model.
+    pub better: &'a name::Model,
 }
 
 /// How long the first event, or the whole answer, of one try is waited for.
@@ -102,6 +93,18 @@
 }
 
 impl Open<'_> {
+    fn core(&self) -> &Core {
+        &self.run.shared.core
+    }
+
+    fn route(&self) -> &Forward {
+        &self.resolved.route
+    }
+
+    fn request(&self) -> &Request {
+        &self.run.arrival.request
+    }
+
     fn sending<'a>(
         &'a self,
         choice: &'a Choice,
@@ -111,17 +114,17 @@
         let left = Span::from(end.saturating_duration_since(Instant::now()));
         Sending {
             address: choice.address,
-            head: &self.request.head,
-            body: &self.request.body,
+            head: &self.request().head,
+            body: &self.request().body,
             order: Order {
                 incarnation,
-                organisation: self.organisation.map(name::Organisation::as_str),
+                organisation: self.resolved.payer.as_ref().map(name::Organisation::as_str),
                 patience: Some(left),
                 model: self.model.map(name::Model::as_str),
                 last_event: self.last_event,
-                urgency: Some(self.urgency),
+                urgency: Some(self.route().priority.min(LEAST_URGENT)),
             },
-            reuse: self.route.repeat.repeatable(),
+            reuse: self.route().repeat.repeatable(),
             end,
         }
     }
@@ -135,7 +138,8 @@
             headers,
             body: Content::Whole(body),
         };
-        if self.picky && status.is_server_error() {
+        // A failed answer is worth another try where there may be one.
+        if self.route().repeat.repeatable() && status.is_server_error() {
             *self.failed.lock().expect("no holder of this lock panics") = Some(passed);
             return Err(Failure::maybe(Reason::Status(status.as_u16())));
         }
@@ -155,27 +159,29 @@
     }
 
     /// Whether the engines have the time for a better answer, and the bound on repeats allows it.
-    async fn escalates(&self, doubt: &Doubt, confidence: u8) -> Result<bool, Closed> {
-        let decider = &self.shared.core.decider;
-        let governor = decider.governor(self.service.clone()).await?;
-        let ahead = match decider.outlook(doubt.better.clone()).await? {
+    async fn escalates(&self, doubt: &Doubt<'_>, confidence: u8) -> Result<bool, Closed> {
+        let decider = &self.core().decider;
+        let service = self.resolved.service_name();
+        let governor = decider.governor(service.clone()).await?;
+        let better = self.run.job(self.resolved, Some(doubt.better)).want(&[]);
+        let ahead = match decider.outlook(better).await? {
             Ok(ahead) => ahead,
             // The configuration has just changed: the level alone decides.
             Err(refusal) if refusal.reason == routing::Reason::Generation => 0.0,
             Err(_) => f64::INFINITY,
         };
-        let objective = self.route.objective.as_secs_f64().max(1e-3);
+        let objective = self.route().objective.as_secs_f64().max(1e-3);
         let wait = governor.expected(ahead);
         let share = wait.as_secs_f64() / objective;
         let threshold = governor.threshold(doubt.below, doubt.background, share);
         let escalates =
-            confidence < threshold && decider.repeat(self.service.clone(), RETRY_RESERVE).await?;
+            confidence < threshold && decider.repeat(service.clone(), RETRY_RESERVE).await?;
         let kind = if escalates {
             Kind::Escalated
         } else {
             Kind::Accepted
         };
-        let draft = self.shared.core.recorder.event(kind).request(self.id);
+        let draft = self.core().recorder.event(kind).request(self.run.id);
         draft
             .count("confidence", u64::from(confidence))
             .count("threshold", u64::from(threshold))
@@ -192,7 +198,7 @@
             Patience::Fixed(span) => *span,
             Patience::Load(governor) => {
                 let smallest = self.doubt.is_some();
-                governor.patience(self.route.objective, smallest, choice.ahead)
+                governor.patience(self.route().objective, smallest, choice.ahead)
             }
         };
         if turn.last {
@@ -225,9 +231,7 @@
             })));
         }
     }
-}
 
-impl Open<'_> {
     /// Counts what the release answered. A connection that fails says nothing about a release.
     async fn note(&self, choice: &Choice, opened: &Result<Opened, Failure>, time: Span) {
         let (service, version, _) = choice.names();
@@ -244,11 +248,11 @@
                 _ => return,
             },
         };
-        let decider = &self.shared.core.decider;
-        if let (Some(time), true) = (time, self.route.repeat.streams()) {
+        let decider = &self.core().decider;
+        if let (Some(time), true) = (time, self.route().repeat.streams()) {
             let first = First {
                 time,
-                objective: self.route.objective,
+                objective: self.route().objective,
                 ahead: choice.ahead,
                 smallest: self.doubt.is_some(),
                 came: opened.is_ok(),
@@ -257,7 +261,7 @@
         }
         let model = self.model.map_or(0, |model| hash::text(model.as_str()));
         let noted = release::Noted {
-            kind: hash::part(hash::text(&self.route.name), model),
+            kind: hash::part(hash::text(&self.route().name), model),
             failed,
             time,
         };
@@ -281,8 +285,8 @@
             end: patient,
             ..sending
         };
-        let opened = match self.shared.pool.send(&sending).await {
-            Ok(answered) if self.route.repeat.streams() && answered.status.is_success() => {
+        let opened = match self.run.shared.pool.send(&sending).await {
+            Ok(answered) if self.route().repeat.streams() && answered.status.is_success() => {
                 self.stream(answered, patient).await
             }
             Ok(answered) => self.whole(answered, patient).await,
@@ -290,7 +294,7 @@
         };
         self.note(choice, &opened, Span::from(sent.elapsed())).await;
         if matches!(opened, Ok(Opened::Stream(_))) {
-            self.shared.core.decider.started(choice).await;
+            self.core().decider.started(choice).await;
         }
         opened
     }
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -23,7 +23,7 @@
 use quality::release::Report;
 use quality::trial::Ruling;
 use routing::Members;
-use routing::acquaintance::{Acquaintances, FANOUT, Peer};
+use routing::acquaintance::{Acquaintances, Peer};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -131,8 +131,8 @@
                     let Ok(reports) = self.parts.shared.core.decider.reports().await else {
                         return;
                     };
-                    let small = self.peers.len() <= FANOUT;
-                    next += if small { SMALL_PERIOD } else { LARGE_PERIOD };
+                    let few = self.peers.are_few();
+                    next += if few { SMALL_PERIOD } else { LARGE_PERIOD };
                     next = next.max(tokio::time::Instant::now());
                     self.round(&reports).await;
                 }
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -81,6 +81,13 @@
     pub deadline: Moment,
 }
 
+impl Resolved {
+    /// The name of the service that runs it.
+    pub fn service_name(&self) -> &name::Service {
+        &self.snapshot.config.services[self.service].name
+    }
+}
+
 impl Run {
     /// Runs the request.
     ///
@@ -95,8 +102,7 @@
             let mut resolved = resolved.map_err(|refusal| truthful(refusal, history.ran()))?;
             if !counted {
                 counted = true;
-                let config = &resolved.snapshot.config;
-                let service = config.services[resolved.service].name.clone();
+                let service = resolved.service_name().clone();
                 self.shared.core.decider.request(service).await;
             }
             if !self.assign(&mut resolved).await {
@@ -267,20 +273,12 @@
     /// The request as it is sent to upstreams.
     pub fn open<'a>(&'a self, resolved: &'a Resolved, model: Option<&'a name::Model>) -> Open<'a> {
         Open {
-            shared: &self.shared,
-            id: self.id,
-            request: &self.arrival.request,
-            route: &resolved.route,
-            service: resolved.snapshot.config.services[resolved.service]
-                .name
-                .clone(),
-            organisation: resolved.payer.as_ref(),
+            run: self,
+            resolved,
             model,
             doubt: None,
             patience: Patience::Caller,
             last_event: self.arrival.request.head.last_event,
-            urgency: resolved.route.priority.min(9),
-            picky: resolved.route.repeat.repeatable(),
             failed: Mutex::new(None),
         }
     }
@@ -291,14 +289,14 @@
         history: &mut History,
     ) -> Result<Reply, GivenUp> {
         let core = &self.shared.core;
-        let service = &resolved.snapshot.config.services[resolved.service].name;
-        let governor = core.decider.governor(service.clone()).await;
+        let service = resolved.service_name().clone();
+        let governor = core.decider.governor(service).await;
         let governor = governor.map_err(|_| GivenUp::Refused(tries::closing(history.ran())))?;
         let (model, doubt) = self.model(resolved, history, &governor).await;
-        let mut open = self.open(resolved, model.as_ref());
+        let mut open = self.open(resolved, model);
         open.doubt = doubt;
-        open.patience = patience(&resolved.route, history, &governor);
-        let job = self.job(resolved, model.as_ref());
+        open.patience = patience(&resolved.route, &governor);
+        let job = self.job(resolved, model);
         let taken = match tries::resume(core, &job, history, &open).await {
             Ok(taken) => taken,
             Err(GivenUp::Stale) => return Err(GivenUp::Stale),
@@ -331,7 +329,7 @@
             Opened::Stream(begun) => {
                 core.metric
                     .time(Timer::FirstByte, Span::from(self.arrival.at.elapsed()));
-                let asked = model.as_ref().map_or("", name::Model::as_str);
+                let asked = model.map_or("", name::Model::as_str);
                 core.recorder
                     .event(Kind::FirstByte)
                     .request(self.id)
@@ -340,7 +338,7 @@
                     .count("level", (governor.level() * 100.0) as u64)
                     .text("took", Span::from(self.arrival.at.elapsed()))
                     .record();
-                Ok(self.relay(resolved, *begun, choice, model, history))
+                Ok(self.relay(resolved, *begun, choice, model.cloned(), history))
             }
         }
     }
@@ -376,12 +374,12 @@
 
     /// The model to ask, where the router picks it, and when its answer is dropped for one of the
     /// largest model.
-    async fn model(
+    async fn model<'a>(
         &self,
-        resolved: &Resolved,
+        resolved: &'a Resolved,
         history: &History,
         governor: &Governor,
-    ) -> (Option<name::Model>, Option<Doubt>) {
+    ) -> (Option<&'a name::Model>, Option<Doubt<'a>>) {
         let head = &self.arrival.request.head;
         let route = &resolved.route;
         let (Some(Model::Any), Some(smallest), Some(largest)) =
@@ -390,33 +388,33 @@
             return (None, None);
         };
         let full = match self.shared.cascade {
-            Cascade::Largest => return (Some(largest.clone()), None),
-            Cascade::Smallest => return (Some(smallest.clone()), None),
+            Cascade::Largest => return (Some(largest), None),
+            Cascade::Smallest => return (Some(smallest), None),
             Cascade::Below(threshold) => threshold,
         };
         if history.dropped() {
-            return (Some(largest.clone()), None);
+            return (Some(largest), None);
         }
-        let better = self.job(resolved, Some(largest)).want(&[]);
         if history.leaves_two(route.attempts) && head.last_event.is_none() {
             let background = route.priority >= BACKGROUND;
             let share = if background { BACKGROUND_SHARE } else { 100 };
             let doubt = Doubt {
                 below: u8::try_from(u16::from(full) * share / 100).unwrap_or(full),
                 background,
-                better,
+                better: largest,
             };
-            return (Some(smallest.clone()), Some(doubt));
+            return (Some(smallest), Some(doubt));
         }
         // The last run: its answer is taken, whatever the model thinks of it.
+        let better = self.job(resolved, Some(largest)).want(&[]);
         let ahead = self.shared.core.decider.outlook(better).await;
         let ahead = ahead.ok().and_then(Result::ok);
         let wait = ahead.map(|ahead| governor.expected(ahead));
         let soon = wait.is_some_and(|wait| wait < route.objective.scaled(LIGHT_WAIT));
         if soon && governor.level() > LIGHT_LOAD {
-            (Some(largest.clone()), None)
+            (Some(largest), None)
         } else {
-            (Some(smallest.clone()), None)
+            (Some(smallest), None)
         }
     }
 
@@ -486,11 +484,8 @@
     }
 }
 
-/// How long the first event, or the whole answer, of one try is waited for.
-fn patience(route: &Forward, history: &History, governor: &Governor) -> Patience {
-    if !route.repeat.repeatable() || !history.leaves_two(route.attempts) {
-        return Patience::Caller;
-    }
+/// How long the first event, or the whole answer, of one try is waited for while another can follow.
+fn patience(route: &Forward, governor: &Governor) -> Patience {
     if route.repeat.streams() {
         return Patience::Load(governor.clone());
     }
