Log how a departure was learned, irregular reads, and the age of the upstreams' state

The logs of the incident could not tell a grace period from a late read, nor how old the state was that a request went by. Now: 'read' for each read that is not a reader's regular one (age, duration, whether it counts as after an outage); 'by' on joined, left and the new 'lapsed'; upstreams-age on 'routed'; the gauges upstreams_age_seconds and displaced_updates. No change of logic.

--- a/crates/forward/src/fold.rs
+++ b/crates/forward/src/fold.rs
@@ -24,6 +24,8 @@
     pub joined: Vec<name::Upstream>,
     /// Upstreams that are draining, were removed, or whose grace period ended.
     pub left: Vec<name::Upstream>,
+    /// Upstreams whose entry is missing, and that stay in use for a grace period.
+    pub lapsed: Vec<name::Upstream>,
     /// Keys and error messages of the records that could not be decoded.
     pub unreadable: Vec<(Box<str>, Box<str>)>,
 }
@@ -34,6 +36,7 @@
         self.routing |= later.routing;
         self.joined.extend(later.joined);
         self.left.extend(later.left);
+        self.lapsed.extend(later.lapsed);
         self.unreadable.extend(later.unreadable);
     }
 
@@ -452,7 +455,10 @@
         };
         let upstream = &mut self.upstreams[index];
         if lapsing && upstream.is_ready() {
-            upstream.grace.get_or_insert(now + LAPSE_GRACE);
+            if upstream.grace.is_none() {
+                upstream.grace = Some(now + LAPSE_GRACE);
+                change.lapsed.push(name.clone());
+            }
             return;
         }
         if upstream.is_ready() {
--- a/crates/forward/src/updates.rs
+++ b/crates/forward/src/updates.rs
@@ -71,6 +71,8 @@
     bases: Vec<Value>,
     /// Records received from peers and decoded, the oldest first.
     received: VecDeque<(Offset, Topic, Box<str>)>,
+    /// Number of records that were displaced before their time was over.
+    displaced: u64,
 }
 
 impl Updates {
@@ -125,10 +127,16 @@
                 .iter()
                 .position(|(_, record)| record.topic == topic);
             self.announced.remove(oldest.unwrap_or_default());
+            self.displaced += 1;
         }
         self.announced.push((now, record));
     }
 
+    /// Returns how many records were displaced by later ones before their time was over.
+    pub fn displaced(&self) -> u64 {
+        self.displaced
+    }
+
     /// Encodes a value against its base, if the base is available and the delta is short enough.
     fn delta_from_base(&self, topic: Topic, item: &Item) -> Option<Delta> {
         let mut base = self.bases.iter();
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -56,6 +56,17 @@
     Relayed(Vec<Item>, oneshot::Sender<()>),
 }
 
+impl Batch {
+    /// Returns how the records were learned, as event logs name it.
+    fn source(&self) -> &'static str {
+        match self {
+            Self::Listing(_) => "listing",
+            Self::Page(_) => "page",
+            Self::Relayed(..) => "peer",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Read {
     topic: Topic,
@@ -183,6 +194,7 @@
         loop {
             let sent = boot_time();
             let began = tokio::time::Instant::now();
+            let age = self.shared.freshness.age(self.topic, sent);
             let read = self.read(next, failing).await;
             let batch = match read {
                 Ok(batch) => batch,
@@ -219,6 +231,7 @@
                 sent,
                 after_outage: recovered.is_some_and(|at| now.since(at) < RECOVERY_PERIOD),
             };
+            self.record_read(&read, age);
             if self.reads.send(read).await.is_err() {
                 return;
             }
@@ -309,6 +322,25 @@
         Ok(Batch::Page(page))
     }
 
+    /// Records a read that is not one of a reader's regular reads: when it was sent, how old the
+    /// state was then, and whether it counts as made after an outage.
+    fn record_read(&self, read: &Read, age: Option<Span>) {
+        let is_reader = self.shared.freshness.is_reader();
+        if is_reader && !read.after_outage {
+            return;
+        }
+        let recorder = &self.shared.core.recorder;
+        recorder
+            .event(Kind::Read)
+            .text("topic", format!("{:?}", self.topic))
+            .text("by", read.batch.source())
+            .text("age", age.unwrap_or_default())
+            .text("took", boot_time().since(read.sent))
+            .flag("reader", is_reader)
+            .flag("after-outage", read.after_outage)
+            .record();
+    }
+
     fn record_event(&self, kind: Kind, text: &str) {
         let recorder = &self.shared.core.recorder;
         recorder
@@ -332,14 +364,17 @@
             let now = self.parts.clock.now();
             let expiry = self.fold.next_expiry();
             let wait = expiry.map_or(Duration::from_secs(3600), |at| at.since(now).duration());
-            let change = tokio::select! {
+            let (change, source) = tokio::select! {
                 read = received.recv() => match read {
-                    Some(read) => self.apply_batch(read),
+                    Some(read) => {
+                        let source = read.batch.source();
+                        (self.apply_batch(read), source)
+                    }
                     None => return,
                 },
-                () = tokio::time::sleep(wait) => self.expire(),
+                () = tokio::time::sleep(wait) => (self.expire(), "grace-end"),
             };
-            self.record_change(&change);
+            self.record_change(&change, source);
             if change.routing && self.fold.is_complete() {
                 self.put_in_force().await;
             }
@@ -442,15 +477,21 @@
         self.parts.in_force.send_replace(Some(snapshot));
     }
 
-    fn record_change(&self, change: &Change) {
+    /// Records the upstreams of a change, and how it was learned.
+    fn record_change(&self, change: &Change, source: &'static str) {
         let recorder = &self.parts.shared.core.recorder;
+        let record = |kind, why, name| {
+            let event = recorder.event(kind).text("upstream", name);
+            event.text("why", why).text("by", source).record();
+        };
         for name in &change.joined {
-            let draft = recorder.event(Kind::Warm);
-            draft.text("upstream", name).text("why", "joined").record();
+            record(Kind::Warm, "joined", name);
         }
         for name in &change.left {
-            let draft = recorder.event(Kind::Cold);
-            draft.text("upstream", name).text("why", "left").record();
+            record(Kind::Cold, "left", name);
+        }
+        for name in &change.lapsed {
+            record(Kind::Cold, "lapsed", name);
         }
         for (key, problem) in &change.unreadable {
             let draft = recorder.event(Kind::Rejected);
--- a/crates/server/src/forward/probe.rs
+++ b/crates/server/src/forward/probe.rs
@@ -63,9 +63,16 @@
 
 fn metrics(shared: &Shared) -> Response<Full<Bytes>> {
     let core = &shared.core;
-    let age = shared.freshness.age(Topic::Operator, boot_time());
-    let age = age.map_or(f64::NAN, Span::as_secs_f64);
-    core.metric.set_gauge("config_age_seconds", age);
+    let age = |topic| {
+        let age = shared.freshness.age(topic, boot_time());
+        age.map_or(f64::NAN, Span::as_secs_f64)
+    };
+    core.metric
+        .set_gauge("config_age_seconds", age(Topic::Operator));
+    core.metric
+        .set_gauge("upstreams_age_seconds", age(Topic::Upstreams));
+    let displaced = shared.freshness.updates().displaced();
+    core.metric.set_gauge("displaced_updates", displaced as f64);
     core.metric
         .set_gauge("generation", core.generation().0 as f64);
     core.metric.set_gauge("streams", core.streams.len() as f64);
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -440,12 +440,14 @@
         }
     }
 
-    /// Records the resolved route, and the age of the configuration.
+    /// Records the resolved route, and the ages of the configuration and of the upstreams.
     fn record_route(&self, resolved: &Resolved) {
         let core = &self.shared.core;
         let config = &resolved.snapshot.config;
         let freshness = &self.shared.freshness;
-        let age = freshness.age(Topic::Operator, boot_time());
+        let now = boot_time();
+        let age = freshness.age(Topic::Operator, now);
+        let upstreams_age = freshness.age(Topic::Upstreams, now);
         let release = resolved
             .version
             .map(|version| &config.versions[version].name);
@@ -461,6 +463,7 @@
             .text("release", release)
             .count("generation", resolved.snapshot.generation.0)
             .text("config-age", age.unwrap_or_default())
+            .text("upstreams-age", upstreams_age.unwrap_or_default())
             .text("left", resolved.deadline.since(core.clock.now()))
             .record();
     }
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -113,6 +113,8 @@
     Suspected = "suspected",
     /// A call to the platform failed.
     Outage = "outage",
+    /// A topic of the store was read although peers usually send its changes, or after an outage.
+    Read = "read",
     /// Events were dropped because the queue was full.
     Dropped = "dropped",
 }
