Decide when a topic is read, and what an outage is, in a pure state machine

forward::follow holds what was spread over the task that reads a topic and the atomics of Freshness, so that it can be tested and explored without sockets or clocks. No change of behaviour.

--- /dev/null
+++ b/crates/forward/src/follow.rs
@@ -0,0 +1,121 @@
+//! How one instance follows a topic of the store: how old its state is, when it has to read the
+//! topic, and whether the store has just been unavailable.
+//!
+//! A few instances, the readers, read the store all the time. Their peers learn the records and the
+//! age of the read behind them from beacons, and read the store themselves only when those are
+//! missing. All times are in boot time, which counts suspensions of the machine.
+
+use entity::{Moment, Span};
+
+/// Time by which a confirmation by a peer is dated back for the transit of its datagram, in
+/// addition to the time that the datagram waited in the receive queue.
+const TRANSIT_ALLOWANCE: Span = Span::from_millis(60);
+/// Time between two successful reads from which the store counts as having had an outage.
+const OUTAGE_GAP: Span = Span::from_millis(2600);
+/// Time after an outage of the store during which entries may be missing only because of it.
+const RECOVERY_PERIOD: Span = Span::from_millis(1500);
+
+/// Intervals at which a topic is read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Timing {
+    /// Time between the starts of two reads of a reader.
+    pub reader_interval: Span,
+    /// Age of the state at which an instance that is not a reader reads the topic itself.
+    pub max_age: Span,
+    /// Time for which peers with later reads may report another digest before the topic is read.
+    pub disagreement_limit: Span,
+}
+
+/// What one instance knows of one topic.
+#[derive(Clone, Debug, Default)]
+pub struct Follow {
+    timing: Timing,
+    digest: u64,
+    /// Start of the last read that confirmed the digest.
+    confirmed: Option<Moment>,
+    /// Time since which peers with later reads have reported another digest.
+    differs_since: Option<Moment>,
+    /// End of this instance's last successful read.
+    last_read: Option<Moment>,
+    /// Time of the first successful read after an outage.
+    recovered: Option<Moment>,
+}
+
+impl Follow {
+    /// Creates the state before the first read.
+    pub fn new(timing: Timing) -> Self {
+        Self {
+            timing,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the digest of the topic's contents.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Sets the digest of the topic's contents.
+    pub fn set_digest(&mut self, digest: u64) {
+        self.digest = digest;
+    }
+
+    /// Records that a read which was sent at `sent` confirmed the digest.
+    pub fn confirm(&mut self, sent: Moment) {
+        self.confirmed = self.confirmed.max(Some(sent));
+    }
+
+    /// Returns the time since the last confirmed read was sent; `None` before the first.
+    pub fn age(&self, now: Moment) -> Option<Span> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
+    /// Records a peer's digest and the age of the read that confirmed it. An equal digest confirms
+    /// that of this instance. Returns whether the topic has to be read now, because peers with later
+    /// reads keep reporting another digest.
+    pub fn record_sight(&mut self, digest: u64, age: Span, now: Moment) -> bool {
+        let age = age + TRANSIT_ALLOWANCE;
+        if digest == self.digest {
+            self.differs_since = None;
+            self.confirm(now - age);
+            return false;
+        }
+        if self.age(now).is_none_or(|own| age >= own) {
+            return false;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        let overdue = now.since(since) > self.timing.disagreement_limit;
+        if overdue {
+            self.differs_since = Some(now);
+        }
+        overdue
+    }
+
+    /// Records a successful read that was sent at `sent` and answered now. Returns whether entries
+    /// may be missing from it only because the store had an outage.
+    pub fn record_read(&mut self, _sent: Moment, now: Moment) -> bool {
+        if self
+            .last_read
+            .is_some_and(|last| now.since(last) > OUTAGE_GAP)
+        {
+            self.recovered = Some(now);
+        }
+        self.last_read = Some(now);
+        self.recovered
+            .is_some_and(|at| now.since(at) < RECOVERY_PERIOD)
+    }
+
+    /// Records a failed read.
+    pub fn record_failure(&mut self) {}
+
+    /// Returns the time until the topic has to be read, after a read that was sent at `sent`.
+    /// `jitter` spreads the reads of instances that are not readers.
+    pub fn read_delay(&self, reader: bool, sent: Moment, jitter: Span, now: Moment) -> Span {
+        if reader {
+            return (sent + self.timing.reader_interval).since(now);
+        }
+        let due = self.timing.max_age + jitter;
+        let age = self.age(now).unwrap_or(due);
+        Span::from_micros(due.as_micros().saturating_sub(age.as_micros()))
+    }
+}
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use config::forward::Limits;
 use entity::{Generation, Moment, Offset, Span};
+use forward::follow::Timing;
 use forward::source::{Error, Item, Listing, Page, Topic};
 use forward::{Change, Fold, Source, ZoneRegions, resolve};
 use rand::RngExt;
@@ -25,7 +26,13 @@
 const OPERATOR_LONG_POLL: Span = Span::from_millis(500);
 /// Interval between a reader's reads of the upstreams' topic, which always has new records. Two
 /// seconds after an upstream leaves, nothing may be sent to it.
-const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(600);
+const UPSTREAMS_INTERVAL: Span = Span::from_millis(600);
+/// Time for which peers with later reads may report another digest of the operators' topic before
+/// an instance reads it. A change reaches every instance within two rounds of datagrams.
+const OPERATOR_DISAGREEMENT_LIMIT: Span = Span::from_millis(900);
+/// The same time for the upstreams' topic, since nothing may be sent to an upstream two seconds
+/// after it leaves.
+const UPSTREAMS_DISAGREEMENT_LIMIT: Span = Span::from_millis(450);
 /// Share of the propagation bound after which an instance that is not a reader, and gets no updates
 /// from peers, reads a topic itself.
 const SELF_READ_SHARE: f64 = 0.65;
@@ -37,10 +44,6 @@
 /// Shortest and longest delay after a failed read; it doubles with each failure.
 const RETRY_DELAY_RANGE: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(400));
-/// Time between two successful reads from which the store counts as having had an outage.
-const OUTAGE_GAP: Span = Span::from_millis(2600);
-/// Time after an outage of the store during which entries may be missing only because of it.
-const RECOVERY_PERIOD: Span = Span::from_millis(1500);
 /// Capacity of the channel to the task that owns the fold, in batches.
 const QUEUE_CAPACITY: usize = 16;
 
@@ -91,9 +94,6 @@
     pub limits: Arc<ArcSwap<Limits>>,
     /// State shared by the requests.
     pub shared: Arc<Shared>,
-    /// Time within which a new configuration is in force, and time within which an upstream that
-    /// leaves receives no more requests.
-    pub propagation_bounds: (Span, Span),
 }
 
 /// Applies records that peers relay.
@@ -127,10 +127,6 @@
             source: source.clone(),
             reads: reads.clone(),
             shared: parts.shared.clone(),
-            max_age: self_read_age(match topic {
-                Topic::Upstreams => parts.propagation_bounds.1,
-                _ => parts.propagation_bounds.0,
-            }),
         };
         let cancel = cancel.clone();
         tokio::spawn(async move {
@@ -145,7 +141,6 @@
         source,
         reads: reads.clone(),
         shared: parts.shared.clone(),
-        max_age: Span::ZERO,
     };
     let token = cancel.clone();
     tokio::spawn(async move {
@@ -169,9 +164,24 @@
     Handle { reads }
 }
 
-/// Returns the age at which an instance without updates from peers reads a topic.
-fn self_read_age(bound: Span) -> Span {
-    Span::from_micros((bound.as_micros() as f64 * SELF_READ_SHARE) as u64)
+/// Returns when the operators' topic is read, if a new configuration has to be in force within
+/// `bound`.
+pub fn operator_timing(bound: Span) -> Timing {
+    Timing {
+        reader_interval: Span::ZERO,
+        max_age: bound.scaled(SELF_READ_SHARE),
+        disagreement_limit: OPERATOR_DISAGREEMENT_LIMIT,
+    }
+}
+
+/// Returns when the upstreams' topic is read, if an upstream that leaves may receive requests for
+/// at most `bound`.
+pub fn upstreams_timing(bound: Span) -> Timing {
+    Timing {
+        reader_interval: UPSTREAMS_INTERVAL,
+        max_age: bound.scaled(SELF_READ_SHARE),
+        disagreement_limit: UPSTREAMS_DISAGREEMENT_LIMIT,
+    }
 }
 
 /// Reads one topic of the store.
@@ -180,20 +190,15 @@
     source: S,
     reads: mpsc::Sender<Read>,
     shared: Arc<Shared>,
-    /// Age of the last confirmed read at which the topic is read again.
-    max_age: Span,
 }
 
 impl<S: Source> Follower<S> {
     async fn run(self) {
         let mut next: Option<Offset> = None;
-        let mut last_read: Option<Moment> = None;
-        let mut recovered: Option<Moment> = None;
         let mut delay = RETRY_DELAY_RANGE.0;
         let mut failing = false;
         loop {
             let sent = boot_time();
-            let began = tokio::time::Instant::now();
             let age = self.shared.freshness.age(self.topic, sent);
             let read = self.read(next, failing).await;
             let batch = match read {
@@ -207,19 +212,16 @@
                         self.record_event(Kind::Outage, &error.to_string());
                     }
                     failing = true;
+                    self.shared.freshness.record_failure(self.topic);
                     self.back_off(delay, next.is_some()).await;
                     delay = (delay * 2).min(RETRY_DELAY_RANGE.1);
                     continue;
                 }
             };
-            let now = boot_time();
-            if last_read.is_some_and(|last| now.since(last) > OUTAGE_GAP) {
-                recovered = Some(now);
-            }
             if failing {
                 self.record_event(Kind::Adopted, "the store answers again");
             }
-            (last_read, failing, delay) = (Some(now), false, RETRY_DELAY_RANGE.0);
+            (failing, delay) = (false, RETRY_DELAY_RANGE.0);
             next = Some(match &batch {
                 Batch::Listing(listing) => listing.end,
                 Batch::Page(page) => page.next,
@@ -229,13 +231,13 @@
                 topic: self.topic,
                 batch,
                 sent,
-                after_outage: recovered.is_some_and(|at| now.since(at) < RECOVERY_PERIOD),
+                after_outage: (self.shared.freshness).record_read(self.topic, sent, boot_time()),
             };
             self.record_read(&read, age);
             if self.reads.send(read).await.is_err() {
                 return;
             }
-            self.wait_until_due(began).await;
+            self.wait_until_due(sent).await;
         }
     }
 
@@ -248,32 +250,20 @@
             return;
         }
         tokio::time::sleep(NON_READER_RETRY_DELAY).await;
-        self.wait_until_due(tokio::time::Instant::now()).await;
+        self.wait_until_due(boot_time()).await;
     }
 
-    /// Waits until the topic is due to be read again.
-    async fn wait_until_due(&self, began: tokio::time::Instant) {
+    /// Waits until the topic is due to be read again, after a read that was sent at `sent`.
+    async fn wait_until_due(&self, sent: Moment) {
         let freshness = &self.shared.freshness;
         let jitter = Span::from_millis(rand::rng().random_range(0..=JITTER_MS));
-        let max_age = self.max_age;
         loop {
-            let wait = if freshness.is_reader() {
-                match self.topic {
-                    Topic::Upstreams => (began + UPSTREAMS_INTERVAL)
-                        .saturating_duration_since(tokio::time::Instant::now()),
-                    _ => Duration::ZERO,
-                }
-            } else {
-                let age = freshness
-                    .age(self.topic, boot_time())
-                    .unwrap_or(max_age + jitter);
-                (max_age + jitter).duration().saturating_sub(age.duration())
-            };
-            if wait.is_zero() {
+            let wait = freshness.read_delay(self.topic, sent, jitter, boot_time());
+            if wait == Span::ZERO {
                 return;
             }
             tokio::select! {
-                () = tokio::time::sleep(wait) => {}
+                () = tokio::time::sleep(wait.duration()) => {}
                 () = freshness.wait_for_wake(self.topic) => {
                     if !freshness.is_reader() {
                         return;
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -5,41 +5,38 @@
 
 use crate::forward::key_validity::KeyValidity;
 use entity::{Moment, Span};
+use forward::Follow;
+use forward::follow::Timing;
 use forward::source::Topic;
 use forward::updates::Updates;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
 /// Topics that every instance follows.
 pub const FOLLOWED_TOPICS: [Topic; 2] = [Topic::Operator, Topic::Upstreams];
 
-/// Time by which a confirmation by a peer is dated back for the transit of its datagram, in
-/// addition to the time that the datagram waited in the receive queue.
-const TRANSIT_ALLOWANCE: Span = Span::from_millis(60);
-
-/// Time for which peers with later reads may report another digest of the operators' topic before
-/// this instance reads it. A change reaches every instance within two rounds of datagrams.
-const OPERATOR_DISAGREEMENT_LIMIT: Span = Span::from_millis(900);
-
-/// The same time for the upstreams' topic, since nothing may be sent to an upstream two seconds
-/// after it leaves.
-const UPSTREAMS_DISAGREEMENT_LIMIT: Span = Span::from_millis(450);
-
-/// Digest and confirmations of one topic.
-#[derive(Debug, Default)]
+/// State of one topic.
+#[derive(Debug)]
 struct TopicState {
-    digest: AtomicU64,
-    /// Time at which the last read was sent that confirmed the digest, in boot time; 0 before the
-    /// first.
-    confirmed: AtomicU64,
-    /// Time since which peers with later reads have reported another digest, in boot time; 0 where
-    /// they do not.
-    differs_since: AtomicU64,
+    follow: Mutex<Follow>,
     /// Wakes the task that follows the topic.
     wake: Notify,
 }
 
+impl TopicState {
+    fn new(timing: Timing) -> Self {
+        Self {
+            follow: Mutex::new(Follow::new(timing)),
+            wake: Notify::new(),
+        }
+    }
+
+    fn follow(&self) -> MutexGuard<'_, Follow> {
+        self.follow.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Digests and ages of the topics of the store.
 #[derive(Debug)]
 pub struct Freshness {
@@ -55,11 +52,11 @@
 impl Freshness {
     /// Creates the state before the first read. Keys are valid for `ttl` after the last confirmed
     /// read.
-    pub fn new(ttl: Option<Span>) -> Self {
+    pub fn new(ttl: Option<Span>, operator: Timing, upstreams: Timing) -> Self {
         Self {
             key_validity: KeyValidity::new(ttl),
-            operator: TopicState::default(),
-            upstreams: TopicState::default(),
+            operator: TopicState::new(operator),
+            upstreams: TopicState::new(upstreams),
             updates: Mutex::default(),
             reader: AtomicBool::new(true),
         }
@@ -74,49 +71,48 @@
 
     /// Returns the digest of a topic's contents.
     pub fn digest(&self, topic: Topic) -> u64 {
-        self.state(topic).digest.load(Ordering::Relaxed)
+        self.state(topic).follow().digest()
     }
 
     /// Sets the digest of a topic's contents.
     pub fn set_digest(&self, topic: Topic, digest: u64) {
-        self.state(topic).digest.store(digest, Ordering::Relaxed);
+        self.state(topic).follow().set_digest(digest);
     }
 
     /// Records that a read which was sent at `sent` confirmed the topic's digest.
     pub fn confirm(&self, topic: Topic, sent: Moment) {
-        let confirmed = &self.state(topic).confirmed;
-        confirmed.fetch_max(sent.0, Ordering::Relaxed);
+        self.state(topic).follow().confirm(sent);
     }
 
     /// Returns the time since the last confirmed read of a topic was sent; `None` before the first.
     pub fn age(&self, topic: Topic, now: Moment) -> Option<Span> {
-        match self.state(topic).confirmed.load(Ordering::Relaxed) {
-            0 => None,
-            confirmed => Some(now.since(Moment(confirmed))),
-        }
+        self.state(topic).follow().age(now)
     }
 
-    /// Records a peer's digest of a topic and the age of the read that confirmed it. An equal
-    /// digest confirms that of this instance. If peers with later reads keep reporting another
-    /// digest, the task that follows the topic is woken to read it.
+    /// Records a successful read of this instance that was sent at `sent` and answered now. Returns
+    /// whether entries may be missing from it only because the store had an outage.
+    pub fn record_read(&self, topic: Topic, sent: Moment, now: Moment) -> bool {
+        self.state(topic).follow().record_read(sent, now)
+    }
+
+    /// Records a failed read of this instance.
+    pub fn record_failure(&self, topic: Topic) {
+        self.state(topic).follow().record_failure();
+    }
+
+    /// Returns the time until a topic has to be read, after a read that was sent at `sent`.
+    pub fn read_delay(&self, topic: Topic, sent: Moment, jitter: Span, now: Moment) -> Span {
+        let reader = self.is_reader();
+        let follow = self.state(topic).follow();
+        follow.read_delay(reader, sent, jitter, now)
+    }
+
+    /// Records a peer's digest of a topic and the age of the read that confirmed it. If peers with
+    /// later reads keep reporting another digest, the task that follows the topic is woken to read
+    /// it.
     pub fn record_peer_digest(&self, topic: Topic, digest: u64, age: Span, now: Moment) {
-        let age = age + TRANSIT_ALLOWANCE;
-        let sent = now - age;
         let state = self.state(topic);
-        if digest == self.digest(topic) {
-            state.differs_since.store(0, Ordering::Relaxed);
-            self.confirm(topic, sent);
-            return;
-        }
-        let own = self.age(topic, now);
-        if own.is_none_or(|own| age >= own) {
-            return;
-        }
-        let since = state.differs_since.load(Ordering::Relaxed);
-        if since == 0 {
-            state.differs_since.store(now.0, Ordering::Relaxed);
-        } else if now.since(Moment(since)) > disagreement_limit(topic) {
-            state.differs_since.store(now.0, Ordering::Relaxed);
+        if state.follow().record_sight(digest, age, now) {
             state.wake.notify_one();
         }
     }
@@ -146,11 +142,3 @@
         }
     }
 }
-
-/// Returns how long peers may report another digest before a topic is read.
-fn disagreement_limit(topic: Topic) -> Span {
-    match topic {
-        Topic::Upstreams => UPSTREAMS_DISAGREEMENT_LIMIT,
-        Topic::Operator | Topic::Progress | Topic::Instances => OPERATOR_DISAGREEMENT_LIMIT,
-    }
-}
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -86,7 +86,11 @@
         let core = Core::new(observed, watched, decider, Bounds::default().slack);
         let shared = Arc::new(Shared {
             core,
-            freshness: Freshness::new(settings.bounds.revocation_delay),
+            freshness: Freshness::new(
+                settings.bounds.revocation_delay,
+                feed::operator_timing(settings.bounds.apply_delay),
+                feed::upstreams_timing(settings.bounds.drain),
+            ),
             pool: upstream::forward::Pool::new(dialect.clone()),
             cascade: match settings.cascade {
                 None => Cascade::Largest,
@@ -105,7 +109,6 @@
             in_force,
             limits: limits.clone(),
             shared: shared.clone(),
-            propagation_bounds: (settings.bounds.apply_delay, settings.bounds.drain),
         };
         let feed = feed::spawn(parts, source.clone(), &stopping);
         let parts = peers::Parts {
