--- /dev/null
+++ b/crates/forward/tests/departure.rs
@@ -0,0 +1,61 @@
+//! How soon every instance stops sending to upstreams that leave.
+//!
+//! `FORWARD_DEPARTURE_SEEDS=1000` runs more seeds than CI does.
+
+#[path = "departure/world.rs"]
+mod world;
+
+use entity::Span;
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use world::{Shape, World};
+
+/// Number of seeds that run in CI.
+const DEFAULT_SEED_COUNT: u64 = 24;
+
+fn seeds() -> u64 {
+    let count = std::env::var("FORWARD_DEPARTURE_SEEDS").ok();
+    count.map_or(DEFAULT_SEED_COUNT, |text| text.parse().expect("a number"))
+}
+
+fn shape(random: &mut ChaCha8Rng) -> Shape {
+    Shape {
+        instances: random.random_range(6..40),
+        upstreams: random.random_range(20..120),
+        loss: random.random_range(0.0..0.1),
+        max_pause_ms: random.random_range(0..150),
+    }
+}
+
+/// Upstreams must not be used past the bound after they leave, however many leave at the same time,
+/// whether they say that they are draining or their entries are removed.
+#[gtest]
+fn upstreams_are_not_used_past_the_bound_after_they_leave() {
+    for seed in 0..seeds() {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let shape = shape(&mut random);
+        let mut world = World::new(shape, seed);
+        let mut findings = Vec::new();
+        let mut staying: Vec<usize> = (0..shape.upstreams).collect();
+        for _ in 0..2 {
+            let calm = Span::from_millis(random.random_range(3000..6000));
+            findings.extend(world.run(world.now + calm));
+            let count = random.random_range(1..=staying.len().min(60));
+            let removed_share = random.random_range(0.0..1.0);
+            for _ in 0..count {
+                let upstream = staying.swap_remove(random.random_range(0..staying.len()));
+                world.leave(upstream, random.random_bool(removed_share));
+                if random.random_bool(0.5) {
+                    world.join();
+                }
+            }
+            if staying.is_empty() {
+                break;
+            }
+        }
+        findings.extend(world.run(world.now + world::BOUND + Span::from_secs(1)));
+        let first = findings.first();
+        expect_that!(first, none(), "seed {seed}: {shape:?}, {}", findings.len());
+    }
+}
--- a/crates/forward/tests/updates.rs
+++ b/crates/forward/tests/updates.rs
@@ -1,6 +1,7 @@
 //! Records that instances announce to each other.
 
 use entity::{Moment, Offset, Span};
+use forward::catalog::{Entry, Registration, State};
 use forward::delta::Error;
 use forward::source::{Item, Topic};
 use forward::updates::{Content, Updates};
@@ -138,3 +139,56 @@
     updates.announce(Topic::Upstreams, &item(2, 100), START);
     expect_that!(receiver.decode(&updates.announced(START)).len(), eq(1));
 }
+
+/// Many upstreams leave and join at once in a release. Records that don't fit into one beacon must
+/// follow in the next ones, departures first: what no beacon carries is learned too late.
+#[gtest]
+fn departures_are_announced_within_two_rounds_of_a_mass_drain() {
+    let record = |offset: u64, entry| Item {
+        key: format!("i-{offset:03}").into(),
+        offset: Offset(offset),
+        entry: Ok(entry),
+        value: Box::default(),
+    };
+    let registration = |state| Registration {
+        service: "advice".parse().unwrap(),
+        address: "10.0.0.1:8000".parse().unwrap(),
+        zone: "north-a".parse().unwrap(),
+        release: "v1".into(),
+        slots: 4,
+        state,
+        cold: Span::ZERO,
+        incarnation: 1,
+    };
+    let entry = |state| {
+        Some(Entry::Registration(
+            "i-1".parse().unwrap(),
+            registration(state),
+        ))
+    };
+    let mut updates = Updates::default();
+    for offset in 0..60 {
+        updates.announce(
+            Topic::Upstreams,
+            &record(offset, entry(State::Ready)),
+            START,
+        );
+    }
+    for offset in 60..80 {
+        updates.announce(Topic::Upstreams, &record(offset, None), START);
+    }
+    for offset in 80..91 {
+        updates.announce(
+            Topic::Upstreams,
+            &record(offset, entry(State::Draining)),
+            START,
+        );
+    }
+    let round = Span::from_millis(400);
+    let mut announced = updates.announced(START);
+    announced.extend(updates.announced(START + round));
+    for offset in 60..91 {
+        let found = announced.iter().any(|one| one.offset == Offset(offset));
+        expect_true!(found, "record {offset}");
+    }
+}
