--- a/crates/forward/tests/departure.rs
+++ b/crates/forward/tests/departure.rs
@@ -59,3 +59,33 @@
         expect_that!(first, none(), "seed {seed}: {shape:?}, {}", findings.len());
     }
 }
+
+/// Entries that lapse during an outage of the store come back with the next entries of their
+/// upstreams. Until then the upstreams must stay in use.
+#[gtest]
+fn lapsed_upstreams_stay_in_use_after_an_outage() {
+    for seed in 0..seeds() {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let shape = shape(&mut random);
+        let mut world = World::new(shape, seed);
+        world.run(world.now + Span::from_millis(random.random_range(3000..6000)));
+        world.set_store(false);
+        let outage = Span::from_millis(random.random_range(4000..8000));
+        world.run(world.now + outage);
+        let lapsed: Vec<usize> = (0..shape.upstreams).step_by(2).collect();
+        for &upstream in &lapsed {
+            world.lapse(upstream);
+        }
+        world.set_store(true);
+        let end = world.now + Span::from_secs(4);
+        let mut missing = Vec::new();
+        while world.now < end {
+            world.run(world.now + Span::from_millis(20));
+            for instance in 0..shape.instances {
+                let is_missing = |upstream: &&usize| !world.is_ready(instance, **upstream);
+                missing.extend(lapsed.iter().find(is_missing).map(|_| instance));
+            }
+        }
+        expect_that!(missing, is_empty(), "seed {seed}: {shape:?}");
+    }
+}
--- a/crates/forward/tests/departure/world.rs
+++ b/crates/forward/tests/departure/world.rs
@@ -132,7 +132,7 @@
                 next_round: now + Span::from_millis(random.random_range(0..400)),
                 paused_until: now,
             };
-            instance.finish_read(now, world.log.clone(), now);
+            instance.finish_read(now, &world.log, now);
             world.instances.push(instance);
         }
         world
@@ -260,7 +260,7 @@
         let instance = &mut self.instances[index];
         if let Some(read) = instance.read.take_if(|read| read.end <= now) {
             match read.items {
-                Some(items) => instance.finish_read(read.sent, items, now),
+                Some(items) => instance.finish_read(read.sent, &items, now),
                 None => instance.fail_read(reader, now),
             }
         }
@@ -367,10 +367,10 @@
         }
     }
 
-    fn finish_read(&mut self, sent: Moment, items: Vec<Item>, now: Moment) {
+    fn finish_read(&mut self, sent: Moment, items: &[Item], now: Moment) {
         let after_outage = self.follow.record_read(sent, now);
         self.next += items.len();
-        self.apply(&items, now, after_outage);
+        self.apply(items, now, after_outage);
         self.follow.confirm(sent);
     }
 
