Take the store for away only if reads failed and nobody had news

Cause: entries that are missing right after an outage of the store may have lapsed, so their upstreams stay in use for a grace period of 1.7 s. An outage was inferred from 2.6 s between two successful reads of an instance. Since two instances read the store for all, the others go without a read for that long all the time, so that each of their reads counted as made after an outage and each removal found by such a read took 1.7 s longer.

Ruled out: an understated age (1.95 to 2.15 s at those reads, which dates back to the readers' read before), and late dispatch.

Now an outage needs a failed read of this instance and no answer of the store to any instance for 2.6 s, own reads and peers' sights with any digest alike. It is noticed whoever reads first after it, and a stay of peers' news, an instance that is turned away alone and a paused process are no outage.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -10,7 +10,8 @@
 /// Time by which a confirmation by a peer is dated back for the transit of its datagram, in
 /// addition to the time that the datagram waited in the receive queue.
 const TRANSIT_ALLOWANCE: Span = Span::from_millis(60);
-/// Time between two successful reads from which the store counts as having had an outage.
+/// Time without a successful read of any instance from which the store counts as having had an
+/// outage, if a read of this instance failed as well.
 const OUTAGE_GAP: Span = Span::from_millis(2600);
 /// Time after an outage of the store during which entries may be missing only because of it.
 const RECOVERY_PERIOD: Span = Span::from_millis(1500);
@@ -35,9 +36,12 @@
     confirmed: Option<Moment>,
     /// Time since which peers with later reads have reported another digest.
     differs_since: Option<Moment>,
-    /// End of this instance's last successful read.
-    last_read: Option<Moment>,
-    /// Time of the first successful read after an outage.
+    /// Start of the last read that the store is known to have answered, of this instance or of a
+    /// peer, whatever its digest.
+    answered: Option<Moment>,
+    /// Whether the last read of this instance failed.
+    failing: bool,
+    /// Time at which this instance learned that an outage was over.
     recovered: Option<Moment>,
 }
 
@@ -75,6 +79,7 @@
     /// reads keep reporting another digest.
     pub fn record_sight(&mut self, digest: u64, age: Span, now: Moment) -> bool {
         let age = age + TRANSIT_ALLOWANCE;
+        self.record_answer(now - age, now);
         if digest == self.digest {
             self.differs_since = None;
             self.confirm(now - age);
@@ -93,20 +98,27 @@
 
     /// Records a successful read that was sent at `sent` and answered now. Returns whether entries
     /// may be missing from it only because the store had an outage.
-    pub fn record_read(&mut self, _sent: Moment, now: Moment) -> bool {
-        if self
-            .last_read
-            .is_some_and(|last| now.since(last) > OUTAGE_GAP)
-        {
-            self.recovered = Some(now);
-        }
-        self.last_read = Some(now);
+    pub fn record_read(&mut self, sent: Moment, now: Moment) -> bool {
+        self.record_answer(sent, now);
+        self.failing = false;
         self.recovered
             .is_some_and(|at| now.since(at) < RECOVERY_PERIOD)
     }
 
     /// Records a failed read.
-    pub fn record_failure(&mut self) {}
+    pub fn record_failure(&mut self) {
+        self.failing = true;
+    }
+
+    /// Records that the store answered a read which was sent at `sent`. The time since this
+    /// instance's own last read tells nothing, since peers read in its place.
+    fn record_answer(&mut self, sent: Moment, now: Moment) {
+        let gap = self.answered.map(|last| sent.since(last));
+        if self.failing && gap.is_some_and(|gap| gap > OUTAGE_GAP) {
+            self.recovered = Some(now);
+        }
+        self.answered = self.answered.max(Some(sent));
+    }
 
     /// Returns the time until the topic has to be read, after a read that was sent at `sent`.
     /// `jitter` spreads the reads of instances that are not readers.
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -36,3 +36,47 @@
     }
     expect_false!(follow.record_read(at(11_400), at(11_404)));
 }
+
+/// Returns the state after reads failed for four seconds in which peers had no news either.
+fn after_failures() -> Follow {
+    let mut follow = read_once();
+    for _ in 0..5 {
+        follow.record_failure();
+    }
+    follow
+}
+
+#[gtest]
+fn failed_reads_without_news_are_an_outage() {
+    let mut follow = after_failures();
+    expect_true!(follow.record_read(at(4000), at(4004)));
+    expect_true!(follow.record_read(at(5000), at(5004)));
+    expect_false!(follow.record_read(at(5600), at(5604)));
+}
+
+/// A peer can learn of the store's return first. Its news must not hide the outage.
+#[gtest]
+fn outage_is_noticed_if_a_peer_reads_first() {
+    let mut follow = after_failures();
+    follow.record_sight(1, Span::from_millis(20), at(4000));
+    expect_true!(follow.record_read(at(4100), at(4104)));
+}
+
+/// The store can turn away one instance and serve the others: what they read is missing is gone.
+#[gtest]
+fn instance_that_is_turned_away_alone_sees_no_outage() {
+    let mut follow = read_once();
+    for millis in (400..6000).step_by(400) {
+        follow.record_failure();
+        // The digest differs, so that the news confirms nothing here.
+        follow.record_sight(1, Span::from_millis(300), at(millis));
+    }
+    expect_false!(follow.record_read(at(6000), at(6004)));
+}
+
+/// A process that was paused has read nothing for long, although the store answered all the while.
+#[gtest]
+fn pause_of_the_process_is_no_outage() {
+    let mut follow = read_once();
+    expect_false!(follow.record_read(at(8000), at(8004)));
+}
