--- a/crates/forward/src/updates.rs
+++ b/crates/forward/src/updates.rs
@@ -4,6 +4,7 @@
 //! read the store and stay current while they can't reach it. A long value is sent as a delta
 //! against the previous value of its key.
 
+use crate::catalog::{Entry, State};
 use crate::delta::{self, Delta};
 use crate::source::{Item, Topic};
 use entity::{Moment, Offset, Span};
@@ -23,6 +24,9 @@
 /// link for the events of streams.
 const MAX_RECORDS_PER_TOPIC: usize = 24;
 
+/// Maximum number of records of one topic that are announced in turn.
+const MAX_ANNOUNCED_PER_TOPIC: usize = 256;
+
 /// Number of received records that are remembered as applied. Each record arrives many times, and
 /// decoding one takes longer than the rest of a beacon.
 const MAX_RECEIVED_COUNT: usize = 256;
@@ -62,11 +66,32 @@
     pub bytes: Box<[u8]>,
 }
 
+/// A record in its announcement period.
+#[derive(Clone, Debug)]
+struct Announcement {
+    since: Moment,
+    /// Number of rounds that carried it.
+    rounds: u32,
+    /// Whether the record says that an upstream leaves.
+    departure: bool,
+    record: AnnouncedRecord,
+}
+
+impl Announcement {
+    fn is_over(&self, now: Moment) -> bool {
+        let duration = match self.record.content {
+            Content::Whole(_) => RECORD_ANNOUNCE_TIME,
+            Content::Delta(_) => DELTA_ANNOUNCE_TIME,
+        };
+        now.since(self.since) >= duration
+    }
+}
+
 /// The records that this instance announces, and the base values needed to decode those of peers.
 #[derive(Clone, Debug, Default)]
 pub struct Updates {
-    /// Announced records with the time at which each announcement began, the oldest first.
-    announced: Vec<(Moment, AnnouncedRecord)>,
+    /// Announced records, the oldest first.
+    announced: Vec<Announcement>,
     /// The newest long value of each key, as the base of deltas.
     bases: Vec<Value>,
     /// Records received from peers and decoded, the oldest first.
@@ -117,19 +142,18 @@
         };
         // The limit is per topic: many records of upstreams must not displace those of operators,
         // which revoke keys.
-        let same = self
-            .announced
-            .iter()
-            .filter(|(_, record)| record.topic == topic);
-        if same.count() >= MAX_RECORDS_PER_TOPIC {
-            let oldest = self
-                .announced
-                .iter()
-                .position(|(_, record)| record.topic == topic);
+        let same = |one: &Announcement| one.record.topic == topic;
+        if self.announced.iter().filter(|one| same(one)).count() >= MAX_ANNOUNCED_PER_TOPIC {
+            let oldest = self.announced.iter().position(same);
             self.announced.remove(oldest.unwrap_or_default());
             self.displaced += 1;
         }
-        self.announced.push((now, record));
+        self.announced.push(Announcement {
+            since: now,
+            rounds: 0,
+            departure: is_departure(topic, item),
+            record,
+        });
     }
 
     /// Returns how many records were displaced by later ones before their time was over.
@@ -145,19 +169,30 @@
         (delta.bytes.len() <= MAX_CONTENT_BYTES).then_some(delta)
     }
 
-    /// Returns the records to announce now, the oldest first, and drops those whose time is over.
+    /// Returns the records to announce in this round, the oldest first, and drops those whose time
+    /// is over. Where there are more of a topic than a beacon carries, those announced least often
+    /// go first, and of these the departures of upstreams.
     pub fn announced(&mut self, now: Moment) -> Vec<AnnouncedRecord> {
-        self.announced.retain(|(from, record)| {
-            let duration = match record.content {
-                Content::Whole(_) => RECORD_ANNOUNCE_TIME,
-                Content::Delta(_) => DELTA_ANNOUNCE_TIME,
-            };
-            now.since(*from) < duration
+        self.announced.retain(|one| !one.is_over(now));
+        let mut order: Vec<usize> = (0..self.announced.len()).collect();
+        order.sort_by_key(|&index| {
+            let one = &self.announced[index];
+            (one.record.topic, one.rounds, !one.departure)
         });
-        self.announced
-            .iter()
-            .map(|(_, record)| record.clone())
-            .collect()
+        let mut chosen: Vec<usize> = Vec::new();
+        for topic in order
+            .chunk_by(|&a, &b| self.announced[a].record.topic == self.announced[b].record.topic)
+        {
+            chosen.extend(topic.iter().copied().take(MAX_RECORDS_PER_TOPIC));
+        }
+        chosen.sort_unstable();
+        let mut records = Vec::with_capacity(chosen.len());
+        for index in chosen {
+            let one = &mut self.announced[index];
+            one.rounds += 1;
+            records.push(one.record.clone());
+        }
+        records
     }
 
     /// Decodes the records that a peer announced, in the peer's order. Records that were returned
@@ -214,3 +249,13 @@
         self.received.push_back(entry);
     }
 }
+
+/// Returns whether a record says that an upstream leaves. One that can't be decoded replaces the
+/// entry of its upstream, which can't be used any more.
+fn is_departure(topic: Topic, item: &Item) -> bool {
+    let stays = matches!(
+        &item.entry,
+        Ok(Some(Entry::Registration(_, registration))) if registration.state == State::Ready
+    );
+    topic == Topic::Upstreams && !stays
+}
