Don't read a topic once more while a read is being applied

The next read is now due by the start of the last successful one as well. topic_is_not_read_again_while_a_read_is_applied failed before and passes.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -127,7 +127,11 @@
             return (sent + self.timing.reader_interval).since(now);
         }
         let due = self.timing.max_age + jitter;
-        let age = self.age(now).unwrap_or(due);
+        let mut age = self.age(now).unwrap_or(due);
+        // The records of a successful read confirm the state once they are applied.
+        if !self.failing {
+            age = age.min(now.since(sent));
+        }
         Span::from_micros(due.as_micros().saturating_sub(age.as_micros()))
     }
 }
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -80,3 +80,20 @@
     let mut follow = read_once();
     expect_false!(follow.record_read(at(8000), at(8004)));
 }
+
+/// The records of a read take time to apply. The topic must not be read once more meanwhile.
+#[gtest]
+fn topic_is_not_read_again_while_a_read_is_applied() {
+    let mut follow = read_once();
+    let jitter = Span::from_millis(100);
+    expect_that!(
+        follow.read_delay(false, START, jitter, at(2050)),
+        eq(Span::ZERO)
+    );
+    follow.record_read(at(2050), at(2060));
+    let delay = follow.read_delay(false, at(2050), jitter, at(2060));
+    expect_that!(delay, eq(Span::from_millis(2040)));
+    follow.record_failure();
+    let delay = follow.read_delay(false, at(2060), jitter, at(2070));
+    expect_that!(delay, eq(Span::ZERO));
+}
