Dispatch by a state of the upstreams whose age leaves time to arrive

The age of what an instance knows of the upstreams was known, but requests were dispatched by any state, so that the bound on requests to an upstream that left rested on reads and beacons being in time. An instance that stood still dispatched by what it knew before.

paused_instances_do_not_dispatch_by_an_old_state explores pauses of up to 5 s; dispatch_by_an_old_state_is_caught is the same without the rule and fails to hold.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -25,6 +25,8 @@
     pub max_age: Span,
     /// Time for which peers with later reads may report another digest before the topic is read.
     pub disagreement_limit: Span,
+    /// Oldest state by which a request may be dispatched while the store answers.
+    pub max_dispatch_age: Span,
 }
 
 /// What one instance knows of one topic.
@@ -39,7 +41,7 @@
     /// Start of the last read that the store is known to have answered, of this instance or of a
     /// peer, whatever its digest.
     answered: Option<Moment>,
-    /// Whether the last read of this instance failed.
+    /// Whether the last read of this instance failed, or has not been answered for long.
     failing: bool,
     /// Time at which this instance learned that an outage was over.
     recovered: Option<Moment>,
@@ -74,6 +76,13 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
+    /// Returns whether a request may be dispatched by this state. Without an answer of the store, an
+    /// old state is the best there is.
+    pub fn allows_dispatch(&self, now: Moment) -> bool {
+        let age = self.age(now);
+        self.failing || age.is_some_and(|age| age <= self.timing.max_dispatch_age)
+    }
+
     /// Records a peer's digest and the age of the read that confirmed it. An equal digest confirms
     /// that of this instance. Returns whether the topic has to be read now, because peers with later
     /// reads keep reporting another digest.
@@ -105,7 +114,7 @@
             .is_some_and(|at| now.since(at) < RECOVERY_PERIOD)
     }
 
-    /// Records a failed read.
+    /// Records a read that failed, or that the store has not answered for long.
     pub fn record_failure(&mut self) {
         self.failing = true;
     }
--- a/crates/forward/tests/departure.rs
+++ b/crates/forward/tests/departure.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{Shape, World};
+use world::{Rule, Shape, World};
 
 /// Number of seeds that run in CI.
 const DEFAULT_SEED_COUNT: u64 = 24;
@@ -25,6 +25,8 @@
         upstreams: random.random_range(20..120),
         loss: random.random_range(0.0..0.1),
         max_pause_ms: random.random_range(0..150),
+        pause_share: 0.01,
+        rule: Rule::AnyState,
     }
 }
 
@@ -35,31 +37,70 @@
     for seed in 0..seeds() {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let shape = shape(&mut random);
-        let mut world = World::new(shape, seed);
-        let mut findings = Vec::new();
-        let mut staying: Vec<usize> = (0..shape.upstreams).collect();
-        for _ in 0..2 {
-            let calm = Span::from_millis(random.random_range(3000..6000));
-            findings.extend(world.run(world.now + calm));
-            let count = random.random_range(1..=staying.len().min(60));
-            let removed_share = random.random_range(0.0..1.0);
-            for _ in 0..count {
-                let upstream = staying.swap_remove(random.random_range(0..staying.len()));
-                world.leave(upstream, random.random_bool(removed_share));
-                if random.random_bool(0.5) {
-                    world.join();
-                }
-            }
-            if staying.is_empty() {
-                break;
-            }
-        }
-        findings.extend(world.run(world.now + world::BOUND + Span::from_secs(1)));
+        let findings = run(shape, &mut random, seed);
         let first = findings.first();
         expect_that!(first, none(), "seed {seed}: {shape:?}, {}", findings.len());
     }
 }
 
+/// Instances that stand still for longer than the bound must not dispatch by what they knew before,
+/// so that requests still arrive within the bound.
+#[gtest]
+fn paused_instances_do_not_dispatch_by_an_old_state() {
+    for seed in 0..seeds() {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let shape = long_pauses(&mut random, Rule::RecentState);
+        let findings = run(shape, &mut random, seed);
+        let first = findings.first();
+        expect_that!(first, none(), "seed {seed}: {shape:?}, {}", findings.len());
+    }
+}
+
+/// The exploration must see a dispatch by an old state.
+#[gtest]
+fn dispatch_by_an_old_state_is_caught() {
+    let caught = (0..seeds()).filter(|&seed| {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let shape = long_pauses(&mut random, Rule::Mutation);
+        !run(shape, &mut random, seed).is_empty()
+    });
+    expect_that!(caught.count(), gt(0));
+}
+
+fn long_pauses(random: &mut ChaCha8Rng, rule: Rule) -> Shape {
+    Shape {
+        max_pause_ms: random.random_range(1000..5000),
+        pause_share: 0.001,
+        rule,
+        ..shape(random)
+    }
+}
+
+/// Lets many upstreams leave and others join, twice. Returns the findings.
+fn run(shape: Shape, random: &mut ChaCha8Rng, seed: u64) -> Vec<String> {
+    let mut world = World::new(shape, seed);
+    let mut findings = Vec::new();
+    let mut staying: Vec<usize> = (0..shape.upstreams).collect();
+    for _ in 0..2 {
+        let calm = Span::from_millis(random.random_range(3000..6000));
+        findings.extend(world.run(world.now + calm));
+        let count = random.random_range(1..=staying.len().min(60));
+        let removed_share = random.random_range(0.0..1.0);
+        for _ in 0..count {
+            let upstream = staying.swap_remove(random.random_range(0..staying.len()));
+            world.leave(upstream, random.random_bool(removed_share));
+            if random.random_bool(0.5) {
+                world.join();
+            }
+        }
+        if staying.is_empty() {
+            break;
+        }
+    }
+    findings.extend(world.run(world.now + world::BOUND + Span::from_secs(1)));
+    findings
+}
+
 /// Entries that lapse during an outage of the store come back with the next entries of their
 /// upstreams. Until then the upstreams must stay in use.
 #[gtest]
--- a/crates/forward/tests/departure/world.rs
+++ b/crates/forward/tests/departure/world.rs
@@ -15,6 +15,9 @@
 
 /// Time within which an upstream that left must get no more requests.
 pub const BOUND: Span = Span::from_millis(3000);
+/// Time after which a request must not be dispatched to an upstream that left, so that it arrives
+/// within the bound.
+const LAST_DISPATCH: Span = Span::from_millis(2600);
 /// Resolution of the clock.
 const STEP: Span = Span::from_millis(5);
 /// Interval between the entries that an upstream writes.
@@ -39,6 +42,21 @@
     pub loss: f64,
     /// Longest pause of an instance, in milliseconds.
     pub max_pause_ms: u64,
+    /// Share of steps in which a pause begins.
+    pub pause_share: f64,
+    /// What requests are dispatched by.
+    pub rule: Rule,
+}
+
+/// The state by which an instance dispatches requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// Any state; what is dispatched must still be within the bound.
+    AnyState,
+    /// A recent state, as the product has it.
+    RecentState,
+    /// Any state, judged like a recent one.
+    Mutation,
 }
 
 struct Beacon {
@@ -119,6 +137,7 @@
                 reader_interval: Span::from_millis(600),
                 max_age: BOUND.scaled(0.65),
                 disagreement_limit: Span::from_millis(450),
+                max_dispatch_age: LAST_DISPATCH,
             };
             let mut instance = Instance {
                 fold: Fold::default(),
@@ -193,6 +212,8 @@
             self.now = self.now + STEP;
             self.beat_upstreams();
             for index in 0..self.instances.len() {
+                // A request can be dispatched before the datagrams of a pause are processed.
+                self.check(index, &mut findings);
                 self.step(index);
                 self.check(index, &mut findings);
             }
@@ -202,13 +223,19 @@
 
     fn check(&mut self, index: usize, findings: &mut Vec<String>) {
         let instance = &self.instances[index];
-        if self.now < instance.paused_until {
+        let bound = match self.shape.rule {
+            Rule::AnyState => BOUND,
+            Rule::RecentState | Rule::Mutation => LAST_DISPATCH + STEP,
+        };
+        let gated = self.shape.rule == Rule::RecentState;
+        if self.now < instance.paused_until || (gated && !instance.follow.allows_dispatch(self.now))
+        {
             return;
         }
         for &(upstream, at) in &self.left {
             let since = self.now.since(at);
             let case = (index, upstream);
-            if since <= BOUND || !instance.is_ready(upstream) || self.reported.contains(&case) {
+            if since <= bound || !instance.is_ready(upstream) || self.reported.contains(&case) {
                 continue;
             }
             self.reported.push(case);
@@ -250,7 +277,7 @@
         if now < instance.paused_until {
             return;
         }
-        if self.shape.max_pause_ms > 0 && self.random.random_bool(0.01) {
+        if self.shape.max_pause_ms > 0 && self.random.random_bool(self.shape.pause_share) {
             let pause = self.random.random_range(0..self.shape.max_pause_ms);
             instance.paused_until = now + Span::from_millis(pause);
             return;
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -11,6 +11,7 @@
         reader_interval: Span::from_millis(600),
         max_age: Span::from_millis(1950),
         disagreement_limit: Span::from_millis(450),
+        max_dispatch_age: Span::from_millis(2600),
     }
 }
 
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use crate::core::Core;
 use crate::decider::Closed;
+use crate::forward::key_validity::boot_time;
 use crate::forward::run::{Resolved, Run};
 use crate::tries::{Dispatch, TryLimits};
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use forward::events::Splitter;
 use forward::head::Request;
 use forward::hop;
+use forward::source::Topic;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use quality::governor::{Governor, Observation};
@@ -294,6 +296,24 @@
 impl Dispatch for Dispatcher<'_> {
     type Value = Answer;
 
+    async fn wait_for_state(&self) {
+        let freshness = &self.run.shared.freshness;
+        if freshness.allows_dispatch(Topic::Upstreams) {
+            return;
+        }
+        let age = freshness.age(Topic::Upstreams, boot_time());
+        let draft = self
+            .core()
+            .recorder
+            .event(Kind::Queued)
+            .request(self.run.id);
+        draft
+            .text("why", "the state of the upstreams is old")
+            .text("age", age.unwrap_or_default())
+            .record();
+        freshness.wait_for_dispatch(Topic::Upstreams).await;
+    }
+
     async fn dispatch(&self, choice: &Choice, limits: TryLimits) -> Result<Answer, Failure> {
         // An upstream that registered itself is addressed by its incarnation, so that another one
         // that reuses the address refuses the request.
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -33,6 +33,13 @@
 /// The same time for the upstreams' topic, since nothing may be sent to an upstream two seconds
 /// after it leaves.
 const UPSTREAMS_DISAGREEMENT_LIMIT: Span = Span::from_millis(450);
+/// Longest time from the check of the upstreams' state to the arrival of a request: a connection
+/// is opened, and the processor is shared.
+const ARRIVAL_ALLOWANCE: Span = Span::from_millis(400);
+/// Largest share of the bound on departures that the allowance takes.
+const ARRIVAL_ALLOWANCE_SHARE: f64 = 0.2;
+/// Time without an answer from which a read counts as failed for now. A slow store takes 200 ms.
+const SLOW_READ: Span = Span::from_millis(300);
 /// Share of the propagation bound after which an instance that is not a reader, and gets no updates
 /// from peers, reads a topic itself.
 const SELF_READ_SHARE: f64 = 0.65;
@@ -171,16 +178,19 @@
         reader_interval: Span::ZERO,
         max_age: bound.scaled(SELF_READ_SHARE),
         disagreement_limit: OPERATOR_DISAGREEMENT_LIMIT,
+        max_dispatch_age: bound,
     }
 }
 
 /// Returns when the upstreams' topic is read, if an upstream that leaves may receive requests for
 /// at most `bound`.
 pub fn upstreams_timing(bound: Span) -> Timing {
+    let allowance = ARRIVAL_ALLOWANCE.min(bound.scaled(ARRIVAL_ALLOWANCE_SHARE));
     Timing {
         reader_interval: UPSTREAMS_INTERVAL,
         max_age: bound.scaled(SELF_READ_SHARE),
         disagreement_limit: UPSTREAMS_DISAGREEMENT_LIMIT,
+        max_dispatch_age: Span::from_micros(bound.as_micros() - allowance.as_micros()),
     }
 }
 
@@ -300,7 +310,8 @@
 
     async fn read(&self, next: Option<Offset>, failing: bool) -> Result<Batch, Error> {
         let Some(from) = next else {
-            return self.source.newest(self.topic).await.map(Batch::Listing);
+            let listing = self.report_slow(Span::ZERO, self.source.newest(self.topic));
+            return listing.await.map(Batch::Listing);
         };
         // During an outage a prompt confirmation matters more than saving a call, so the read does
         // not wait for records.
@@ -308,10 +319,23 @@
             Topic::Operator if !failing && self.shared.freshness.is_reader() => OPERATOR_LONG_POLL,
             _ => Span::ZERO,
         };
-        let page = self.source.follow(self.topic, from, wait).await?;
+        let page = self.source.follow(self.topic, from, wait);
+        let page = self.report_slow(wait, page).await?;
         Ok(Batch::Page(page))
     }
 
+    /// Reads, and counts the read as failed for now once it has taken long after `wait`: whether the
+    /// store will answer is then unknown.
+    async fn report_slow<T>(&self, wait: Span, read: impl Future<Output = T>) -> T {
+        let mut read = std::pin::pin!(read);
+        let slow = (wait + SLOW_READ).duration();
+        if let Ok(answer) = tokio::time::timeout(slow, &mut read).await {
+            return answer;
+        }
+        self.shared.freshness.record_failure(self.topic);
+        read.await
+    }
+
     /// Records a read that is not one of a reader's regular reads: when it was sent, how old the
     /// state was then, and whether it counts as made after an outage.
     fn record_read(&self, read: &Read, age: Option<Span>) {
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -3,7 +3,7 @@
 //! A few instances read the store all the time and send changes, with the age of their last read,
 //! to the others, which read the store themselves only when no peer informs them.
 
-use crate::forward::key_validity::KeyValidity;
+use crate::forward::key_validity::{KeyValidity, boot_time};
 use entity::{Moment, Span};
 use forward::Follow;
 use forward::follow::Timing;
@@ -11,17 +11,23 @@
 use forward::updates::Updates;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// Topics that every instance follows.
 pub const FOLLOWED_TOPICS: [Topic; 2] = [Topic::Operator, Topic::Upstreams];
 
+/// Longest time that a request waits for a recent state before its dispatch.
+const MAX_DISPATCH_WAIT: Duration = Duration::from_millis(250);
+
 /// State of one topic.
 #[derive(Debug)]
 struct TopicState {
     follow: Mutex<Follow>,
     /// Wakes the task that follows the topic.
     wake: Notify,
+    /// Wakes dispatches that wait for a recent state.
+    confirmed: Notify,
 }
 
 impl TopicState {
@@ -29,6 +35,7 @@
         Self {
             follow: Mutex::new(Follow::new(timing)),
             wake: Notify::new(),
+            confirmed: Notify::new(),
         }
     }
 
@@ -81,7 +88,9 @@
 
     /// Records that a read which was sent at `sent` confirmed the topic's digest.
     pub fn confirm(&self, topic: Topic, sent: Moment) {
-        self.state(topic).follow().confirm(sent);
+        let state = self.state(topic);
+        state.follow().confirm(sent);
+        state.confirmed.notify_waiters();
     }
 
     /// Returns the time since the last confirmed read of a topic was sent; `None` before the first.
@@ -95,9 +104,32 @@
         self.state(topic).follow().record_read(sent, now)
     }
 
-    /// Records a failed read of this instance.
+    /// Records a read of this instance that failed, or that the store has not answered for long.
     pub fn record_failure(&self, topic: Topic) {
-        self.state(topic).follow().record_failure();
+        let state = self.state(topic);
+        state.follow().record_failure();
+        state.confirmed.notify_waiters();
+    }
+
+    /// Returns whether a request may be dispatched by the state of a topic.
+    pub fn allows_dispatch(&self, topic: Topic) -> bool {
+        self.state(topic).follow().allows_dispatch(boot_time())
+    }
+
+    /// Waits until a request may be dispatched by the state of a topic, for a limited time.
+    pub async fn wait_for_dispatch(&self, topic: Topic) {
+        let state = self.state(topic);
+        let allowed = async {
+            loop {
+                let confirmed = state.confirmed.notified();
+                if self.allows_dispatch(topic) {
+                    return;
+                }
+                confirmed.await;
+            }
+        };
+        // After a timeout the request goes on: the process may be too slow to learn more in time.
+        let _ = tokio::time::timeout(MAX_DISPATCH_WAIT, allowed).await;
     }
 
     /// Returns the time until a topic has to be read, after a read that was sent at `sent`.
@@ -115,6 +147,7 @@
         if state.follow().record_sight(digest, age, now) {
             state.wake.notify_one();
         }
+        state.confirmed.notify_waiters();
     }
 
     /// Waits until the task that follows a topic is woken: peers with later reads report another
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -199,6 +199,11 @@
     /// Result of a request that the upstream accepts.
     type Value: Send;
 
+    /// Waits until the state that choices go by is recent enough to dispatch by.
+    fn wait_for_state(&self) -> impl Future<Output = ()> + Send {
+        std::future::ready(())
+    }
+
     /// Sends the request to the upstream of a choice.
     fn dispatch(
         &self,
@@ -239,6 +244,7 @@
 ) -> Result<Accepted<D::Value>, Abort> {
     while history.can_try(job) {
         let choice = choose(core, job, history).await?;
+        dispatch.wait_for_state().await;
         if core.clock.now().since(choice.chosen_at) > core.slack {
             // The process was paused: the chosen slot may belong to another instance by now.
             core.decider.finish(choice, Outcome::Cancelled).await;
