Ignore records older than a listing that lacks their upstream

Found while looking for more ways to DRAIN: after deleted records an instance lists the newest of each key. A peer could still announce, up to 2.5 s later, an entry that the listing lacks; it registered the upstream again, and as the instance goes on reading from the end of the listing, no record ever removed it.

--- a/crates/forward/src/fold.rs
+++ b/crates/forward/src/fold.rs
@@ -108,6 +108,9 @@
     removed: Vec<(name::Upstream, Offset)>,
     /// Whether the upstreams have been listed at least once.
     upstreams_listed: bool,
+    /// End of the last listing of upstreams. An older record of an upstream that the listing lacks
+    /// is out of date.
+    listing_end: Offset,
     /// Whether the progress of rollouts has been listed at least once.
     progress_listed: bool,
 }
@@ -207,6 +210,9 @@
         for item in &listing.items {
             self.apply_item(topic, item, now, lapsing, &mut change);
         }
+        if topic == Topic::Upstreams {
+            self.listing_end = self.listing_end.max(listing.end);
+        }
         change
     }
 
@@ -375,6 +381,7 @@
             .binary_search_by(|other| other.name.cmp(name));
         let index = match found {
             Ok(index) => index,
+            Err(_) if offset < self.listing_end => return,
             Err(index) => {
                 change.routing = true;
                 if upstream.is_ready() {
--- a/crates/forward/tests/fold.rs
+++ b/crates/forward/tests/fold.rs
@@ -338,3 +338,18 @@
     fold.apply_progress(&service, "v3", Progress::Running, &mut change);
     expect_that!(fold.rollout_progress()[0].progress, eq(Progress::Running));
 }
+
+/// After a listing, a peer can still announce the entry of an upstream that is no longer listed. The
+/// entry must not bring the upstream back: no later record would ever remove it.
+#[gtest]
+fn late_announcement_does_not_bring_back_an_upstream_that_a_listing_lacks() {
+    let mut fold = two_upstreams();
+    list(&mut fold, Topic::Upstreams, vec![ready("i-1", 50)], false);
+    expect_that!(names(&fold), elements_are![eq(&"i-1")]);
+    let change = fold.apply_record(Topic::Upstreams, &ready("i-2", 60), NOW, false);
+    expect_false!(change.routing);
+    expect_that!(names(&fold), elements_are![eq(&"i-1")]);
+    // Records after the listing register it again.
+    fold.apply_record(Topic::Upstreams, &ready("i-2", 100), NOW, false);
+    expect_that!(names(&fold), elements_are![eq(&"i-1"), eq(&"i-2")]);
+}
