Derive the intervals of following the upstreams from their bound

The interval of readers, the time of disagreement and the jitter were written for a bound of 2 s on departures. They are shares of the bound now, at most what they were, so that nothing changes at 2 and 3 s.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -16,6 +16,23 @@
 /// Time after an outage of the store during which entries may be missing only because of it.
 const RECOVERY_PERIOD: Span = Span::from_millis(1500);
 
+/// Share of the bound at which a state is read anew that no peer confirms.
+const MAX_AGE_SHARE: f64 = 0.65;
+/// Longest random delay added to that age, so that not all instances read at once, and the largest
+/// share of the bound that it takes.
+const MAX_JITTER: (Span, f64) = (Span::from_millis(200), 0.1);
+/// Time for which peers with later reads may report another digest of the operators' topic. A
+/// change reaches every instance within two rounds of datagrams.
+const OPERATOR_DISAGREEMENT_LIMIT: Span = Span::from_millis(900);
+/// The same time for the upstreams' topic, and the largest share of the bound that it takes.
+const UPSTREAMS_DISAGREEMENT_LIMIT: (Span, f64) = (Span::from_millis(450), 0.225);
+/// Interval between a reader's reads of the upstreams' topic, which always has new records, and the
+/// largest share of the bound that it takes.
+const UPSTREAMS_INTERVAL: (Span, f64) = (Span::from_millis(600), 0.3);
+/// Longest time from the check of the upstreams' state to the arrival of a request, and the largest
+/// share of the bound that it takes: a connection is opened, and the processor is shared.
+const ARRIVAL_ALLOWANCE: (Span, f64) = (Span::from_millis(400), 0.2);
+
 /// Intervals at which a topic is read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Timing {
@@ -23,12 +40,46 @@
     pub reader_interval: Span,
     /// Age of the state at which an instance that is not a reader reads the topic itself.
     pub max_age: Span,
+    /// Longest random delay that is added to that age.
+    pub max_jitter: Span,
     /// Time for which peers with later reads may report another digest before the topic is read.
     pub disagreement_limit: Span,
     /// Oldest state by which a request may be dispatched while the store answers.
     pub max_dispatch_age: Span,
 }
 
+impl Timing {
+    /// Returns the timing of the operators' topic, if a new configuration has to be in force within
+    /// `bound`. A reader's reads wait for new records instead of following at an interval.
+    pub fn for_operators(bound: Span) -> Self {
+        Self {
+            reader_interval: Span::ZERO,
+            max_age: bound.scaled(MAX_AGE_SHARE),
+            max_jitter: at_most(MAX_JITTER, bound),
+            disagreement_limit: OPERATOR_DISAGREEMENT_LIMIT,
+            max_dispatch_age: bound,
+        }
+    }
+
+    /// Returns the timing of the upstreams' topic, if an upstream that leaves may receive requests
+    /// for at most `bound`.
+    pub fn for_upstreams(bound: Span) -> Self {
+        let allowance = at_most(ARRIVAL_ALLOWANCE, bound);
+        Self {
+            reader_interval: at_most(UPSTREAMS_INTERVAL, bound),
+            max_age: bound.scaled(MAX_AGE_SHARE),
+            max_jitter: at_most(MAX_JITTER, bound),
+            disagreement_limit: at_most(UPSTREAMS_DISAGREEMENT_LIMIT, bound),
+            max_dispatch_age: Span::from_micros(bound.as_micros() - allowance.as_micros()),
+        }
+    }
+}
+
+/// Limits a span to a share of the bound.
+fn at_most((span, share): (Span, f64), bound: Span) -> Span {
+    span.min(bound.scaled(share))
+}
+
 /// What one instance knows of one topic.
 #[derive(Clone, Debug, Default)]
 pub struct Follow {
@@ -130,12 +181,12 @@
     }
 
     /// Returns the time until the topic has to be read, after a read that was sent at `sent`.
-    /// `jitter` spreads the reads of instances that are not readers.
-    pub fn read_delay(&self, reader: bool, sent: Moment, jitter: Span, now: Moment) -> Span {
+    /// `jitter`, from 0 to 1, spreads the reads of instances that are not readers.
+    pub fn read_delay(&self, reader: bool, sent: Moment, jitter: f64, now: Moment) -> Span {
         if reader {
             return (sent + self.timing.reader_interval).since(now);
         }
-        let due = self.timing.max_age + jitter;
+        let due = self.timing.max_age + self.timing.max_jitter.scaled(jitter);
         let mut age = self.age(now).unwrap_or(due);
         // The records of a successful read confirm the state once they are applied.
         if !self.failing {
--- a/crates/forward/tests/departure.rs
+++ b/crates/forward/tests/departure.rs
@@ -23,6 +23,7 @@
     Shape {
         instances: random.random_range(6..40),
         upstreams: random.random_range(20..120),
+        bound: Span::from_secs(random.random_range(2..=3)),
         loss: random.random_range(0.0..0.1),
         max_pause_ms: random.random_range(0..150),
         pause_share: 0.01,
@@ -97,7 +98,7 @@
             break;
         }
     }
-    findings.extend(world.run(world.now + world::BOUND + Span::from_secs(1)));
+    findings.extend(world.run(world.now + shape.bound + Span::from_secs(1)));
     findings
 }
 
--- a/crates/forward/tests/departure/world.rs
+++ b/crates/forward/tests/departure/world.rs
@@ -13,11 +13,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Time within which an upstream that left must get no more requests.
-pub const BOUND: Span = Span::from_millis(3000);
-/// Time after which a request must not be dispatched to an upstream that left, so that it arrives
-/// within the bound.
-const LAST_DISPATCH: Span = Span::from_millis(2600);
+/// Time that a request has to arrive at an upstream within the bound.
+const ARRIVAL_TIME: Span = Span::from_millis(400);
 /// Resolution of the clock.
 const STEP: Span = Span::from_millis(5);
 /// Interval between the entries that an upstream writes.
@@ -38,6 +35,8 @@
 pub struct Shape {
     pub instances: usize,
     pub upstreams: usize,
+    /// Time within which an upstream that left must get no more requests.
+    pub bound: Span,
     /// Share of datagrams that are lost.
     pub loss: f64,
     /// Longest pause of an instance, in milliseconds.
@@ -79,7 +78,7 @@
     follow: Follow,
     next: usize,
     /// Start of the last read, and the jitter of the next one.
-    last_read: (Moment, Span),
+    last_read: (Moment, f64),
     /// Time before which no read begins, after a failed one.
     retry_at: Moment,
     read: Option<Read>,
@@ -133,18 +132,12 @@
             world.join();
         }
         for _ in 0..shape.instances {
-            let timing = Timing {
-                reader_interval: Span::from_millis(600),
-                max_age: BOUND.scaled(0.65),
-                disagreement_limit: Span::from_millis(450),
-                max_dispatch_age: LAST_DISPATCH,
-            };
             let mut instance = Instance {
                 fold: Fold::default(),
                 updates: Updates::default(),
-                follow: Follow::new(timing),
+                follow: Follow::new(Timing::for_upstreams(shape.bound)),
                 next: 0,
-                last_read: (now, Span::ZERO),
+                last_read: (now, 0.0),
                 retry_at: now,
                 read: None,
                 inbox: Vec::new(),
@@ -224,8 +217,11 @@
     fn check(&mut self, index: usize, findings: &mut Vec<String>) {
         let instance = &self.instances[index];
         let bound = match self.shape.rule {
-            Rule::AnyState => BOUND,
-            Rule::RecentState | Rule::Mutation => LAST_DISPATCH + STEP,
+            Rule::AnyState => self.shape.bound,
+            Rule::RecentState | Rule::Mutation => {
+                let last = self.shape.bound.as_micros() - ARRIVAL_TIME.as_micros();
+                Span::from_micros(last) + STEP
+            }
         };
         let gated = self.shape.rule == Rule::RecentState;
         if self.now < instance.paused_until || (gated && !instance.follow.allows_dispatch(self.now))
@@ -306,7 +302,7 @@
             return;
         }
         let took = self.random.random_range(4..=MAX_READ_MS);
-        let jitter = Span::from_millis(self.random.random_range(0..=200));
+        let jitter = self.random.random_range(0.0..=1.0);
         instance.last_read = (now, jitter);
         let items = self.log[instance.next..].to_vec();
         instance.read = Some(Read {
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -6,22 +6,13 @@
 
 const START: Moment = Moment(1_000_000_000);
 
-fn timing() -> Timing {
-    Timing {
-        reader_interval: Span::from_millis(600),
-        max_age: Span::from_millis(1950),
-        disagreement_limit: Span::from_millis(450),
-        max_dispatch_age: Span::from_millis(2600),
-    }
-}
-
 fn at(millis: u64) -> Moment {
     START + Span::from_millis(millis)
 }
 
 /// Returns the state after a read at the start.
 fn read_once() -> Follow {
-    let mut follow = Follow::new(timing());
+    let mut follow = Follow::new(Timing::for_upstreams(Span::from_secs(3)));
     follow.record_read(START, at(4));
     follow.confirm(START);
     follow
@@ -86,7 +77,7 @@
 #[gtest]
 fn topic_is_not_read_again_while_a_read_is_applied() {
     let mut follow = read_once();
-    let jitter = Span::from_millis(100);
+    let jitter = 0.5;
     expect_that!(
         follow.read_delay(false, START, jitter, at(2050)),
         eq(Span::ZERO)
@@ -98,3 +89,18 @@
     let delay = follow.read_delay(false, at(2060), jitter, at(2070));
     expect_that!(delay, eq(Span::ZERO));
 }
+
+/// Whatever the bound is, an instance must read a state anew before it is too old to dispatch by.
+#[gtest]
+fn state_is_read_anew_before_it_is_too_old_to_dispatch_by() {
+    for millis in [500, 1000, 2000, 3000, 8000] {
+        let timing = Timing::for_upstreams(Span::from_millis(millis));
+        let due = timing.max_age + timing.max_jitter;
+        expect_that!(due, lt(timing.max_dispatch_age), "bound of {millis} ms");
+        expect_that!(
+            timing.reader_interval,
+            lt(timing.max_age),
+            "bound of {millis} ms"
+        );
+    }
+}
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -12,7 +12,6 @@
 use arc_swap::ArcSwap;
 use config::forward::Limits;
 use entity::{Generation, Moment, Offset, Span};
-use forward::follow::Timing;
 use forward::source::{Error, Item, Listing, Page, Topic};
 use forward::{Change, Fold, Source, ZoneRegions, resolve};
 use rand::RngExt;
@@ -24,28 +23,8 @@
 
 /// Longest time for which a reader's read of the operators' topic waits for a record.
 const OPERATOR_LONG_POLL: Span = Span::from_millis(500);
-/// Interval between a reader's reads of the upstreams' topic, which always has new records. Two
-/// seconds after an upstream leaves, nothing may be sent to it.
-const UPSTREAMS_INTERVAL: Span = Span::from_millis(600);
-/// Time for which peers with later reads may report another digest of the operators' topic before
-/// an instance reads it. A change reaches every instance within two rounds of datagrams.
-const OPERATOR_DISAGREEMENT_LIMIT: Span = Span::from_millis(900);
-/// The same time for the upstreams' topic, since nothing may be sent to an upstream two seconds
-/// after it leaves.
-const UPSTREAMS_DISAGREEMENT_LIMIT: Span = Span::from_millis(450);
-/// Longest time from the check of the upstreams' state to the arrival of a request: a connection
-/// is opened, and the processor is shared.
-const ARRIVAL_ALLOWANCE: Span = Span::from_millis(400);
-/// Largest share of the bound on departures that the allowance takes.
-const ARRIVAL_ALLOWANCE_SHARE: f64 = 0.2;
 /// Time without an answer from which a read counts as failed for now. A slow store takes 200 ms.
 const SLOW_READ: Span = Span::from_millis(300);
-/// Share of the propagation bound after which an instance that is not a reader, and gets no updates
-/// from peers, reads a topic itself.
-const SELF_READ_SHARE: f64 = 0.65;
-/// Upper bound of the random delay added to that age, in milliseconds, so that not all instances
-/// read at once.
-const JITTER_MS: u64 = 200;
 /// Delay after a failed read of an instance that is not a reader.
 const NON_READER_RETRY_DELAY: Duration = Duration::from_millis(1200);
 /// Shortest and longest delay after a failed read; it doubles with each failure.
@@ -171,29 +150,6 @@
     Handle { reads }
 }
 
-/// Returns when the operators' topic is read, if a new configuration has to be in force within
-/// `bound`.
-pub fn operator_timing(bound: Span) -> Timing {
-    Timing {
-        reader_interval: Span::ZERO,
-        max_age: bound.scaled(SELF_READ_SHARE),
-        disagreement_limit: OPERATOR_DISAGREEMENT_LIMIT,
-        max_dispatch_age: bound,
-    }
-}
-
-/// Returns when the upstreams' topic is read, if an upstream that leaves may receive requests for
-/// at most `bound`.
-pub fn upstreams_timing(bound: Span) -> Timing {
-    let allowance = ARRIVAL_ALLOWANCE.min(bound.scaled(ARRIVAL_ALLOWANCE_SHARE));
-    Timing {
-        reader_interval: UPSTREAMS_INTERVAL,
-        max_age: bound.scaled(SELF_READ_SHARE),
-        disagreement_limit: UPSTREAMS_DISAGREEMENT_LIMIT,
-        max_dispatch_age: Span::from_micros(bound.as_micros() - allowance.as_micros()),
-    }
-}
-
 /// Reads one topic of the store.
 struct Follower<S> {
     topic: Topic,
@@ -266,7 +222,7 @@
     /// Waits until the topic is due to be read again, after a read that was sent at `sent`.
     async fn wait_until_due(&self, sent: Moment) {
         let freshness = &self.shared.freshness;
-        let jitter = Span::from_millis(rand::rng().random_range(0..=JITTER_MS));
+        let jitter: f64 = rand::rng().random_range(0.0..=1.0);
         loop {
             let wait = freshness.read_delay(self.topic, sent, jitter, boot_time());
             if wait == Span::ZERO {
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -58,12 +58,13 @@
 
 impl Freshness {
     /// Creates the state before the first read. Keys are valid for `ttl` after the last confirmed
-    /// read.
-    pub fn new(ttl: Option<Span>, operator: Timing, upstreams: Timing) -> Self {
+    /// read. A new configuration has to be in force within `apply`, and an upstream that leaves may
+    /// receive requests for at most `drain`.
+    pub fn new(ttl: Option<Span>, apply: Span, drain: Span) -> Self {
         Self {
             key_validity: KeyValidity::new(ttl),
-            operator: TopicState::new(operator),
-            upstreams: TopicState::new(upstreams),
+            operator: TopicState::new(Timing::for_operators(apply)),
+            upstreams: TopicState::new(Timing::for_upstreams(drain)),
             updates: Mutex::default(),
             reader: AtomicBool::new(true),
         }
@@ -132,8 +133,9 @@
         let _ = tokio::time::timeout(MAX_DISPATCH_WAIT, allowed).await;
     }
 
-    /// Returns the time until a topic has to be read, after a read that was sent at `sent`.
-    pub fn read_delay(&self, topic: Topic, sent: Moment, jitter: Span, now: Moment) -> Span {
+    /// Returns the time until a topic has to be read, after a read that was sent at `sent`. `jitter`
+    /// is a random number from 0 to 1.
+    pub fn read_delay(&self, topic: Topic, sent: Moment, jitter: f64, now: Moment) -> Span {
         let reader = self.is_reader();
         let follow = self.state(topic).follow();
         follow.read_delay(reader, sent, jitter, now)
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -88,8 +88,8 @@
             core,
             freshness: Freshness::new(
                 settings.bounds.revocation_delay,
-                feed::operator_timing(settings.bounds.apply_delay),
-                feed::upstreams_timing(settings.bounds.drain),
+                settings.bounds.apply_delay,
+                settings.bounds.drain,
             ),
             pool: upstream::forward::Pool::new(dialect.clone()),
             cascade: match settings.cascade {
