Announce only the newest record of an upstream

An upstream that is removed and registers again was announced with both records. Since departures go first where there are more records than a beacon carries, the second could follow in another beacon, and where that is lost, a peer goes on without an upstream that is there.

--- a/crates/forward/src/updates.rs
+++ b/crates/forward/src/updates.rs
@@ -140,6 +140,13 @@
             offset: item.offset,
             content,
         };
+        // A receiver needs only the newest value, but each delta of a sequence.
+        self.announced.retain(|one| {
+            let same = one.record.topic == topic && one.record.key == item.key;
+            !same
+                || matches!(one.record.content, Content::Delta(_))
+                || one.record.offset > item.offset
+        });
         // The limit is per topic: many records of upstreams must not displace those of operators,
         // which revoke keys.
         let same = |one: &Announcement| one.record.topic == topic;
