--- a/crates/forward/src/updates.rs
+++ b/crates/forward/src/updates.rs
@@ -69,6 +69,7 @@
 /// A record in its announcement period.
 #[derive(Clone, Debug)]
 struct Announcement {
+    /// Start of the period.
     since: Moment,
     /// Number of rounds that carried it.
     rounds: u32,
@@ -85,6 +86,14 @@
         };
         now.since(self.since) >= duration
     }
+
+    /// Returns whether a later record makes this one needless. Of a sequence of deltas, a receiver
+    /// needs each.
+    fn is_replaced_by(&self, later: &AnnouncedRecord) -> bool {
+        let own = &self.record;
+        let same_key = own.topic == later.topic && own.key == later.key;
+        same_key && own.offset <= later.offset && matches!(own.content, Content::Whole(_))
+    }
 }
 
 /// The records that this instance announces, and the base values needed to decode those of peers.
@@ -140,19 +149,15 @@
             offset: item.offset,
             content,
         };
-        // A receiver needs only the newest value, but each delta of a sequence.
-        self.announced.retain(|one| {
-            let same = one.record.topic == topic && one.record.key == item.key;
-            !same
-                || matches!(one.record.content, Content::Delta(_))
-                || one.record.offset > item.offset
-        });
+        self.announced.retain(|one| !one.is_replaced_by(&record));
         // The limit is per topic: many records of upstreams must not displace those of operators,
         // which revoke keys.
-        let same = |one: &Announcement| one.record.topic == topic;
-        if self.announced.iter().filter(|one| same(one)).count() >= MAX_ANNOUNCED_PER_TOPIC {
-            let oldest = self.announced.iter().position(same);
-            self.announced.remove(oldest.unwrap_or_default());
+        let mut same_topic =
+            (0..self.announced.len()).filter(|&index| self.announced[index].record.topic == topic);
+        if let Some(oldest) = same_topic.next()
+            && same_topic.count() + 1 >= MAX_ANNOUNCED_PER_TOPIC
+        {
+            self.announced.remove(oldest);
             self.displaced += 1;
         }
         self.announced.push(Announcement {
--- a/crates/forward/tests/departure.rs
+++ b/crates/forward/tests/departure.rs
@@ -25,9 +25,10 @@
         upstreams: random.random_range(20..120),
         bound: Span::from_secs(random.random_range(2..=3)),
         // Where most datagrams are lost, instances have to read the store themselves.
-        loss: match random.random_bool(0.5) {
-            true => random.random_range(0.0..0.1),
-            false => random.random_range(0.7..1.0),
+        loss: if random.random_bool(0.5) {
+            random.random_range(0.0..0.1)
+        } else {
+            random.random_range(0.7..1.0)
         },
         max_pause_ms: random.random_range(0..150),
         pause_share: 0.01,
@@ -48,7 +49,7 @@
     }
 }
 
-/// Instances that stand still for longer than the bound must not dispatch by what they knew before,
+/// Instances that stand still for seconds must not dispatch by what they knew before,
 /// so that requests still arrive within the bound.
 #[gtest]
 fn paused_instances_do_not_dispatch_by_an_old_state() {
@@ -61,7 +62,7 @@
     }
 }
 
-/// The exploration must see a dispatch by an old state.
+/// Without the rule on the age of the state, the exploration must find dispatches that are too late.
 #[gtest]
 fn dispatch_by_an_old_state_is_caught() {
     let caught = (0..seeds()).filter(|&seed| {
--- a/crates/forward/tests/departure/world.rs
+++ b/crates/forward/tests/departure/world.rs
@@ -52,9 +52,9 @@
 pub enum Rule {
     /// Any state; what is dispatched must still be within the bound.
     AnyState,
-    /// A recent state, as the product has it.
+    /// A recent state, so that requests still arrive within the bound.
     RecentState,
-    /// Any state, judged like a recent one.
+    /// Any state, with the check of the rule for recent ones.
     Mutation,
 }
 
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -193,11 +193,12 @@
                 Batch::Page(page) => page.next,
                 Batch::Relayed(..) => continue,
             });
+            let freshness = &self.shared.freshness;
             let read = Read {
                 topic: self.topic,
                 batch,
                 sent,
-                after_outage: (self.shared.freshness).record_read(self.topic, sent, boot_time()),
+                after_outage: freshness.record_read(self.topic, sent, boot_time()),
             };
             self.record_read(&read, age);
             if self.reads.send(read).await.is_err() {
@@ -280,8 +281,8 @@
         Ok(Batch::Page(page))
     }
 
-    /// Reads, and counts the read as failed for now once it has taken long after `wait`: whether the
-    /// store will answer is then unknown.
+    /// Awaits a read for whose records the store waits for up to `wait`. The read counts as failed
+    /// once it has taken long beyond that, until it is answered.
     async fn report_slow<T>(&self, wait: Span, read: impl Future<Output = T>) -> T {
         let mut read = std::pin::pin!(read);
         let slow = (wait + SLOW_READ).duration();
