--- a/crates/forward/tests/departure.rs
+++ b/crates/forward/tests/departure.rs
@@ -11,6 +11,8 @@
 use rand_chacha::ChaCha8Rng;
 use world::{Rule, Shape, World};
 
+/// Longest time that a datagram takes within what the receiver allows for, in milliseconds.
+const PROMPT_TRANSIT_MS: u64 = 55;
 /// Number of seeds that run in CI.
 const DEFAULT_SEED_COUNT: u64 = 24;
 
@@ -30,6 +32,7 @@
         } else {
             random.random_range(0.7..1.0)
         },
+        max_transit_ms: PROMPT_TRANSIT_MS,
         max_pause_ms: random.random_range(0..150),
         pause_share: 0.01,
         rule: Rule::AnyState,
@@ -62,6 +65,22 @@
     }
 }
 
+/// Datagrams that wait on a slow link must not make a state seem younger than it is, or requests are
+/// dispatched by a state that is too old.
+#[gtest]
+fn slow_datagrams_do_not_lead_to_late_dispatch() {
+    for seed in 0..seeds() {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let shape = Shape {
+            max_transit_ms: random.random_range(PROMPT_TRANSIT_MS..300),
+            ..long_pauses(&mut random, Rule::RecentState)
+        };
+        let findings = run(shape, &mut random, seed);
+        let first = findings.first();
+        expect_that!(first, none(), "seed {seed}: {shape:?}, {}", findings.len());
+    }
+}
+
 /// Without the rule on the age of the state, the exploration must find dispatches that are too late.
 #[gtest]
 fn dispatch_by_an_old_state_is_caught() {
