--- a/crates/forward/src/source.rs
+++ b/crates/forward/src/source.rs
@@ -47,6 +47,8 @@
     pub items: Vec<Item>,
     /// Offset to continue from.
     pub next: Offset,
+    /// End of the topic when the store answered. A page of limited size can end before it.
+    pub end: Offset,
 }
 
 /// Failures of a call to the store.
--- a/crates/forward/tests/fold.rs
+++ b/crates/forward/tests/fold.rs
@@ -54,6 +54,7 @@
     let page = Page {
         items,
         next: Offset(100),
+        end: Offset(100),
     };
     fold.apply_page(topic, &page, now, lapsing)
 }
--- a/crates/forward/tests/resolve.rs
+++ b/crates/forward/tests/resolve.rs
@@ -164,6 +164,7 @@
     let page = forward::source::Page {
         items: vec![item],
         next: Offset(6),
+        end: Offset(6),
     };
     fold.apply_page(Topic::Operator, &page, NOW, false);
     let config = resolve(&fold, &zone_regions()).unwrap();
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use config::forward::Limits;
 use entity::{Generation, Moment, Offset, Span};
+use forward::cursor::{Coverage, Cursor};
 use forward::source::{Error, Item, Listing, Page, Topic};
 use forward::{Change, Fold, Source, ZoneRegions, resolve};
 use rand::RngExt;
@@ -64,6 +65,8 @@
     sent: Moment,
     /// Whether entries may be missing only because the store had an outage.
     after_outage: bool,
+    /// Whether the records are all that the store had acknowledged when the read was sent.
+    coverage: Coverage,
 }
 
 /// State and channels of the task that owns the fold.
@@ -97,6 +100,7 @@
             batch: Batch::Relayed(items, applied),
             sent: Moment(0),
             after_outage: false,
+            coverage: Coverage::Partial,
         };
         // The receiver is dropped only when the instance is closing.
         let _ = self.reads.send(read).await;
@@ -160,17 +164,25 @@
 
 impl<S: Source> Follower<S> {
     async fn run(self) {
-        let mut next: Option<Offset> = None;
+        let mut cursor = Cursor::default();
         let mut delay = RETRY_DELAY_RANGE.0;
         let mut failing = false;
         loop {
             let sent = boot_time();
             let age = self.shared.freshness.age(self.topic, sent);
-            let read = self.read(next, failing).await;
-            let batch = match read {
-                Ok(batch) => batch,
+            let read = self.read(cursor.next(), failing).await;
+            let read = read.and_then(|batch| {
+                let coverage = match &batch {
+                    Batch::Listing(listing) => cursor.accept_listing(listing),
+                    Batch::Page(page) => cursor.accept_page(page)?,
+                    Batch::Relayed(..) => Coverage::Partial,
+                };
+                Ok((batch, coverage))
+            });
+            let (batch, coverage) = match read {
+                Ok(read) => read,
                 Err(Error::Expired) => {
-                    next = None;
+                    cursor.reset();
                     continue;
                 }
                 Err(error) => {
@@ -179,7 +191,7 @@
                     }
                     failing = true;
                     self.shared.freshness.record_failure(self.topic);
-                    self.back_off(delay, next.is_some()).await;
+                    self.back_off(delay, cursor.next().is_some()).await;
                     delay = (delay * 2).min(RETRY_DELAY_RANGE.1);
                     continue;
                 }
@@ -188,23 +200,21 @@
                 self.record_event(Kind::Adopted, "the store answers again");
             }
             (failing, delay) = (false, RETRY_DELAY_RANGE.0);
-            next = Some(match &batch {
-                Batch::Listing(listing) => listing.end,
-                Batch::Page(page) => page.next,
-                Batch::Relayed(..) => continue,
-            });
             let freshness = &self.shared.freshness;
             let read = Read {
                 topic: self.topic,
                 batch,
                 sent,
                 after_outage: freshness.record_read(self.topic, sent, boot_time()),
+                coverage,
             };
             self.record_read(&read, age);
             if self.reads.send(read).await.is_err() {
                 return;
             }
-            self.wait_until_due(sent).await;
+            if coverage == Coverage::Whole {
+                self.wait_until_due(sent).await;
+            }
         }
     }
 
@@ -253,6 +263,7 @@
                         batch: Batch::Listing(listing),
                         sent,
                         after_outage: false,
+                        coverage: Coverage::Whole,
                     };
                     // The receiver is dropped only when the instance is closing.
                     let _ = self.reads.send(read).await;
@@ -372,10 +383,12 @@
         };
         let freshness = &self.parts.shared.freshness;
         freshness.set_digest(read.topic, self.fold.digest(read.topic));
-        match relayed {
-            // The receiver is dropped only when the instance is closing.
-            Some(applied) => drop(applied.send(())),
-            None => freshness.confirm(read.topic, read.sent),
+        // The receiver is dropped only when the instance is closing.
+        if let Some(applied) = relayed {
+            let _ = applied.send(());
+        }
+        if read.coverage == Coverage::Whole {
+            freshness.confirm(read.topic, read.sent);
         }
         // The first read of a topic may complete the fold without changing its routing.
         let first = self.generation == Generation(0);
