Date the news of peers by a comparison of the clocks

Cause (known failure slow_datagrams_do_not_lead_to_late_dispatch): the age of a peer's news was the age in its beacon, the time since the own receive queue was last empty, and 60 ms for the way. A datagram that waited longer on a link made a state seem younger than it is.

Beacons say when they were sent. News whose age can't be known, as from a peer that hasn't answered yet, confirms nothing. The peek at the socket before each datagram and the guess at its waiting time are gone.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -7,9 +7,6 @@
 
 use entity::{Moment, Span};
 
-/// Time by which a confirmation by a peer is dated back for the transit of its datagram, in
-/// addition to the time that the datagram waited in the receive queue.
-const TRANSIT_ALLOWANCE: Span = Span::from_millis(60);
 /// Time without a successful read of any instance from which the store counts as having had an
 /// outage, if a read of this instance failed as well.
 const OUTAGE_GAP: Span = Span::from_millis(2600);
@@ -134,18 +131,17 @@
         self.failing || age.is_some_and(|age| age <= self.timing.max_dispatch_age)
     }
 
-    /// Records a peer's digest and the age of the read that confirmed it. An equal digest confirms
-    /// that of this instance. Returns whether the topic has to be read now, because peers with later
-    /// reads keep reporting another digest.
-    pub fn record_sight(&mut self, digest: u64, age: Span, now: Moment) -> bool {
-        let age = age + TRANSIT_ALLOWANCE;
-        self.record_answer(now - age, now);
+    /// Records a peer's digest, which a read confirmed that was not sent before `read`. An equal
+    /// digest confirms that of this instance. Returns whether the topic has to be read now, because
+    /// peers with later reads keep reporting another digest.
+    pub fn record_sight(&mut self, digest: u64, read: Moment, now: Moment) -> bool {
+        self.record_answer(read, now);
         if digest == self.digest {
             self.differs_since = None;
-            self.confirm(now - age);
+            self.confirm(read);
             return false;
         }
-        if self.age(now).is_none_or(|own| age >= own) {
+        if self.confirmed.is_none_or(|confirmed| read <= confirmed) {
             return false;
         }
         let since = *self.differs_since.get_or_insert(now);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod catalog;
+pub mod clocks;
 pub mod cursor;
 pub mod delta;
 pub mod dialect;
--- a/crates/forward/tests/departure.rs
+++ b/crates/forward/tests/departure.rs
@@ -9,9 +9,9 @@
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{Rule, Shape, World};
+use world::{Dating, Rule, Shape, World};
 
-/// Longest time that a datagram takes within what the receiver allows for, in milliseconds.
+/// Longest time that a datagram takes on a network that is not congested, in milliseconds.
 const PROMPT_TRANSIT_MS: u64 = 55;
 /// Number of seeds that run in CI.
 const DEFAULT_SEED_COUNT: u64 = 24;
@@ -36,6 +36,7 @@
         max_pause_ms: random.random_range(0..150),
         pause_share: 0.01,
         rule: Rule::AnyState,
+        dating: Dating::Clocks,
     }
 }
 
@@ -81,6 +82,22 @@
     }
 }
 
+/// Without a comparison of the clocks, the exploration must find states that seem younger than they
+/// are.
+#[gtest]
+fn dating_by_the_arrival_is_caught() {
+    let caught = (0..seeds()).filter(|&seed| {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let shape = Shape {
+            max_transit_ms: random.random_range(PROMPT_TRANSIT_MS..300),
+            dating: Dating::Mutation,
+            ..long_pauses(&mut random, Rule::RecentState)
+        };
+        !run(shape, &mut random, seed).is_empty()
+    });
+    expect_that!(caught.count(), gt(0));
+}
+
 /// Without the rule on the age of the state, the exploration must find dispatches that are too late.
 #[gtest]
 fn dispatch_by_an_old_state_is_caught() {
--- a/crates/forward/tests/departure/world.rs
+++ b/crates/forward/tests/departure/world.rs
@@ -3,8 +3,9 @@
 //! Reads and datagrams take random times, datagrams are lost, and instances pause as on a machine
 //! with little processor time.
 
-use entity::{Moment, Offset, Span};
+use entity::{Moment, Offset, Span, name};
 use forward::catalog::{Entry, Registration, State};
+use forward::clocks::{Clocks, Run, Stamp};
 use forward::follow::{Follow, Timing};
 use forward::source::{Item, Topic};
 use forward::updates::{AnnouncedRecord, Updates};
@@ -45,6 +46,17 @@
     pub pause_share: f64,
     /// What requests are dispatched by.
     pub rule: Rule,
+    /// How the news of a peer is dated.
+    pub dating: Dating,
+}
+
+/// How an instance dates the news of a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dating {
+    /// By a comparison of the clocks.
+    Clocks,
+    /// As if its message had been sent when it arrived.
+    Mutation,
 }
 
 /// The state by which an instance dispatches requests.
@@ -58,11 +70,24 @@
     Mutation,
 }
 
-struct Beacon {
+/// A message from one instance to another. Instances have clocks that show different times.
+struct Message {
+    sender: usize,
     arrival: Moment,
-    records: Vec<AnnouncedRecord>,
-    digest: u64,
-    age: Option<Span>,
+    stamp: Stamp,
+    content: Content,
+}
+
+enum Content {
+    Beacon {
+        records: Vec<AnnouncedRecord>,
+        digest: u64,
+        age: Option<Span>,
+    },
+    /// Asks for the time on the receiver's clock.
+    Question,
+    /// Returns the time of the question on the asker's clock.
+    Answer { asked: Moment },
 }
 
 struct Read {
@@ -82,7 +107,10 @@
     /// Time before which no read begins, after a failed one.
     retry_at: Moment,
     read: Option<Read>,
-    inbox: Vec<Beacon>,
+    inbox: Vec<Message>,
+    clocks: Clocks,
+    /// Time by which the own clock is ahead of the world's.
+    ahead: Span,
     next_round: Moment,
     paused_until: Moment,
 }
@@ -108,7 +136,7 @@
     reported: Vec<(usize, usize)>,
 }
 
-fn name(upstream: usize) -> Box<str> {
+fn upstream_name(upstream: usize) -> Box<str> {
     format!("i-{upstream:04}").into()
 }
 
@@ -141,6 +169,8 @@
                 retry_at: now,
                 read: None,
                 inbox: Vec::new(),
+                clocks: Clocks::default(),
+                ahead: Span::from_millis(random.random_range(0..1_000_000)),
                 next_round: now + Span::from_millis(random.random_range(0..400)),
                 paused_until: now,
             };
@@ -177,7 +207,7 @@
         self.left.push((upstream, self.now));
         if removed {
             self.upstreams[upstream].alive = false;
-            self.append(name(upstream), None);
+            self.append(upstream_name(upstream), None);
         } else {
             self.upstreams[upstream].registration.state = State::Draining;
             self.beat(upstream);
@@ -186,7 +216,7 @@
 
     /// Removes an entry, whose upstream goes on.
     pub fn lapse(&mut self, upstream: usize) {
-        self.append(name(upstream), None);
+        self.append(upstream_name(upstream), None);
     }
 
     /// Starts or ends an outage of the store. What was in flight fails.
@@ -254,8 +284,8 @@
         let upstream = &mut self.upstreams[index];
         upstream.next_beat = self.now + HEARTBEAT;
         let registration = upstream.registration.clone();
-        let entry = Entry::Registration(name(index).parse().unwrap(), registration);
-        self.append(name(index), Some(entry));
+        let entry = Entry::Registration(upstream_name(index).parse().unwrap(), registration);
+        self.append(upstream_name(index), Some(entry));
     }
 
     fn beat_upstreams(&mut self) {
@@ -278,8 +308,11 @@
             instance.paused_until = now + Span::from_millis(pause);
             return;
         }
-        instance.receive(&self.log, now);
+        let replies = instance.receive(&self.log, self.shape.dating, now);
         instance.expire(now);
+        for (target, content) in replies {
+            self.send(index, target, content);
+        }
         let instance = &mut self.instances[index];
         if let Some(read) = instance.read.take_if(|read| read.end <= now) {
             match read.items {
@@ -322,24 +355,48 @@
         let records = instance.updates.announced(now);
         let (digest, age) = (instance.follow.digest(), instance.follow.age(now));
         let others: Vec<usize> = (0..self.instances.len()).filter(|&i| i != index).collect();
-        for &target in others.sample(&mut self.random, ROUND.1) {
-            if self.random.random_bool(self.shape.loss) {
-                continue;
-            }
-            let transit = self.random.random_range(1..=self.shape.max_transit_ms);
-            self.instances[target].inbox.push(Beacon {
-                arrival: now + Span::from_millis(transit),
-                records: records.clone(),
+        let targets = others.sample(&mut self.random, ROUND.1);
+        for target in targets.copied().collect::<Vec<_>>() {
+            let records = records.clone();
+            let content = Content::Beacon {
+                records,
                 digest,
                 age,
-            });
+            };
+            self.send(index, target, content);
         }
     }
+
+    fn send(&mut self, sender: usize, target: usize, content: Content) {
+        if self.random.random_bool(self.shape.loss) {
+            return;
+        }
+        let transit = self.random.random_range(1..=self.shape.max_transit_ms);
+        let now = self.now;
+        let stamp = Stamp {
+            run: Run(sender as u64),
+            time: self.instances[sender].own_time(now),
+        };
+        self.instances[target].inbox.push(Message {
+            sender,
+            arrival: now + Span::from_millis(transit),
+            stamp,
+            content,
+        });
+    }
+}
+
+fn instance_name(index: usize) -> name::Instance {
+    format!("front-{index}").parse().unwrap()
 }
 
 impl Instance {
+    fn own_time(&self, now: Moment) -> Moment {
+        now + self.ahead
+    }
+
     fn is_ready(&self, upstream: usize) -> bool {
-        let name = name(upstream);
+        let name = upstream_name(upstream);
         let upstreams = self.fold.upstreams();
         let found = upstreams.binary_search_by(|other| other.name.as_str().cmp(&name));
         found.is_ok_and(|found| upstreams[found].is_ready())
@@ -356,31 +413,63 @@
         self.follow.set_digest(self.fold.digest(Topic::Upstreams));
     }
 
-    fn receive(&mut self, log: &[Item], now: Moment) {
-        let mut arrived: Vec<Beacon> = Vec::new();
+    /// Processes the messages that have arrived. Returns messages to send, with their targets.
+    fn receive(&mut self, log: &[Item], dating: Dating, now: Moment) -> Vec<(usize, Content)> {
+        let mut arrived: Vec<Message> = Vec::new();
         let mut later = Vec::new();
-        for beacon in self.inbox.drain(..) {
-            let list = if beacon.arrival <= now {
+        for message in self.inbox.drain(..) {
+            let list = if message.arrival <= now {
                 &mut arrived
             } else {
                 &mut later
             };
-            list.push(beacon);
+            list.push(message);
         }
         self.inbox = later;
-        arrived.sort_by_key(|beacon| beacon.arrival);
-        for beacon in arrived {
-            let values = self.updates.decode(&beacon.records);
-            let items: Vec<Item> = values
-                .into_iter()
-                .map(|value| log[value.unwrap().offset.0 as usize].clone())
-                .collect();
-            self.apply(&items, now, false);
-            if let Some(age) = beacon.age {
-                let waited = now.since(beacon.arrival);
-                self.follow.record_sight(beacon.digest, age + waited, now);
+        arrived.sort_by_key(|message| message.arrival);
+        let mut replies = Vec::new();
+        let own_time = self.own_time(now);
+        for message in arrived {
+            let (sender, stamp) = (message.sender, message.stamp);
+            let peer = instance_name(sender);
+            match message.content {
+                Content::Beacon {
+                    records,
+                    digest,
+                    age,
+                } => {
+                    if self.clocks.record_message(&peer, stamp.run, own_time) {
+                        replies.push((sender, Content::Question));
+                    }
+                    self.receive_records(&records, log, now);
+                    let sent = match dating {
+                        Dating::Clocks => self.clocks.earliest_send(&peer, stamp, own_time),
+                        Dating::Mutation => Some(message.arrival + self.ahead),
+                    };
+                    if let (Some(sent), Some(age)) = (sent, age) {
+                        let read = sent - self.ahead - age;
+                        self.follow.record_sight(digest, read, now);
+                    }
+                }
+                Content::Question => {
+                    let asked = stamp.time;
+                    replies.push((sender, Content::Answer { asked }));
+                }
+                Content::Answer { asked } => {
+                    self.clocks.record_answer(&peer, stamp, asked, own_time);
+                }
             }
         }
+        replies
+    }
+
+    fn receive_records(&mut self, records: &[AnnouncedRecord], log: &[Item], now: Moment) {
+        let values = self.updates.decode(records);
+        let items: Vec<Item> = values
+            .into_iter()
+            .map(|value| log[value.unwrap().offset.0 as usize].clone())
+            .collect();
+        self.apply(&items, now, false);
     }
 
     fn expire(&mut self, now: Moment) {
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -24,7 +24,7 @@
 fn rare_reads_are_no_outage() {
     let mut follow = read_once();
     for millis in (400..9600).step_by(400) {
-        follow.record_sight(0, Span::from_millis(300), at(millis));
+        follow.record_sight(0, at(millis - 300), at(millis));
     }
     expect_false!(follow.record_read(at(11_400), at(11_404)));
 }
@@ -50,7 +50,7 @@
 #[gtest]
 fn outage_is_noticed_if_a_peer_reads_first() {
     let mut follow = after_failures();
-    follow.record_sight(1, Span::from_millis(20), at(4000));
+    follow.record_sight(1, at(4000 - 20), at(4000));
     expect_true!(follow.record_read(at(4100), at(4104)));
 }
 
@@ -61,7 +61,7 @@
     for millis in (400..6000).step_by(400) {
         follow.record_failure();
         // The digest differs, so that the news confirms nothing here.
-        follow.record_sight(1, Span::from_millis(300), at(millis));
+        follow.record_sight(1, at(millis - 300), at(millis));
     }
     expect_false!(follow.record_read(at(6000), at(6004)));
 }
--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -200,6 +200,24 @@
   8: optional string zone,
   /** Some of the instances that it has heard of. */
   9: optional list<Acquaintance> acquaintances,
+  /** Time on the sender's clock, in microseconds. */
+  10: optional i64 sent_us,
+  /** The run of the sender's process; a new one may have another clock. */
+  11: optional i64 run,
+}
+
+/** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
+    whose fields have other numbers than those of a beacon. */
+struct Clock {
+  20: required string instance,
+  /** Where the sender takes datagrams. */
+  21: required string address,
+  /** The run of the sender's process. */
+  22: required i64 run,
+  /** Time on the sender's clock, in microseconds. */
+  23: required i64 sent_us,
+  /** Time of the question on the clock of who asked, in an answer. */
+  24: optional i64 asked_us,
 }
 
 struct Done {
--- a/crates/peer/src/beacon.rs
+++ b/crates/peer/src/beacon.rs
@@ -1,13 +1,12 @@
 //! Gossip datagrams between instances.
 //!
 //! A beacon is a complete message that is not acknowledged; the next one makes up for a lost one.
-//! Beacons carry no authentication tag, because the network between instances is private to the
+//! Questions about the receiver's clock and their answers use the same socket.
+//! Datagrams carry no authentication tag, because the network between instances is private to the
 //! deployment, which provides no secret for one.
 
-use crate::message::Beacon;
-use socket2::SockRef;
+use crate::message::{Beacon, Clock};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use thrift::protocol::{
     TCompactInputProtocol, TCompactOutputProtocol, TInputProtocol, TSerializable, TType,
@@ -17,43 +16,64 @@
 /// Largest payload of a UDP datagram over IPv4.
 pub const MAX_BYTES: usize = 65_507;
 
-/// Error of sending or receiving a beacon.
+/// Error of sending or receiving a message.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The socket failed.
     #[error("socket: {0}")]
     Socket(#[from] io::Error),
-    /// The payload is not a beacon.
+    /// The payload is not a message.
     #[error("thrift: {0}")]
     Payload(#[from] thrift::Error),
 }
 
-/// Encodes a beacon as the payload of a datagram.
+/// Number of the first field of a [`Clock`]; the numbers of a beacon's fields are lower.
+const FIRST_CLOCK_FIELD: i16 = 20;
+
+/// Message in one datagram.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Datagram {
+    /// What an instance tells its peers in each round.
+    Beacon(Box<Beacon>),
+    /// A question about the receiver's clock, or the answer to one.
+    Clock(Clock),
+}
+
+/// Encodes a message as the payload of a datagram.
 ///
 /// # Errors
 ///
-/// Returns an error if the beacon can't be encoded; a well-formed beacon always can.
-pub fn encode(beacon: &Beacon) -> Result<Vec<u8>, Error> {
+/// Returns an error if the message can't be encoded; a well-formed one always can.
+pub fn encode(message: &impl TSerializable) -> Result<Vec<u8>, Error> {
     let mut payload = Vec::new();
     let mut protocol = TCompactOutputProtocol::new(&mut payload);
-    beacon.write_to_out_protocol(&mut protocol)?;
+    message.write_to_out_protocol(&mut protocol)?;
     Ok(payload)
 }
 
-/// Decodes a beacon from the payload of a datagram.
+/// Decodes the payload of a datagram.
 ///
 /// # Errors
 ///
-/// Returns [`Error::Payload`] if the payload is not a beacon.
-pub fn decode(payload: &[u8]) -> Result<Beacon, Error> {
+/// Returns [`Error::Payload`] if the payload is not a message.
+pub fn decode(payload: &[u8]) -> Result<Datagram, Error> {
     // The generated reader allocates space for a list before it checks that the payload is long enough,
     // so the payload is skipped through first.
     TCompactInputProtocol::new(payload).skip(TType::Struct)?;
+    let mut head = TCompactInputProtocol::new(payload);
+    head.read_struct_begin()?;
+    let first = head.read_field_begin()?;
     let mut protocol = TCompactInputProtocol::new(payload);
-    Ok(Beacon::read_from_in_protocol(&mut protocol)?)
+    if first.id.is_some_and(|id| id >= FIRST_CLOCK_FIELD) {
+        return Ok(Datagram::Clock(Clock::read_from_in_protocol(
+            &mut protocol,
+        )?));
+    }
+    let beacon = Beacon::read_from_in_protocol(&mut protocol)?;
+    Ok(Datagram::Beacon(Box::new(beacon)))
 }
 
-/// Bound UDP socket for beacons.
+/// Bound UDP socket for messages between instances.
 #[derive(Debug)]
 pub struct Socket {
     socket: UdpSocket,
@@ -90,21 +110,13 @@
         Ok(())
     }
 
-    /// Returns whether a datagram is ready to be received.
-    ///
-    /// Peeks at the socket, because the runtime notices datagrams only when it polls.
-    pub fn has_next(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit(); 1];
-        SockRef::from(&self.socket).peek(&mut byte).is_ok()
-    }
-
-    /// Receives the next beacon.
+    /// Receives the next message.
     ///
     /// # Errors
     ///
-    /// Returns an error if the socket fails or the datagram is not a beacon. After a malformed datagram,
-    /// further beacons can be received.
-    pub async fn receive(&self) -> Result<Beacon, Error> {
+    /// Returns an error if the socket fails or the datagram is not a message. After a malformed
+    /// datagram, further ones can be received.
+    pub async fn receive(&self) -> Result<Datagram, Error> {
         self.socket.readable().await?;
         let mut buffer = vec![0; MAX_BYTES];
         let (length, _) = self.socket.recv_from(&mut buffer).await?;
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2042,10 +2042,14 @@
   pub zone: Option<String>,
   /// Some of the instances that it has heard of.
   pub acquaintances: Option<Vec<Acquaintance>>,
+  /// Time on the sender's clock, in microseconds.
+  pub sent_us: Option<i64>,
+  /// The run of the sender's process; a new one may have another clock.
+  pub run: Option<i64>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>> {
+  pub fn new<F8, F9, F10, F11>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>> {
     Beacon {
       instance,
       address,
@@ -2056,6 +2060,8 @@
       told,
       zone: zone.into(),
       acquaintances: acquaintances.into(),
+      sent_us: sent_us.into(),
+      run: run.into(),
     }
   }
 }
@@ -2072,6 +2078,8 @@
     let mut f_7: Option<Vec<Told>> = None;
     let mut f_8: Option<String> = None;
     let mut f_9: Option<Vec<Acquaintance>> = None;
+    let mut f_10: Option<i64> = None;
+    let mut f_11: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2145,6 +2153,14 @@
           i_prot.read_list_end()?;
           f_9 = Some(val);
         },
+        10 => {
+          let val = i_prot.read_i64()?;
+          f_10 = Some(val);
+        },
+        11 => {
+          let val = i_prot.read_i64()?;
+          f_11 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2169,6 +2185,8 @@
       told: f_7.expect("auto-generated code should have checked for presence of required fields"),
       zone: f_8,
       acquaintances: f_9,
+      sent_us: f_10,
+      run: f_11,
     };
     Ok(ret)
   }
@@ -2226,6 +2244,127 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.sent_us {
+      o_prot.write_field_begin(&TFieldIdentifier::new("sent_us", TType::I64, 10))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.run {
+      o_prot.write_field_begin(&TFieldIdentifier::new("run", TType::I64, 11))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Clock
+//
+
+/// Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
+/// whose fields have other numbers than those of a beacon.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Clock {
+  pub instance: String,
+  /// Where the sender takes datagrams.
+  pub address: String,
+  /// The run of the sender's process.
+  pub run: i64,
+  /// Time on the sender's clock, in microseconds.
+  pub sent_us: i64,
+  /// Time of the question on the clock of who asked, in an answer.
+  pub asked_us: Option<i64>,
+}
+
+impl Clock {
+  pub fn new<F24>(instance: String, address: String, run: i64, sent_us: i64, asked_us: F24) -> Clock where F24: Into<Option<i64>> {
+    Clock {
+      instance,
+      address,
+      run,
+      sent_us,
+      asked_us: asked_us.into(),
+    }
+  }
+}
+
+impl TSerializable for Clock {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Clock> {
+    i_prot.read_struct_begin()?;
+    let mut f_20: Option<String> = None;
+    let mut f_21: Option<String> = None;
+    let mut f_22: Option<i64> = None;
+    let mut f_23: Option<i64> = None;
+    let mut f_24: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        20 => {
+          let val = i_prot.read_string()?;
+          f_20 = Some(val);
+        },
+        21 => {
+          let val = i_prot.read_string()?;
+          f_21 = Some(val);
+        },
+        22 => {
+          let val = i_prot.read_i64()?;
+          f_22 = Some(val);
+        },
+        23 => {
+          let val = i_prot.read_i64()?;
+          f_23 = Some(val);
+        },
+        24 => {
+          let val = i_prot.read_i64()?;
+          f_24 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Clock.instance", &f_20)?;
+    verify_required_field_exists("Clock.address", &f_21)?;
+    verify_required_field_exists("Clock.run", &f_22)?;
+    verify_required_field_exists("Clock.sent_us", &f_23)?;
+    let ret = Clock {
+      instance: f_20.expect("auto-generated code should have checked for presence of required fields"),
+      address: f_21.expect("auto-generated code should have checked for presence of required fields"),
+      run: f_22.expect("auto-generated code should have checked for presence of required fields"),
+      sent_us: f_23.expect("auto-generated code should have checked for presence of required fields"),
+      asked_us: f_24,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Clock");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("instance", TType::String, 20))?;
+    o_prot.write_string(&self.instance)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 21))?;
+    o_prot.write_string(&self.address)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("run", TType::I64, 22))?;
+    o_prot.write_i64(self.run)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("sent_us", TType::I64, 23))?;
+    o_prot.write_i64(self.sent_us)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.asked_us {
+      o_prot.write_field_begin(&TFieldIdentifier::new("asked_us", TType::I64, 24))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -141,12 +141,12 @@
         follow.read_delay(reader, sent, jitter, now)
     }
 
-    /// Records a peer's digest of a topic and the age of the read that confirmed it. If peers with
-    /// later reads keep reporting another digest, the task that follows the topic is woken to read
-    /// it.
-    pub fn record_peer_digest(&self, topic: Topic, digest: u64, age: Span, now: Moment) {
+    /// Records a peer's digest of a topic, which a read confirmed that was not sent before `read`. If
+    /// peers with later reads keep reporting another digest, the task that follows the topic is
+    /// woken to read it.
+    pub fn record_peer_digest(&self, topic: Topic, digest: u64, read: Moment, now: Moment) {
         let state = self.state(topic);
-        if state.follow().record_sight(digest, age, now) {
+        if state.follow().record_sight(digest, read, now) {
             state.wake.notify_one();
         }
         state.confirmed.notify_waiters();
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -18,9 +18,10 @@
 use entity::{Moment, Span, name};
 use forward::Source;
 use forward::catalog::{Entry, Instance};
+use forward::clocks::{Clocks, Run, Stamp};
 use forward::source::Topic;
 use forward::updates::AnnouncedRecord;
-use peer::beacon::{self, Socket};
+use peer::beacon::{self, Datagram, Socket};
 use peer::message::{self, Beacon};
 use quality::release::Report;
 use quality::trial::Ruling;
@@ -47,9 +48,6 @@
 const READER_COUNT: u64 = 2;
 /// Rendezvous key by which readers are ranked.
 const READERS_KEY: &str = "readers of the store";
-/// Longest time since the receive queue was last empty for which the age of a datagram can be
-/// bounded.
-const MAX_RECEIVE_LAG: Span = Span::from_millis(300);
 /// Delay after a failed call of the store or of the socket.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -82,8 +80,10 @@
     peers: Membership,
     pending: Vec<PendingRuling>,
     version: u64,
-    /// Time at which the receive queue was last empty, in boot time.
-    last_drained: Moment,
+    /// This run of the process, as its messages name it.
+    run: Run,
+    /// Clocks of the peers, in relation to the boot time here.
+    clocks: Clocks,
 }
 
 /// Binds the address and starts the task.
@@ -104,7 +104,8 @@
         socket,
         pending: Vec::new(),
         version: 0,
-        last_drained: Moment(0),
+        run: Run(rand::random()),
+        clocks: Clocks::default(),
     };
     tokio::spawn(async move {
         tokio::select! {
@@ -120,12 +121,10 @@
         self.join().await;
         let mut next = tokio::time::Instant::now();
         loop {
-            if !self.socket.has_next() {
-                self.last_drained = boot_time();
-            }
             tokio::select! {
                 received = self.socket.receive() => match received {
-                    Ok(beacon) => self.receive_beacon(&beacon).await,
+                    Ok(Datagram::Beacon(beacon)) => self.receive_beacon(&beacon).await,
+                    Ok(Datagram::Clock(clock)) => self.receive_clock(&clock).await,
                     Err(beacon::Error::Payload(error)) => self.record_outage("beacon", &error.to_string()),
                     Err(beacon::Error::Socket(error)) => {
                         self.record_outage("socket", &error.to_string());
@@ -211,33 +210,95 @@
                 self.peers.record_mention(peer);
             }
         }
+        let sent = self.sending_time(beacon, &name, address).await;
         let decider = &self.parts.shared.core.decider;
         let loads = beacon.loads.iter().filter_map(decode_load).collect();
         decider
             .record_peer_loads(name, loads, self.peers.len())
             .await;
-        self.receive_updates(beacon).await;
+        self.receive_updates(beacon, sent).await;
         let reports: Vec<Report> = beacon.trials.iter().filter_map(decode_trial).collect();
         if !reports.is_empty() {
             decider.merge_reports(reports).await;
         }
     }
 
+    /// Returns a time in boot time before which a beacon was not sent; none while the sender's clock
+    /// is unknown. Asks the sender for it if necessary.
+    async fn sending_time(
+        &mut self,
+        beacon: &Beacon,
+        peer: &name::Instance,
+        address: SocketAddr,
+    ) -> Option<Moment> {
+        let stamp = Stamp {
+            run: Run(beacon.run? as u64),
+            time: Moment(u64::try_from(beacon.sent_us?).ok()?),
+        };
+        let now = boot_time();
+        if self.clocks.record_message(peer, stamp.run, now) {
+            self.send_clock(None, address).await;
+        }
+        self.clocks.earliest_send(peer, stamp, now)
+    }
+
+    /// Answers a peer's question about the clock of this instance, or records a peer's answer.
+    async fn receive_clock(&mut self, clock: &message::Clock) {
+        let (Ok(name), Ok(address)) = (clock.instance.parse(), clock.address.parse()) else {
+            self.record_outage("clock", "the sender has no valid name or address");
+            return;
+        };
+        let Some(asked) = clock.asked_us else {
+            self.send_clock(Some(clock.sent_us), address).await;
+            return;
+        };
+        let (Ok(asked), Ok(time)) = (u64::try_from(asked), u64::try_from(clock.sent_us)) else {
+            self.record_outage("clock", "a time is negative");
+            return;
+        };
+        let stamp = Stamp {
+            run: Run(clock.run as u64),
+            time: Moment(time),
+        };
+        let now = boot_time();
+        self.clocks.record_answer(&name, stamp, Moment(asked), now);
+    }
+
+    /// Asks an instance for its time, or answers its question, which was sent at `asked`.
+    async fn send_clock(&self, asked: Option<i64>, to: SocketAddr) {
+        let clock = message::Clock {
+            instance: self.parts.own.to_string(),
+            address: self.parts.address.to_string(),
+            run: self.run.0 as i64,
+            sent_us: boot_time().0 as i64,
+            asked_us: asked,
+        };
+        match beacon::encode(&clock) {
+            // A failure to send is treated as a lost datagram.
+            Ok(payload) => drop(self.socket.send(&payload, to).await),
+            Err(error) => self.record_outage("clock", &error.to_string()),
+        }
+    }
+
     async fn run_round(&mut self, reports: &[Report]) {
         self.update_members().await;
         let is_reader = self.rank(READERS_KEY, self.now()) < READER_COUNT;
         self.parts.shared.freshness.set_reader(is_reader);
         let leaving = self.parts.shared.core.is_draining();
+        let loads = self.loads().await;
+        let now = boot_time();
         let beacon = Beacon {
             instance: self.parts.own.to_string(),
             address: self.parts.address.to_string(),
             leaving,
             trials: reports.iter().map(encode_trial).collect(),
-            loads: self.loads().await,
-            sights: self.topic_ages(),
+            loads,
+            sights: self.topic_ages(now),
             told: self.recent_updates(),
             zone: Some(self.parts.zone.to_string()),
             acquaintances: Some(self.peer_sample()),
+            sent_us: Some(now.0 as i64),
+            run: Some(self.run.0 as i64),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
@@ -248,10 +309,9 @@
         }
     }
 
-    /// Returns the digest and the age of each followed topic.
-    fn topic_ages(&self) -> Vec<message::Sight> {
+    /// Returns the digest and the age of each followed topic at `now`, in boot time.
+    fn topic_ages(&self, now: Moment) -> Vec<message::Sight> {
         let freshness = &self.parts.shared.freshness;
-        let now = boot_time();
         let mut ages = Vec::new();
         for topic in FOLLOWED_TOPICS {
             let Some(age) = freshness.age(topic, now) else {
@@ -272,10 +332,9 @@
         updates.into_iter().map(encode_update).collect()
     }
 
-    /// Applies records that a peer relayed and the ages of its reads. The ages are ignored if this
-    /// instance has not kept up with its datagrams, since it can't determine how long ago they
-    /// were sent.
-    async fn receive_updates(&self, beacon: &Beacon) {
+    /// Applies records that a peer relayed and, if it is known when the beacon was sent, the ages of
+    /// the peer's reads.
+    async fn receive_updates(&self, beacon: &Beacon, sent: Option<Moment>) {
         let updates: Vec<AnnouncedRecord> = beacon.told.iter().filter_map(decode_update).collect();
         let values = self.parts.shared.freshness.updates().decode(&updates);
         for topic in FOLLOWED_TOPICS {
@@ -294,9 +353,9 @@
                 self.parts.feed.apply_relayed(topic, items).await;
             }
         }
-        if self.is_lagging() {
+        let Some(sent) = sent else {
             return;
-        }
+        };
         let now = boot_time();
         for sight in &beacon.sights {
             let found = FOLLOWED_TOPICS
@@ -305,19 +364,12 @@
             let Some(&topic) = found else {
                 continue;
             };
-            // The datagram arrived after the last time at which the receive queue was empty.
-            let waited = now.since(self.last_drained);
-            let age = Span::from_micros(sight.age_us.max(0) as u64) + waited;
+            let read = sent - Span::from_micros(sight.age_us.max(0) as u64);
             let freshness = &self.parts.shared.freshness;
-            freshness.record_peer_digest(topic, sight.digest as u64, age, now);
+            freshness.record_peer_digest(topic, sight.digest as u64, read, now);
         }
     }
 
-    /// Returns whether datagrams may have waited for long in the receive queue.
-    fn is_lagging(&self) -> bool {
-        boot_time().since(self.last_drained) > MAX_RECEIVE_LAG
-    }
-
     /// Returns the work that this instance has at upstreams; nothing if the decider has ended.
     async fn loads(&self) -> Vec<message::UpstreamLoad> {
         let loads = self.parts.shared.core.decider.loads().await;
