Follow what upstreams say of themselves in their answers

An upstream that leaves says so in all its answers, and one that turns a request away with 503 can ask for a rest. Both were passed on unread: an instance went on sending to the first until the store's record arrived, and to the second at once.

routing::restriction holds both for each incarnation. The balancer chooses by it, and the try checks it once more before the first byte, so that queued requests, retries, resumed streams and escalations follow it too. If all upstreams rest, callers are refused at once with the time until the first rest ends. An answer 421 says nothing about the upstream that was meant.

--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -19,4 +19,8 @@
     pub keep_alive: Option<Span>,
     /// Delay after which the upstream asks the client to retry.
     pub retry_after: Option<Span>,
+    /// Whether the upstream says that it is leaving and wants no further requests.
+    pub leaving: bool,
+    /// Names of headers whose values can't be used as they are.
+    pub malformed: Vec<&'static str>,
 }
--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -191,6 +191,13 @@
   4: required i32 age_ms,
 }
 
+/** An upstream that says that it is leaving. */
+struct Departure {
+  1: required string upstream,
+  /** The start time of the incarnation, as the upstream registered it. */
+  2: required i64 incarnation,
+}
+
 /** What an instance tells others in a datagram, which is not answered. */
 struct Beacon {
   1: required string instance,
@@ -210,6 +217,8 @@
   10: optional i64 sent_us,
   /** The run of the sender's process; a new one may have another clock. */
   11: optional i64 run,
+  /** Upstreams that said so in their answers, or of which a peer has told it. */
+  12: optional list<Departure> departures,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2064,6 +2064,76 @@
   }
 }
 
+//
+// Departure
+//
+
+/// An upstream that says that it is leaving.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Departure {
+  pub upstream: String,
+  /// The start time of the incarnation, as the upstream registered it.
+  pub incarnation: i64,
+}
+
+impl Departure {
+  pub fn new(upstream: String, incarnation: i64) -> Departure {
+    Departure {
+      upstream,
+      incarnation,
+    }
+  }
+}
+
+impl TSerializable for Departure {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Departure> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Departure.upstream", &f_1)?;
+    verify_required_field_exists("Departure.incarnation", &f_2)?;
+    let ret = Departure {
+      upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Departure");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Beacon
 //
@@ -2088,10 +2158,12 @@
   pub sent_us: Option<i64>,
   /// The run of the sender's process; a new one may have another clock.
   pub run: Option<i64>,
+  /// Upstreams that said so in their answers, or of which a peer has told it.
+  pub departures: Option<Vec<Departure>>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>> {
+  pub fn new<F8, F9, F10, F11, F12>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>> {
     Beacon {
       instance,
       address,
@@ -2104,6 +2176,7 @@
       acquaintances: acquaintances.into(),
       sent_us: sent_us.into(),
       run: run.into(),
+      departures: departures.into(),
     }
   }
 }
@@ -2122,6 +2195,7 @@
     let mut f_9: Option<Vec<Acquaintance>> = None;
     let mut f_10: Option<i64> = None;
     let mut f_11: Option<i64> = None;
+    let mut f_12: Option<Vec<Departure>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2203,6 +2277,16 @@
           let val = i_prot.read_i64()?;
           f_11 = Some(val);
         },
+        12 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Departure> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_16 = Departure::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_16);
+          }
+          i_prot.read_list_end()?;
+          f_12 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2229,6 +2313,7 @@
       acquaintances: f_9,
       sent_us: f_10,
       run: f_11,
+      departures: f_12,
     };
     Ok(ret)
   }
@@ -2296,6 +2381,15 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.departures {
+      o_prot.write_field_begin(&TFieldIdentifier::new("departures", TType::List, 12))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -17,6 +17,7 @@
         acquaintances: None,
         sent_us: Some(5),
         run: Some(-7),
+        departures: None,
     }
 }
 
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -1,13 +1,14 @@
 //! The balancer of one instance, which holds the state of its upstreams and chooses one of them for
 //! each dispatch.
 
-use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
+use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS, Work};
 use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
 use crate::hash;
 use crate::load::Load;
 use crate::peer_loads::PeerLoads;
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
+use crate::restriction::{Incarnation, Restriction, Restrictions};
 use crate::retry;
 use crate::score::{self, Affinity, Placement};
 use crate::slots::{Bounds, Claim, DrainNotice, Members, Views};
@@ -66,6 +67,7 @@
     budget: retry::Budget,
     tickets: u64,
     peer_loads: PeerLoads,
+    restrictions: Restrictions,
     /// Moving average of prompt sizes, in bytes.
     mean_prompt: f64,
 }
@@ -81,6 +83,16 @@
     is_local: bool,
 }
 
+/// What a request asks of its upstream, and what is known of it.
+struct Asked {
+    prefix: Option<u64>,
+    demand: Option<Demand>,
+    /// Homes of the prefix.
+    homes: Vec<id::Upstream>,
+    /// Work of the peers at each upstream.
+    others: Map<id::Upstream, Work>,
+}
+
 impl Balancer {
     /// Creates a balancer without a configuration or an instance list. All instances must have the
     /// same `bounds`.
@@ -97,6 +109,7 @@
             budget: retry::Budget::new(Moment(0)),
             tickets: 0,
             peer_loads: PeerLoads::default(),
+            restrictions: Restrictions::default(),
             mean_prompt: 0.0,
         }
     }
@@ -247,7 +260,7 @@
             .check_permitted(&request)
             .map_err(refusal)?;
         let asked = (query.prefix, query.demand);
-        self.candidates(&request, asked, now).map_err(refusal)
+        self.candidates(&request, asked, now)
     }
 
     /// Applies all filters to a choice again, immediately before its dispatch.
@@ -277,6 +290,16 @@
         Ok(())
     }
 
+    /// Records that an upstream said that it is leaving: it is not chosen any more.
+    pub fn record_leaving(&mut self, incarnation: Incarnation, now: Moment) {
+        self.restrictions.record_leaving(incarnation, now);
+    }
+
+    /// Records that an upstream wants no requests until a time.
+    pub fn record_rest(&mut self, incarnation: Incarnation, until: Moment, now: Moment) {
+        self.restrictions.record_rest(incarnation, until, now);
+    }
+
     /// Removes the pending work of a choice once the first event of its answer has arrived.
     pub fn remove_pending(&mut self, upstream: &name::Upstream, ticket: u64) {
         if let Some(state) = self.states.by_name_mut(upstream) {
@@ -353,18 +376,32 @@
         request: &Request,
         (prefix, demand): (Option<u64>, Option<Demand>),
         now: Moment,
-    ) -> Result<Vec<Candidate>, Reason> {
-        let others = match demand {
-            Some(_) => self.peer_loads.work(&self.config, now),
-            None => Map::default(),
-        };
+    ) -> Result<Vec<Candidate>, Refusal> {
         let filter = self.filter(now);
         let pool = self.pools.pool(request.service, request.version);
-        let homes = prefix.map(|prefix| self.homes(prefix, &pool.used));
-        let zone = self.config.zone(self.zone.as_str());
+        let asked = Asked {
+            prefix,
+            demand,
+            homes: prefix.map_or_else(Vec::new, |prefix| self.homes(prefix, &pool.used)),
+            others: match demand {
+                Some(_) => self.peer_loads.work(&self.config, now),
+                None => Map::default(),
+            },
+        };
         let mut candidates = Vec::with_capacity(pool.used.len());
         let mut most_transient = self.unavailable_reason(request);
+        let mut rest_end: Option<Moment> = None;
         for &upstream in &pool.used {
+            if let Some(restriction) = self.restriction(upstream, now) {
+                most_transient = most_transient.max(match restriction {
+                    Restriction::Leaving => Reason::Leaving,
+                    Restriction::Resting { until } => {
+                        rest_end = Some(rest_end.map_or(until, |end| end.min(until)));
+                        Reason::Resting
+                    }
+                });
+                continue;
+            }
             let state = self.states.in_use(upstream);
             let sharers = self.sharers(upstream);
             let grant = match filter.check(request, upstream, state, sharers, None) {
@@ -374,55 +411,79 @@
                     continue;
                 }
             };
-            let home = homes
-                .as_ref()
-                .is_some_and(|homes| homes.contains(&upstream));
-            let affinity = match prefix {
-                Some(prefix)
-                    if state.has_cached_prefix(prefix) || state.has_sent_prefix(prefix, now) =>
-                {
-                    Affinity::Cached
-                }
-                _ if home => Affinity::Home,
-                _ => Affinity::None,
-            };
-            let placement = Placement {
-                upstream,
-                sharers,
-                affinity,
-            };
-            let ahead = demand.map(|demand| {
-                let mut work = state.work();
-                if let Some(others) = others.get(upstream) {
-                    work.pending += others.pending;
-                    work.running += others.running;
-                }
-                demand.ahead(affinity, work)
-            });
-            let is_local = zone == Some(self.config.upstreams[upstream].zone);
-            let score = match ahead {
-                Some(ahead) if is_local => ahead,
-                Some(ahead) => ahead + OTHER_ZONE_COST_TOKENS,
-                None => score::score(&self.config, zone, placement, state, now),
-            };
-            candidates.push(Candidate {
-                upstream,
-                grant,
-                affinity,
-                ahead,
-                score,
-                has_affinity: affinity != Affinity::None,
-                is_local,
-            });
+            candidates.push(self.candidate(upstream, (grant, sharers), &asked, now));
         }
         // The capacity of cold upstreams is used only if no warm one has room.
         if candidates.iter().any(|one| one.grant != Grant::RateLimited) {
             candidates.retain(|one| one.grant != Grant::RateLimited);
         }
-        if candidates.is_empty() {
-            return Err(most_transient);
+        if !candidates.is_empty() {
+            return Ok(candidates);
+        }
+        let rest = rest_end.filter(|_| most_transient == Reason::Resting);
+        Err(Refusal {
+            retry_after: rest
+                .map(|end| end.since(now))
+                .or(refusal(most_transient).retry_after),
+            reason: most_transient,
+        })
+    }
+
+    /// Returns an upstream that passed the filter, with its score.
+    fn candidate(
+        &self,
+        upstream: id::Upstream,
+        (grant, sharers): (Grant, usize),
+        asked: &Asked,
+        now: Moment,
+    ) -> Candidate {
+        let state = self.states.in_use(upstream);
+        let affinity = match asked.prefix {
+            Some(prefix)
+                if state.has_cached_prefix(prefix) || state.has_sent_prefix(prefix, now) =>
+            {
+                Affinity::Cached
+            }
+            _ if asked.homes.contains(&upstream) => Affinity::Home,
+            _ => Affinity::None,
+        };
+        let placement = Placement {
+            upstream,
+            sharers,
+            affinity,
+        };
+        let ahead = asked.demand.map(|demand| {
+            let mut work = state.work();
+            if let Some(others) = asked.others.get(upstream) {
+                work.pending += others.pending;
+                work.running += others.running;
+            }
+            demand.ahead(affinity, work)
+        });
+        let zone = self.config.zone(self.zone.as_str());
+        let is_local = zone == Some(self.config.upstreams[upstream].zone);
+        let score = match ahead {
+            Some(ahead) if is_local => ahead,
+            Some(ahead) => ahead + OTHER_ZONE_COST_TOKENS,
+            None => score::score(&self.config, zone, placement, state, now),
+        };
+        Candidate {
+            upstream,
+            grant,
+            affinity,
+            ahead,
+            score,
+            has_affinity: affinity != Affinity::None,
+            is_local,
         }
-        Ok(candidates)
+    }
+
+    /// Returns why a registered upstream must get no request now; none if it may get one.
+    fn restriction(&self, upstream: id::Upstream, now: Moment) -> Option<Restriction> {
+        let upstream = &self.config.upstreams[upstream];
+        let registration = upstream.registration.as_ref()?;
+        let number = registration.incarnation;
+        self.restrictions.find(&upstream.name, number, now)
     }
 
     /// Returns the reason for which a pool has no upstreams.
@@ -617,7 +678,7 @@
         | Reason::Region
         | Reason::Deadline => None,
         Reason::Generation => Some(Span::ZERO),
-        Reason::Excluded | Reason::Full => Some(CAPACITY_RETRY_AFTER),
+        Reason::Excluded | Reason::Full | Reason::Resting => Some(CAPACITY_RETRY_AFTER),
         Reason::Cold | Reason::Failing => Some(RECOVERY_RETRY_AFTER),
         Reason::ZoneOut | Reason::Leaving => Some(OUTAGE_RETRY_AFTER),
     };
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -67,6 +67,9 @@
     /// The upstream is being removed from service.
     #[error("the upstream is leaving")]
     Leaving,
+    /// The upstream asked for no requests for a while.
+    #[error("the upstream wants no requests for a while")]
+    Resting,
     /// The upstream is in cold start, and this instance owns none of its slots now.
     #[error("the upstream is in cold start")]
     Cold,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod query;
 pub mod rate_limit;
 pub mod reserve;
+pub mod restriction;
 pub mod retry;
 pub mod score;
 pub mod slots;
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -2,6 +2,7 @@
 
 use crate::demand::Demand;
 use crate::filter::{Grant, Reason};
+use crate::restriction::Incarnation;
 use config::Config;
 use entity::id;
 use entity::name;
@@ -79,6 +80,22 @@
         self.ticket
     }
 
+    /// Returns the incarnation of the upstream; none if it didn't register itself.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        let number = self.incarnation_number()?;
+        Some(Incarnation {
+            upstream: self.upstream.clone(),
+            number,
+        })
+    }
+
+    /// Returns the number of the upstream's incarnation; none if it didn't register itself.
+    pub fn incarnation_number(&self) -> Option<u64> {
+        let id = self.config.upstream(self.upstream.as_str())?;
+        let registration = self.config.upstreams[id].registration.as_ref()?;
+        Some(registration.incarnation)
+    }
+
     /// Returns the service, the version if there is one, and the organisation of the request.
     pub fn names(&self) -> (&name::Service, Option<&name::Version>, &name::Organisation) {
         (
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -16,6 +16,7 @@
 use routing::allowance::{Allowance, Bound};
 use routing::demand::{Demand, Loads};
 use routing::reserve;
+use routing::restriction::Incarnation;
 use routing::slots::DrainNotice;
 use routing::{Balancer, Bounds, Choice, Load, Members, Outcome, Priority, Suspicion};
 use std::sync::Arc;
@@ -173,6 +174,8 @@
     FirstEvent(name::Upstream, u64),
     Loads(oneshot::Sender<Loads>),
     RecordPeerLoads(name::Instance, Loads, usize),
+    RecordLeaving(Incarnation),
+    RecordRest(Incarnation, Moment),
 }
 
 /// A handle that sends messages to the task.
@@ -296,6 +299,21 @@
         .await;
     }
 
+    /// Records that an upstream said that it is leaving.
+    pub async fn record_leaving(&self, incarnation: Incarnation) {
+        self.send(Message::Forward(ForwardMessage::RecordLeaving(incarnation)))
+            .await;
+    }
+
+    /// Records that an upstream wants no requests until a time.
+    pub async fn record_rest(&self, incarnation: Incarnation, until: Moment) {
+        self.send(Message::Forward(ForwardMessage::RecordRest(
+            incarnation,
+            until,
+        )))
+        .await;
+    }
+
     /// Returns the delay before a retry; none if the retry budget or the deadline forbids it.
     ///
     /// # Errors
@@ -717,6 +735,12 @@
             ForwardMessage::Loads(reply) => {
                 let _ = reply.send(self.balancer.loads());
             }
+            ForwardMessage::RecordLeaving(incarnation) => {
+                self.balancer.record_leaving(incarnation, now);
+            }
+            ForwardMessage::RecordRest(incarnation, until) => {
+                self.balancer.record_rest(incarnation, until, now);
+            }
             ForwardMessage::RecordPeerLoads(instance, loads, others) => {
                 self.balancer
                     .record_peer_loads(&instance, loads, others, now);
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -24,7 +24,7 @@
 use std::sync::Mutex;
 use timeline::Kind;
 use tokio::time::Instant;
-use upstream::forward::{IncomingAnswer, UpstreamRequest};
+use upstream::forward::{IncomingAnswer, Notice, UpstreamRequest};
 use upstream::{Failure, Reason};
 
 /// Least urgent priority that is sent to an upstream.
@@ -314,6 +314,11 @@
         freshness.wait_for_dispatch(Topic::Upstreams).await;
     }
 
+    fn is_wanted(&self, choice: &Choice) -> bool {
+        let shared = &self.run.shared;
+        shared.notices.is_wanted(&shared.core, choice)
+    }
+
     async fn dispatch(&self, choice: &Choice, limits: TryLimits) -> Result<Answer, Failure> {
         // An upstream that registered itself is addressed by its incarnation, so that another one
         // that reuses the address refuses the request.
@@ -325,7 +330,12 @@
             end: try_deadline,
             ..sending
         };
-        let answer = match self.run.shared.pool.send(&sending).await {
+        let mut notice = Notice::default();
+        let sent_to = self.run.shared.pool.send(&sending, &mut notice).await;
+        if notice != Notice::default() {
+            self.run.shared.record_notice(choice, notice).await;
+        }
+        let answer = match sent_to {
             Ok(response) if self.route().repeat.streams() && response.status.is_success() => {
                 self.read_first_events(response, try_deadline).await
             }
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -4,6 +4,7 @@
 use crate::core::Core;
 use crate::forward::freshness::Freshness;
 use crate::forward::key_validity::boot_time;
+use crate::forward::notices::Notices;
 use crate::forward::run::{Run, timeline_id};
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
@@ -30,6 +31,8 @@
     pub core: Core,
     /// Digests and ages of the topics of the store.
     pub freshness: Freshness,
+    /// What upstreams said about themselves.
+    pub notices: Notices,
     /// Connections to upstreams.
     pub pool: Pool,
     /// How a model is chosen for requests that leave the choice to the router.
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -7,6 +7,7 @@
 use crate::forward::feed;
 use crate::forward::freshness::Freshness;
 use crate::forward::front::{Cascade, Front, Shared};
+use crate::forward::notices::Notices;
 use crate::forward::{peers, probe};
 use anyhow::{Context as _, Result};
 use arc_swap::ArcSwap;
@@ -91,6 +92,7 @@
                 settings.bounds.apply_delay,
                 settings.bounds.drain,
             ),
+            notices: Notices::default(),
             pool: upstream::forward::Pool::new(dialect.clone()),
             cascade: match settings.cascade {
                 None => Cascade::Largest,
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod front;
 mod instance;
 mod key_validity;
+mod notices;
 mod payload;
 mod peers;
 mod probe;
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -11,6 +11,7 @@
 use rand::seq::IndexedRandom;
 use routing::demand::Work;
 use routing::membership::Peer;
+use routing::restriction::Incarnation;
 
 /// Largest number of incarnations of instances whose evidence one beacon carries, the sender's
 /// first.
@@ -103,6 +104,22 @@
     })
 }
 
+/// Encodes the departure of an upstream.
+pub fn encode_departure(incarnation: &Incarnation) -> message::Departure {
+    message::Departure {
+        upstream: incarnation.upstream.to_string(),
+        incarnation: incarnation.number as i64,
+    }
+}
+
+/// Decodes the departure of an upstream; `None` if its name is invalid.
+pub fn decode_departure(departure: &message::Departure) -> Option<Incarnation> {
+    Some(Incarnation {
+        upstream: departure.upstream.parse().ok()?,
+        number: departure.incarnation as u64,
+    })
+}
+
 /// Encodes the work that this instance has at an upstream.
 pub fn encode_load((upstream, work): &(name::Upstream, Work)) -> message::UpstreamLoad {
     message::UpstreamLoad {
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -11,8 +11,8 @@
 use crate::forward::front::Shared;
 use crate::forward::key_validity::boot_time;
 use crate::forward::payload::{
-    decode_era, decode_load, decode_peer, decode_trial, decode_update, encode_load, encode_peer,
-    encode_trial, encode_update, topic_number,
+    decode_departure, decode_era, decode_load, decode_peer, decode_trial, decode_update,
+    encode_departure, encode_load, encode_peer, encode_trial, encode_update, topic_number,
 };
 use crate::rendezvous;
 use entity::{Era, Moment, Span, name};
@@ -249,6 +249,16 @@
             }
         }
         let sent = self.sending_time(beacon, &name, address).await;
+        let shared = &self.parts.shared;
+        for departure in beacon
+            .departures
+            .iter()
+            .flatten()
+            .filter_map(decode_departure)
+        {
+            let core = &shared.core;
+            shared.notices.record_leaving(core, departure, "peer").await;
+        }
         let decider = &self.parts.shared.core.decider;
         let loads = beacon.loads.iter().filter_map(decode_load).collect();
         decider
@@ -325,6 +335,8 @@
         self.parts.shared.freshness.set_reader(is_reader);
         let leaving = self.parts.shared.core.is_draining();
         let loads = self.loads().await;
+        let shared = &self.parts.shared;
+        let departures = shared.notices.recent_departures(&shared.core);
         let now = boot_time();
         let beacon = Beacon {
             instance: self.parts.own.to_string(),
@@ -338,6 +350,7 @@
             acquaintances: Some(self.peer_sample()),
             sent_us: Some(now.0 as i64),
             run: Some(self.run.0 as i64),
+            departures: Some(departures.iter().map(encode_departure).collect()),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -204,6 +204,12 @@
         std::future::ready(())
     }
 
+    /// Returns whether the upstream of a choice still wants requests. It may have said otherwise in an
+    /// answer since the choice was made.
+    fn is_wanted(&self, _choice: &Choice) -> bool {
+        true
+    }
+
     /// Sends the request to the upstream of a choice.
     fn dispatch(
         &self,
@@ -250,6 +256,10 @@
             core.decider.finish(choice, Outcome::Cancelled).await;
             continue;
         }
+        if !dispatch.is_wanted(&choice) {
+            core.decider.finish(choice, Outcome::Cancelled).await;
+            continue;
+        }
         if !job.is_permitted(core, &choice.upstream) {
             core.decider.finish(choice, Outcome::Cancelled).await;
             return Err(Abort::Stale);
@@ -422,6 +432,7 @@
         Why::Deadline => (StatusCode::GATEWAY_TIMEOUT, "timed-out"),
         Why::ZoneOut | Why::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-out"),
         Why::Cold => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-cold"),
+        Why::Resting => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-resting"),
         Why::Failing | Why::Excluded => (StatusCode::BAD_GATEWAY, "upstream-failed"),
         Why::Full => (StatusCode::TOO_MANY_REQUESTS, "overloaded"),
         Why::Generation => (StatusCode::SERVICE_UNAVAILABLE, "configuration-changed"),
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -51,6 +51,10 @@
     Retries = "retries",
     /// Requests that were escalated from a cheaper version to a more expensive one.
     Escalations = "escalations",
+    /// Upstreams that said in an answer that they are leaving, or of which a peer told it.
+    LeavingUpstreams = "leaving_upstreams",
+    /// Answers in which an upstream asked for no requests for a while.
+    RestingUpstreams = "resting_upstreams",
     /// Answers that were discarded.
     Discards = "discards",
     /// Claims on idempotency keys.
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -54,6 +54,17 @@
     pub end: Instant,
 }
 
+/// What an upstream said about itself in the head of an answer, also of one that is not used.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether it is leaving and wants no further requests.
+    pub leaving: bool,
+    /// Time for which it wants no requests.
+    pub rest: Option<Span>,
+    /// Names of headers whose values can't be used as they are.
+    pub malformed: Vec<&'static str>,
+}
+
 /// Answer whose head has arrived and whose body has not been read yet.
 #[derive(Debug)]
 pub struct IncomingAnswer {
@@ -116,13 +127,18 @@
         }
     }
 
-    /// Sends a request and returns its answer once the head has arrived.
+    /// Sends a request and returns its answer once the head has arrived. What the head says about the
+    /// upstream is put into `notice`, whether the answer can be used or not.
     ///
     /// # Errors
     ///
     /// Returns a failure if no valid head arrives before the deadline, or if the head says that the
     /// request did not run.
-    pub async fn send(&self, outgoing: &UpstreamRequest<'_>) -> Result<IncomingAnswer, Failure> {
+    pub async fn send(
+        &self,
+        outgoing: &UpstreamRequest<'_>,
+        notice: &mut Notice,
+    ) -> Result<IncomingAnswer, Failure> {
         let request = self.build_request(outgoing)?;
         let mut connection = match self.take_idle(outgoing) {
             Some(connection) => connection,
@@ -145,7 +161,8 @@
             Ok(Ok(response)) => response,
         };
         let (parts, body) = response.into_parts();
-        let head = self.shared.dialect.answer(&parts.headers);
+        let mut head = self.shared.dialect.answer(&parts.headers);
+        *notice = take_notice(&mut head, parts.status);
         check(&head, &outgoing.head.id, parts.status)?;
         Ok(IncomingAnswer {
             status: parts.status,
@@ -249,6 +266,20 @@
     })
 }
 
+/// Returns what the head of an answer says about the upstream. Behind an address that was given to
+/// another upstream, that one answers that the request was misdirected.
+fn take_notice(head: &mut Answer, status: StatusCode) -> Notice {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Notice::default();
+    }
+    let overloaded = status == StatusCode::SERVICE_UNAVAILABLE;
+    Notice {
+        leaving: head.leaving,
+        rest: head.retry_after.filter(|_| overloaded),
+        malformed: std::mem::take(&mut head.malformed),
+    }
+}
+
 /// Checks that an answer belongs to the request and comes from an upstream that ran it.
 fn check(head: &Answer, id: &str, status: StatusCode) -> Result<(), Failure> {
     if head.id.as_deref().is_some_and(|answered| answered != id) {
