Don't take the silence of peers in an own pause for their end

A round that begins more than 2 s after the last one extends the peers' last heartbeats by that time.

Peers that have been silent for 10 minutes, and old departures, are forgotten, unless most peers are silent: then this instance is the one that is cut off.

Three tests in crates/routing/tests/membership.rs fail without it.

--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -8,6 +8,11 @@
 /// Time without a heartbeat after which a peer no longer counts as live. The capacity of cold
 /// upstreams is divided among live instances.
 const LIVENESS_TIMEOUT: Span = Span::from_secs(8);
+/// Time between two rounds from which this instance counts as paused. What peers sent meanwhile waits
+/// in its receive queue, or is lost.
+const PAUSE_THRESHOLD: Span = Span::from_secs(2);
+/// Time after which a silent peer or a departure is forgotten.
+const FORGET_TIMEOUT: Span = Span::from_secs(600);
 /// Margin after a departure within which a mention by another peer doesn't bring the departed peer
 /// back: the mention may have been in flight when the peer left.
 const REJOIN_MARGIN: Span = Span::from_secs(2);
@@ -43,6 +48,8 @@
     peers: Vec<Peer>,
     /// Peers that announced their departure, with its time on the local clock, sorted by name.
     departed: Vec<(name::Instance, Moment)>,
+    /// Time of the last round.
+    last_round: Option<Moment>,
 }
 
 impl Membership {
@@ -53,6 +60,7 @@
             zone,
             peers: Vec::new(),
             departed: Vec::new(),
+            last_round: None,
         }
     }
 
@@ -71,6 +79,25 @@
         self.peers.len() <= FULL_FANOUT_COUNT
     }
 
+    /// Begins a round. The silence of peers in a pause of this instance says nothing about them. Peers
+    /// that have been silent for very long are forgotten, unless most are: then it is this instance
+    /// that is cut off, and it needs their addresses later.
+    pub fn begin_round(&mut self, now: Moment) {
+        let pause = self.last_round.map_or(Span::ZERO, |last| now.since(last));
+        self.last_round = Some(now);
+        if pause > PAUSE_THRESHOLD {
+            for peer in &mut self.peers {
+                peer.last_seen = (peer.last_seen + pause).min(now);
+            }
+        }
+        let is_known = |seen: Moment| now.since(seen) < FORGET_TIMEOUT;
+        self.departed.retain(|(_, departed)| is_known(*departed));
+        let known = self.peers.iter().filter(|peer| is_known(peer.last_seen));
+        if 2 * known.count() > self.peers.len() {
+            self.peers.retain(|peer| is_known(peer.last_seen));
+        }
+    }
+
     /// Records a heartbeat that was received from the peer itself.
     pub fn observe(&mut self, peer: Peer) {
         if let Ok(index) = self.find_departed(&peer.name) {
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -144,3 +144,50 @@
         }
     }
 }
+
+/// After a pause of its own an instance found all peers silent for longer than the time after which
+/// they count as gone, and took all cold slots for its own.
+#[gtest]
+fn silence_in_a_pause_of_the_instance_itself_says_nothing_about_its_peers() {
+    let mut membership = local_membership();
+    for number in 1..4 {
+        membership.observe(peer(number, after(0)));
+    }
+    membership.begin_round(after(100));
+    membership.begin_round(after(9100));
+    expect_that!(live(&membership, after(9100)), eq(4));
+    // From then on, silence counts.
+    for millis in (9500..17_500).step_by(400) {
+        membership.begin_round(after(millis));
+    }
+    expect_that!(live(&membership, after(17_100)), eq(1));
+}
+
+#[gtest]
+fn peers_that_have_long_been_silent_are_forgotten() {
+    let mut membership = local_membership();
+    for number in 1..5 {
+        membership.observe(peer(number, START));
+    }
+    for millis in (0..700_000).step_by(400) {
+        for number in 2..5 {
+            membership.observe(peer(number, after(millis)));
+        }
+        membership.begin_round(after(millis));
+    }
+    expect_that!(membership.len(), eq(3));
+}
+
+/// An instance that is cut off from most of its peers has to find them again afterwards.
+#[gtest]
+fn instance_that_is_cut_off_keeps_the_addresses_of_its_peers() {
+    let mut membership = local_membership();
+    for number in 1..5 {
+        membership.observe(peer(number, START));
+    }
+    for millis in (0..700_000).step_by(400) {
+        membership.observe(peer(1, after(millis)));
+        membership.begin_round(after(millis));
+    }
+    expect_that!(membership.len(), eq(4));
+}
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -329,6 +329,7 @@
     }
 
     async fn run_round(&mut self, reports: &[Report]) {
+        self.peers.begin_round(self.now());
         self.update_members().await;
         self.renew_entry();
         let is_reader = self.rank(READERS_KEY, self.now()) < READER_COUNT;
