Keep the sums of a trial instead of adding up all evidence for each request

From the middle of a trial on, each request without a session, and each session in each round of beacons, added up the evidence of all instances to see whether the next step may be taken. Not the claims of slots, which was suspected: registered upstreams have none.

A trial keeps the sums, and the news of a peer changes them by what it brings. The share is computed once for all sessions. Of the evidence of peers, only what one beacon carries is copied, and the peers take turns: before, only the first 23 by name were ever passed on.

entity::work counts the steps of loops that grow with a deployment, in builds with debug assertions, so that tests can bound the work of one event.

--- a/crates/entity/src/lib.rs
+++ b/crates/entity/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod sorted;
 pub mod time;
 pub mod unit;
+pub mod work;
 
 pub use map::Map;
 pub use offset::{Era, Generation, Offset};
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -8,7 +8,10 @@
 use entity::id;
 use entity::name;
 use entity::unit::Share;
-use entity::{Era, Moment, Span};
+use entity::{Era, Moment, Span, work};
+
+/// Number of peers whose evidence one report has.
+const REPORTED_PEER_COUNT: usize = 23;
 
 /// The properties of a request that decide its release.
 #[derive(Clone, Copy, Debug)]
@@ -36,7 +39,7 @@
     /// Era of the store in which the ruling was last written; none if it wasn't. A store that came
     /// back from a copy may have lost it.
     pub ruling_era: Option<Era>,
-    /// Evidence by incarnation of an instance.
+    /// Evidence by incarnation of an instance, the sender's first.
     pub evidence: Vec<(name::Instance, Evidence)>,
     /// Hashes of sessions on the old release that would start on the new one. An instance to which
     /// their callers move must not treat them as new sessions.
@@ -214,9 +217,14 @@
     }
 
     /// Returns the reports on all trials, to be sent to peers.
-    pub fn reports(&self, now: Moment) -> Vec<Report> {
+    pub fn reports(&mut self, now: Moment) -> Vec<Report> {
         let mut reports = Vec::new();
-        for service in &self.services {
+        for index in 0..self.services.len() {
+            let Some(trial) = &mut self.services[index].trial else {
+                continue;
+            };
+            let evidence = trial.evidence(&self.own, REPORTED_PEER_COUNT);
+            let service = &self.services[index];
             let Some(trial) = &service.trial else {
                 continue;
             };
@@ -226,7 +234,7 @@
                 age: now.since(trial.started_at()),
                 ruling: trial.ruling(),
                 ruling_era: trial.ruling_era,
-                evidence: trial.evidence(&self.own),
+                evidence,
                 kept_sessions: self.sessions_to_report(trial, Origin::Local, now),
                 relayed_sessions: self.sessions_to_report(trial, Origin::Reported, now),
                 can_complete: trial.can_complete(now),
@@ -306,13 +314,15 @@
         if trial.ruling().is_some() {
             return Vec::new();
         }
+        let share = trial.share(now);
         let mut hashes = Vec::new();
+        work::count(self.sessions.len());
         for session in &self.sessions {
             let old = session.origin == origin && session.version == trial.old;
             let recent = now.since(session.seen) <= self.session_gap;
             // The instance that reported a session has checked that it would start on the new
             // release.
-            let is_moving = origin != Origin::Local || is_in_share(trial, session.position, now);
+            let is_moving = origin != Origin::Local || is_in_share(share, session.position);
             if old && recent && is_moving {
                 hashes.push(session.hash);
             }
@@ -356,7 +366,7 @@
         (None, Some(version)) if *version == trial.new => true,
         (None, Some(_)) => trial.can_move_sessions(now),
         (None, None) => {
-            is_in_share(trial, query.position, now)
+            is_in_share(trial.share(now), query.position)
                 && !may_be_old
                 && is_served(config, &trial.new, now)
         }
@@ -369,8 +379,8 @@
 }
 
 /// Returns whether a position in the split falls into the share of the new release.
-fn is_in_share(trial: &Trial, position: u64, now: Moment) -> bool {
-    position % 1_000_000 < u64::from(trial.share(now).ppm())
+fn is_in_share(share: Share, position: u64) -> bool {
+    position % 1_000_000 < u64::from(share.ppm())
 }
 
 /// Returns whether a release has an upstream that is in service and warm.
--- a/crates/quality/src/trial.rs
+++ b/crates/quality/src/trial.rs
@@ -7,7 +7,7 @@
 //! than the old release usually takes for requests of the same kind.
 
 use entity::unit::Share;
-use entity::{Era, Moment, Span, name, sorted};
+use entity::{Era, Moment, Span, name, sorted, work};
 
 /// Fraction of the exposure bound that the new release receives in the first half.
 const FIRST_SHARE_FACTOR: f64 = 0.6;
@@ -72,11 +72,19 @@
 }
 
 impl Tally {
+    // Sums wrap, so that absurd counts in a message of a peer cancel out once it is replaced.
+    fn subtract(&mut self, other: Self) {
+        self.old = self.old.wrapping_sub(other.old);
+        self.old_bad = self.old_bad.wrapping_sub(other.old_bad);
+        self.new = self.new.wrapping_sub(other.new);
+        self.new_bad = self.new_bad.wrapping_sub(other.new_bad);
+    }
+
     fn add(&mut self, other: Self) {
-        self.old += other.old;
-        self.old_bad += other.old_bad;
-        self.new += other.new;
-        self.new_bad += other.new_bad;
+        self.old = self.old.wrapping_add(other.old);
+        self.old_bad = self.old_bad.wrapping_add(other.old_bad);
+        self.new = self.new.wrapping_add(other.new);
+        self.new_bad = self.new_bad.wrapping_add(other.new_bad);
     }
 
     /// Returns whether the new release has at least `min_bad` bad answers and a share of them that
@@ -124,6 +132,12 @@
     own: Evidence,
     /// Evidence counted by peers, sorted by name and incarnation.
     peers: Vec<(name::Instance, Evidence)>,
+    /// Index of the peer whose evidence is reported next.
+    next_reported: usize,
+    /// Sum of the evidence of all instances, by kind of request.
+    pooled: Evidence,
+    /// Sum of the evidence of all instances.
+    sum: Tally,
     /// Recent times of the old release, sorted by kind of request.
     times: Vec<(u64, Vec<Span>)>,
 }
@@ -147,6 +161,9 @@
             ruling: None,
             own: Vec::new(),
             peers: Vec::new(),
+            next_reported: 0,
+            pooled: Vec::new(),
+            sum: Tally::default(),
             times: Vec::new(),
         }
     }
@@ -182,7 +199,7 @@
         let halfway = self.halfway();
         let mut share = first;
         for (begin, step) in STEPS {
-            if now >= halfway + begin && self.sum().new >= MIN_ANSWERS_PER_STEP {
+            if now >= halfway + begin && self.sum.new >= MIN_ANSWERS_PER_STEP {
                 share = step.max(first);
             }
         }
@@ -217,6 +234,7 @@
             },
         };
         add(&mut self.own, answer.kind, tally);
+        self.add_to_sums(answer.kind, tally);
         if let (Side::Old, false, Some(time)) = (answer.side, answer.failed, answer.time) {
             self.record_time(answer.kind, time);
         }
@@ -225,33 +243,56 @@
     /// Replaces the evidence of an incarnation of a peer by newer evidence. Counts only grow, so
     /// the evidence with more answers is the newer one.
     pub fn receive(&mut self, incarnation: name::Instance, evidence: Evidence) {
-        match self
+        let found = self
             .peers
-            .binary_search_by(|(name, _)| name.cmp(&incarnation))
-        {
-            Ok(index) if total(&evidence) > total(&self.peers[index].1) => {
-                self.peers[index].1 = evidence;
+            .binary_search_by(|(name, _)| name.cmp(&incarnation));
+        let index = match found {
+            Ok(index) if total(&evidence) <= total(&self.peers[index].1) => return,
+            Ok(index) => index,
+            Err(index) => {
+                self.peers.insert(index, (incarnation, Vec::new()));
+                index
             }
-            Ok(_) => {}
-            Err(index) => self.peers.insert(index, (incarnation, evidence)),
+        };
+        for &(kind, tally) in &evidence {
+            self.add_to_sums(kind, tally);
+        }
+        let replaced = std::mem::replace(&mut self.peers[index].1, evidence);
+        for (kind, tally) in replaced {
+            sorted::entry(&mut self.pooled, &kind, Tally::default).subtract(tally);
+            self.sum.subtract(tally);
         }
     }
 
-    /// Returns the evidence of each incarnation of an instance, this instance's own under the name
-    /// `own`.
-    pub fn evidence(&self, own: &name::Instance) -> Vec<(name::Instance, Evidence)> {
+    fn add_to_sums(&mut self, kind: u64, tally: Tally) {
+        work::count(1);
+        add(&mut self.pooled, kind, tally);
+        self.sum.add(tally);
+    }
+
+    /// Returns the evidence of some incarnations of instances: of this one under the name `own`, and
+    /// of `peer_count` others, which take turns.
+    pub fn evidence(
+        &mut self,
+        own: &name::Instance,
+        peer_count: usize,
+    ) -> Vec<(name::Instance, Evidence)> {
         let mut evidence = vec![(own.clone(), self.own.clone())];
-        evidence.extend(self.peers.iter().cloned());
+        let count = peer_count.min(self.peers.len());
+        work::count(count);
+        for index in self.next_reported..self.next_reported + count {
+            evidence.push(self.peers[index % self.peers.len()].clone());
+        }
+        self.next_reported = (self.next_reported + count) % self.peers.len().max(1);
         evidence
     }
 
     /// Returns whether the evidence of all instances shows that the new release is bad.
     pub fn is_bad(&self) -> bool {
-        let pooled = self.pooled();
-        let of_kind = pooled
-            .iter()
-            .any(|(_, tally)| tally.is_worse(MIN_BAD_OF_KIND));
-        of_kind || self.sum().is_worse(MIN_BAD_OVERALL)
+        work::count(self.pooled.len());
+        let mut kinds = self.pooled.iter();
+        let of_kind = kinds.any(|(_, tally)| tally.is_worse(MIN_BAD_OF_KIND));
+        of_kind || self.sum.is_worse(MIN_BAD_OVERALL)
     }
 
     /// Returns whether the trial can be completed, so that the old release may be stopped.
@@ -260,24 +301,6 @@
         self.ruling.is_none() && self.can_move_sessions(now) && now + COMPLETION_MARGIN >= end
     }
 
-    fn pooled(&self) -> Evidence {
-        let mut pooled = self.own.clone();
-        for (_, evidence) in &self.peers {
-            for &(kind, tally) in evidence {
-                add(&mut pooled, kind, tally);
-            }
-        }
-        pooled
-    }
-
-    fn sum(&self) -> Tally {
-        let mut sum = Tally::default();
-        for (_, tally) in self.pooled() {
-            sum.add(tally);
-        }
-        sum
-    }
-
     fn is_slow(&self, kind: u64, time: Span) -> bool {
         let found = self.times.binary_search_by_key(&kind, |(known, _)| *known);
         let Ok(index) = found else {
@@ -304,8 +327,8 @@
 fn total(evidence: &Evidence) -> u32 {
     evidence
         .iter()
-        .map(|(_, tally)| tally.old + tally.new)
-        .sum()
+        .map(|(_, tally)| tally.old.wrapping_add(tally.new))
+        .fold(0, u32::wrapping_add)
 }
 
 fn add(evidence: &mut Evidence, kind: u64, tally: Tally) {
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -1,19 +1,18 @@
 //! Trials of releases, ordered by operators, and the governor of escalations.
 
-use config::{
-    AdminState, Config, Fencing, Kind, Move, Progress, Registration, Service, Stage, Upstream,
-    Version, Zone,
-};
+#[path = "support/releases.rs"]
+mod support;
+
+use config::{Config, Progress};
 use entity::id::{self, Id};
-use entity::unit::{Cost, Share};
-use entity::{Era, Map, Moment, Span, name};
+use entity::unit::Share;
+use entity::{Era, Moment, Span, name};
 use googletest::prelude::*;
 use quality::governor::{Governor, Observation};
 use quality::release::{AnswerOutcome, Query, Releases};
 use quality::trial::{Answer, Ruling, Side, Trial};
+use support::{DURATION, START, before_the_order, config};
 
-const START: Moment = Moment(1_000_000_000);
-const DURATION: Span = Span::from_secs(24);
 const KIND: u64 = 7;
 
 fn after(millis: u64) -> Moment {
@@ -162,69 +161,6 @@
     expect_that!(trial.share(after(20_000)), eq(Share::NONE));
 }
 
-/// Returns a configuration with two releases of one service and an upstream each.
-fn config(progress: Option<Progress>) -> Config {
-    let version = |name: &str| Version {
-        name: name.parse().unwrap(),
-        model: "advice".parse().unwrap(),
-        price_in: Cost(0),
-        price_out: Cost(0),
-        stage: Stage::Active,
-    };
-    let upstream = |name: &str, index: usize| Upstream {
-        name: name.parse().unwrap(),
-        zone: id::Zone::new(0),
-        address: ([127, 0, 0, 1], 9000).into(),
-        versions: vec![id::Version::new(index)],
-        services: vec![id::Service::new(0)],
-        warm: 4,
-        cold: 0,
-        fencing: Fencing::Ignored,
-        state: AdminState::In,
-        registration: Some(Registration {
-            incarnation: 1,
-            cold_until: Moment(0),
-            cold_rate: 10,
-        }),
-    };
-    let mut config = Config {
-        zones: Map::new(vec![Zone {
-            name: "a".parse().unwrap(),
-            region: "r".parse().unwrap(),
-            state: AdminState::In,
-        }]),
-        services: Map::new(vec![Service {
-            name: "advice".parse().unwrap(),
-            kind: Kind::Plain,
-            depends: Vec::new(),
-            versions: vec![id::Version::new(0), id::Version::new(1)],
-            quality: Share::WHOLE,
-            cascade: false,
-            deadline: Span::ZERO,
-            models: Vec::new(),
-        }]),
-        versions: Map::new(vec![version("advice/v1"), version("advice/v2")]),
-        upstreams: Map::new(vec![upstream("i-1", 0), upstream("i-2", 1)]),
-        ..Config::default()
-    };
-    config.moves = vec![Move {
-        service: id::Service::new(0),
-        target: id::Version::new(1),
-        duration: DURATION,
-        read: START,
-        progress,
-    }];
-    config
-}
-
-fn before_the_order() -> Config {
-    Config {
-        moves: Vec::new(),
-        upstreams: Map::new(vec![config(None).upstreams.values()[0].clone()]),
-        ..config(None)
-    }
-}
-
 fn releases() -> Releases {
     let begun = START - Span::from_secs(60);
     let own = "north-1/1".parse().unwrap();
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -13,9 +13,6 @@
 use routing::membership::Peer;
 use routing::restriction::Incarnation;
 
-/// Largest number of incarnations of instances whose evidence one beacon carries, the sender's
-/// first.
-const MAX_EVIDENCE_COUNT: usize = 24;
 /// Largest number of the sender's own sessions in one beacon.
 const MAX_OWN_SESSIONS: usize = 256;
 /// Largest number of peers' sessions in one beacon. The beacons of a round carry each session
@@ -167,12 +164,7 @@
         },
         written: report.ruling_era.is_some(),
         era: report.ruling_era.map(|era| era.0 as i64),
-        evidence: report
-            .evidence
-            .iter()
-            .take(MAX_EVIDENCE_COUNT)
-            .map(counted)
-            .collect(),
+        evidence: report.evidence.iter().map(counted).collect(),
         kept: sample(&report.kept_sessions, MAX_OWN_SESSIONS),
         passed_on: Some(sample(&report.relayed_sessions, MAX_RELAYED_SESSIONS)),
     }
