Choose an upstream without a look at all instances

The sums of announced work are kept by upstream and change with each announcement; the shares of cold rates are computed when the configuration or the instances change.

--- a/crates/entity/src/map.rs
+++ b/crates/entity/src/map.rs
@@ -43,6 +43,11 @@
         self.values.get(key.index())
     }
 
+    /// Returns the value of a key for modification, or `None` if the key is out of range.
+    pub fn get_mut(&mut self, key: K) -> Option<&mut V> {
+        self.values.get_mut(key.index())
+    }
+
     /// Returns all keys, in order.
     pub fn keys(&self) -> impl Iterator<Item = K> + use<K, V> {
         (0..self.values.len()).map(K::new)
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -143,7 +143,7 @@
     for index in 0..6 {
         part.record(answer(Side::New, index < 3, 80));
     }
-    let evidence = part.evidence(&"other/1".parse().unwrap());
+    let evidence = part.evidence(&"other/1".parse().unwrap(), 8);
     for _ in 0..3 {
         whole.receive("other/1".parse().unwrap(), evidence[0].1.clone());
     }
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -1,13 +1,14 @@
 //! The balancer of one instance, which holds the state of its upstreams and chooses one of them for
 //! each dispatch.
 
-use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS, Work};
+use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
 use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
 use crate::hash;
 use crate::load::Load;
-use crate::peer_loads::PeerLoads;
+use crate::peer_loads::{Others, PeerLoads};
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
+use crate::rate_limit::{self, Sharers};
 use crate::restriction::{Incarnation, Restriction, Restrictions};
 use crate::retry;
 use crate::score::{self, Affinity, Placement};
@@ -18,7 +19,7 @@
 use entity::name;
 use entity::time::Span;
 use entity::unit::Bytes;
-use entity::{Generation, Map, Moment};
+use entity::{Generation, Moment};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
@@ -84,13 +85,13 @@
 }
 
 /// What a request asks of its upstream, and what is known of it.
-struct Asked {
+struct Asked<'a> {
     prefix: Option<u64>,
     demand: Option<Demand>,
     /// Homes of the prefix.
     homes: Vec<id::Upstream>,
     /// Work of the peers at each upstream.
-    others: Map<id::Upstream, Work>,
+    others: Others<'a>,
 }
 
 impl Balancer {
@@ -130,6 +131,7 @@
                 state.reset(now);
             }
         }
+        self.peer_loads.configure(config);
         self.rebuild(now);
     }
 
@@ -223,6 +225,7 @@
     ///
     /// Returns a refusal if no upstream can take the request now.
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
+        self.peer_loads.expire(&self.config, now);
         let candidates = self.eligible(query, now)?;
         let sharers = self.sharers(candidates[0].upstream);
         let best = self.best(&candidates, sharers);
@@ -327,7 +330,8 @@
         instances: usize,
         now: Moment,
     ) {
-        self.peer_loads.record(instance, loads, instances, now);
+        self.peer_loads
+            .record(&self.config, instance, loads, instances, now);
     }
 
     /// Records the end of a choice. Returns a suspicion of cold start if the outcome raises one.
@@ -384,8 +388,8 @@
             demand,
             homes: prefix.map_or_else(Vec::new, |prefix| self.homes(prefix, &pool.used)),
             others: match demand {
-                Some(_) => self.peer_loads.work(&self.config, now),
-                None => Map::default(),
+                Some(_) => self.peer_loads.work(now),
+                None => Others::default(),
             },
         };
         let mut candidates = Vec::with_capacity(pool.used.len());
@@ -434,7 +438,7 @@
         &self,
         upstream: id::Upstream,
         (grant, sharers): (Grant, usize),
-        asked: &Asked,
+        asked: &Asked<'_>,
         now: Moment,
     ) -> Candidate {
         let state = self.states.in_use(upstream);
@@ -454,10 +458,9 @@
         };
         let ahead = asked.demand.map(|demand| {
             let mut work = state.work();
-            if let Some(others) = asked.others.get(upstream) {
-                work.pending += others.pending;
-                work.running += others.running;
-            }
+            let others = asked.others.at(upstream);
+            work.pending += others.pending;
+            work.running += others.running;
             demand.ahead(affinity, work)
         });
         let zone = self.config.zone(self.zone.as_str());
@@ -644,6 +647,29 @@
         self.pools.sharers(&self.config, upstream, live)
     }
 
+    /// Divides the rates of the cold upstreams in use among the live instances. Neither changes
+    /// between two rebuilds.
+    fn divide_cold_rates(&mut self, now: Moment) {
+        for upstream in self.pools.used() {
+            let upstream = &self.config.upstreams[upstream];
+            let Some(registration) = &upstream.registration else {
+                continue;
+            };
+            if registration.cold_until <= now {
+                continue;
+            }
+            let sharers = Sharers {
+                own: self.views.own(),
+                live: self.views.live(),
+                assumed: ASSUMED_LIVE_COUNT,
+            };
+            let share = rate_limit::share(&upstream.name, registration.cold_rate, sharers);
+            if let Some(state) = self.states.by_name_mut(&upstream.name) {
+                state.cold_share = share;
+            }
+        }
+    }
+
     /// Rebuilds pools, states and claims from the configuration and the instance list.
     fn rebuild(&mut self, now: Moment) {
         let config = Arc::clone(&self.config);
@@ -657,6 +683,7 @@
         let slotted: Vec<id::Upstream> = claims.iter().map(|(id, _)| *id).collect();
         self.pools = Pools::new(&self.own, &config, &slotted);
         self.states.sync(&config, &self.pools.used(), now);
+        self.divide_cold_rates(now);
         for state in self.states.iter_mut() {
             state.slots.claims.clear();
         }
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -4,10 +4,9 @@
 //! retries, hedges, steps of a cascade and queued requests alike.
 
 use crate::query::Priority;
-use crate::rate_limit::{self, Sharers};
 use crate::slots::Views;
 use crate::state::{Readiness, State};
-use config::{AdminState, Config, Registration, Stage};
+use config::{AdminState, Config, Stage};
 use entity::Moment;
 use entity::id;
 use entity::name;
@@ -132,7 +131,7 @@
             (Readiness::Warm { .. }, None) => self.check_warm(request, upstream, state, sharers),
             (Readiness::Cold, Some((Grant::RateLimited, _))) => Ok(Grant::RateLimited),
             (Readiness::Cold, None) => match &self.config.upstreams[upstream].registration {
-                Some(registration) => self.check_rate_limit(upstream, registration, state),
+                Some(_) => self.check_rate_limit(state),
                 None => self.check_slot(request, state, None),
             },
             (Readiness::Cold, Some((Grant::Warm, _))) => Err(Reason::Cold),
@@ -230,20 +229,8 @@
     }
 
     /// Checks whether the rate limit of a cold upstream has room for a request of this instance.
-    fn check_rate_limit(
-        &self,
-        upstream: id::Upstream,
-        registration: &Registration,
-        state: &State,
-    ) -> Result<Grant, Reason> {
-        let sharers = Sharers {
-            own: self.views.own(),
-            live: self.views.live(),
-            assumed: ASSUMED_LIVE_COUNT,
-        };
-        let name = &self.config.upstreams[upstream].name;
-        let share = rate_limit::share(name, registration.cold_rate, sharers);
-        if state.rate_limiter.allows(share, self.now) {
+    fn check_rate_limit(&self, state: &State) -> Result<Grant, Reason> {
+        if state.rate_limiter.allows(state.cold_share, self.now) {
             return Ok(Grant::RateLimited);
         }
         Err(Reason::Cold)
--- a/crates/routing/src/rate_limit.rs
+++ b/crates/routing/src/rate_limit.rs
@@ -9,6 +9,7 @@
 use entity::Moment;
 use entity::name;
 use entity::time::Span;
+use entity::work;
 
 /// Length of the window in which requests are counted. It is longer than the 1 s of the agreed
 /// rate, since requests sent within a second may arrive closer together.
@@ -40,6 +41,7 @@
     if usable >= live {
         return (usable / live) as u32;
     }
+    work::count(sharers.live.len());
     let key = hash::text(upstream.as_str());
     let weight = |name: &name::Instance| hash::weight(key, hash::text(name.as_str()));
     let own = weight(sharers.own);
--- a/crates/routing/src/reserve.rs
+++ b/crates/routing/src/reserve.rs
@@ -3,6 +3,7 @@
 use crate::hash;
 use entity::Moment;
 use entity::name;
+use entity::work;
 
 /// Returns an instance's share of an organisation's reserve.
 ///
@@ -16,6 +17,11 @@
 ) -> u32 {
     let count =
         u32::try_from(live.len().max(1)).expect("the number of instances fits into 32 bits");
+    let remainder = reserve % count;
+    if remainder == 0 {
+        return reserve / count;
+    }
+    work::count(live.len());
     let key = hash::text(organisation.as_str());
     let weight = |instance: &name::Instance| {
         (
@@ -28,7 +34,7 @@
         .iter()
         .filter(|instance| weight(instance) > own_weight)
         .count();
-    reserve / count + u32::from((higher_ranked as u32) < reserve % count)
+    reserve / count + u32::from((higher_ranked as u32) < remainder)
 }
 
 /// Use of one organisation's reserve.
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -76,6 +76,8 @@
     pub breaker: Breaker,
     /// Requests sent in cold start, where the upstream has a rate limit instead of slots.
     pub rate_limiter: RateLimiter,
+    /// Requests that this instance may send within the limiter's window in cold start.
+    pub cold_share: u32,
     /// Incarnation of the upstream and end of its cold start, as it announced them.
     registered: Option<(u64, Moment)>,
     /// Whether the upstream reports its load; plain services don't.
@@ -110,6 +112,7 @@
             slots: Ledger::default(),
             breaker: Breaker::default(),
             rate_limiter: RateLimiter::default(),
+            cold_share: 0,
             registered: None,
             load: None,
             running_at_load: 0,
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -72,6 +72,9 @@
 
     /// Applies an instance list; reserves are split between its live instances.
     pub fn set_members(&mut self, live: Arc<[name::Instance]>, now: Moment) {
+        if self.live == live {
+            return;
+        }
         self.live = live;
         self.recompute_shares(now);
     }
