Read a datagram once, into a buffer that stays

Each beacon was decoded twice, the first time only to check its lengths, and 64 KiB were allocated and cleared for it: about a tenth of an instance's processor time in the profile went into receiving beacons. The reader limits the lengths of lists and texts itself now (thrift's configuration), with a test of a list that claims 2^31 elements.

--- a/crates/peer/src/beacon.rs
+++ b/crates/peer/src/beacon.rs
@@ -8,11 +8,15 @@
 use crate::message::{Beacon, Clock};
 use std::io;
 use std::net::SocketAddr;
+use thrift::TConfiguration;
 use thrift::protocol::{
-    TCompactInputProtocol, TCompactOutputProtocol, TInputProtocol, TSerializable, TType,
+    TCompactInputProtocol, TCompactOutputProtocol, TInputProtocol, TSerializable,
 };
 use tokio::net::UdpSocket;
 
+/// Largest number of elements in a list of a message.
+const MAX_LIST_LENGTH: usize = 4096;
+
 /// Largest payload of a UDP datagram over IPv4.
 pub const MAX_BYTES: usize = 65_507;
 
@@ -57,13 +61,16 @@
 ///
 /// Returns [`Error::Payload`] if the payload is not a message.
 pub fn decode(payload: &[u8]) -> Result<Datagram, Error> {
-    // The generated reader allocates space for a list before it checks that the payload is long enough,
-    // so the payload is skipped through first.
-    TCompactInputProtocol::new(payload).skip(TType::Struct)?;
     let mut head = TCompactInputProtocol::new(payload);
     head.read_struct_begin()?;
     let first = head.read_field_begin()?;
-    let mut protocol = TCompactInputProtocol::new(payload);
+    // The generated reader allocates space for a list before it checks that the payload is long
+    // enough.
+    let limits = TConfiguration::builder()
+        .max_container_size(Some(MAX_LIST_LENGTH))
+        .max_string_size(Some(payload.len()))
+        .build()?;
+    let mut protocol = TCompactInputProtocol::with_config(payload, limits);
     if first.id.is_some_and(|id| id >= FIRST_CLOCK_FIELD) {
         return Ok(Datagram::Clock(Clock::read_from_in_protocol(
             &mut protocol,
@@ -77,6 +84,8 @@
 #[derive(Debug)]
 pub struct Socket {
     socket: UdpSocket,
+    /// Space for one payload.
+    buffer: Box<[u8]>,
 }
 
 impl Socket {
@@ -88,6 +97,7 @@
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
         Ok(Self {
             socket: UdpSocket::bind(address).await?,
+            buffer: vec![0; MAX_BYTES].into(),
         })
     }
 
@@ -116,10 +126,8 @@
     ///
     /// Returns an error if the socket fails or the datagram is not a message. After a malformed
     /// datagram, further ones can be received.
-    pub async fn receive(&self) -> Result<Datagram, Error> {
-        self.socket.readable().await?;
-        let mut buffer = vec![0; MAX_BYTES];
-        let (length, _) = self.socket.recv_from(&mut buffer).await?;
-        decode(&buffer[..length])
+    pub async fn receive(&mut self) -> Result<Datagram, Error> {
+        let (length, _) = self.socket.recv_from(&mut self.buffer).await?;
+        decode(&self.buffer[..length])
     }
 }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -59,3 +59,11 @@
         }
     }
 }
+
+/// The generated reader allocates the space for a list by the length that the message gives.
+#[gtest]
+fn list_that_is_longer_than_any_message_is_an_error() {
+    // Field 4, a list of 2^31 - 1 structs.
+    let payload = [0x49, 0xfc, 0xff, 0xff, 0xff, 0xff, 0x07];
+    expect_true!(matches!(decode(&payload), Err(Error::Payload(_))));
+}
