Time a stall of a stream by whole events

An upstream that hung in the middle of an event and still sent a byte now and then restarted the stall timer with each byte, so that its caller waited until the route's time was over (users' list of what went wrong elsewhere).

--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -30,7 +30,7 @@
     pub history: History,
     /// Id of the last complete event that was sent to the caller.
     pub last_event: Option<u64>,
-    /// Longest time without data from the upstream within its answer.
+    /// Longest time without a whole event from the upstream within its answer.
     pub stall_timeout: Duration,
     /// Sends pieces of the body to the caller.
     pub pieces: mpsc::Sender<Piece>,
@@ -105,10 +105,12 @@
             return ended;
         }
         self.last_event = stream.splitter.last_event_id().or(self.last_event);
+        // A stalled upstream may still send a byte now and then.
+        let mut stalled_at = Instant::now() + self.stall_timeout;
         while !stream.ended {
             let piece = tokio::select! {
                 piece = stream.response.next() => piece,
-                () = tokio::time::sleep(self.stall_timeout) => Err(Failure::may_have_run(Reason::Timeout)),
+                () = tokio::time::sleep_until(stalled_at) => Err(Failure::may_have_run(Reason::Timeout)),
                 () = self.pieces.closed() => return StreamEnd::Abandoned,
                 () = tokio::time::sleep_until(self.end) => return StreamEnd::Abandoned,
             };
@@ -127,6 +129,7 @@
                 return ended;
             }
             self.last_event = stream.splitter.last_event_id().or(self.last_event);
+            stalled_at = Instant::now() + self.stall_timeout;
         }
         if stream.splitter.is_empty() {
             StreamEnd::Whole
