Ask a peer for its time with the time that the question is known by

The answers to all questions about clocks were thrown away: the question was stamped a moment after the time that was remembered for it, and an answer to a later question than the last one is not believed.

instances_that_do_not_read_the_store_stay_current runs four instances with one store: 1.38 s were the oldest state before, at most 1.1 s are allowed.

--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -285,7 +285,7 @@
         };
         let now = boot_time();
         if self.clocks.record_message(peer, stamp.run, now) {
-            self.send_clock(None, address).await;
+            self.send_clock(now, None, address).await;
         }
         self.clocks.earliest_send(peer, stamp, now)
     }
@@ -297,7 +297,7 @@
             return;
         };
         let Some(asked) = clock.asked_us else {
-            self.send_clock(Some(clock.sent_us), address).await;
+            self.send_clock(boot_time(), Some(clock.sent_us), address).await;
             return;
         };
         let (Ok(asked), Ok(time)) = (u64::try_from(asked), u64::try_from(clock.sent_us)) else {
@@ -312,13 +312,14 @@
         self.clocks.record_answer(&name, stamp, Moment(asked), now);
     }
 
-    /// Asks an instance for its time, or answers its question, which was sent at `asked`.
-    async fn send_clock(&self, asked: Option<i64>, to: SocketAddr) {
+    /// Asks an instance for its time at `now`, or answers its question, which was sent at `asked`. An
+    /// answer returns the time of the question, by which it is recognised.
+    async fn send_clock(&self, now: Moment, asked: Option<i64>, to: SocketAddr) {
         let clock = message::Clock {
             instance: self.parts.own.to_string(),
             address: self.parts.address.to_string(),
             run: self.run.0 as i64,
-            sent_us: boot_time().0 as i64,
+            sent_us: now.0 as i64,
             asked_us: asked,
         };
         match beacon::encode(&clock) {
