--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -297,7 +297,8 @@
             return;
         };
         let Some(asked) = clock.asked_us else {
-            self.send_clock(boot_time(), Some(clock.sent_us), address).await;
+            self.send_clock(boot_time(), Some(clock.sent_us), address)
+                .await;
             return;
         };
         let (Ok(asked), Ok(time)) = (u64::try_from(asked), u64::try_from(clock.sent_us)) else {
