Simplify what the last reading of the change found

Announced work kept a flag and a count that always equalled its list, and each choice counted the announcements that had expired; the newest one tells it. Messages of peers allocated a clock's entry each, needed once a peer. Cold rates looked upstreams up by name and collected the pools in use a second time. A listing's end and whether it is of a copy were computed twice. sorted::entry serves restrictions and positions.

No behaviour, bound or assertion changes.

--- a/crates/forward/src/clocks.rs
+++ b/crates/forward/src/clocks.rs
@@ -84,25 +84,23 @@
 
     /// Records a message of a peer. Returns whether the peer's clock has to be asked for now.
     pub fn record_message(&mut self, peer: &name::Instance, run: Run, now: Moment) -> bool {
-        if self.clock_mut(peer).is_none() {
-            self.forget_silent(now);
-        }
-        let new = Clock {
+        let new = || Clock {
             peer: peer.clone(),
             run,
             last_heard: now,
             asked: None,
             comparison: None,
         };
-        let found = self.clocks.binary_search_by(|clock| clock.peer.cmp(peer));
-        let index = match found {
+        let index = match self.find(peer) {
             Ok(index) if self.clocks[index].run == run => index,
             Ok(index) => {
-                self.clocks[index] = new;
+                self.clocks[index] = new();
                 index
             }
-            Err(index) => {
-                self.clocks.insert(index, new);
+            Err(_) => {
+                self.forget_silent(now);
+                let index = self.find(peer).unwrap_or_else(|index| index);
+                self.clocks.insert(index, new());
                 index
             }
         };
@@ -129,9 +127,10 @@
         asked: Moment,
         now: Moment,
     ) {
-        let Some(clock) = self.clock_mut(peer) else {
+        let Ok(index) = self.find(peer) else {
             return;
         };
+        let clock = &mut self.clocks[index];
         // An answer to a question that this process never sent says nothing about its clock.
         if clock.run != theirs.run || asked > now || clock.asked.is_none_or(|last| asked > last) {
             return;
@@ -160,8 +159,7 @@
         stamp: Stamp,
         now: Moment,
     ) -> Option<Moment> {
-        let found = self.clocks.binary_search_by(|clock| clock.peer.cmp(peer));
-        let clock = &self.clocks[found.ok()?];
+        let clock = &self.clocks[self.find(peer).ok()?];
         if clock.run != stamp.run {
             return None;
         }
@@ -169,9 +167,9 @@
         Some(earliest.min(now))
     }
 
-    fn clock_mut(&mut self, peer: &name::Instance) -> Option<&mut Clock> {
-        let found = self.clocks.binary_search_by(|clock| clock.peer.cmp(peer));
-        Some(&mut self.clocks[found.ok()?])
+    /// Returns the index of a peer's clock, or the index at which to insert it.
+    fn find(&self, peer: &name::Instance) -> Result<usize, usize> {
+        self.clocks.binary_search_by(|clock| clock.peer.cmp(peer))
     }
 
     fn forget_silent(&mut self, now: Moment) {
--- a/crates/forward/src/fold.rs
+++ b/crates/forward/src/fold.rs
@@ -218,6 +218,9 @@
         lapsing: bool,
     ) -> Change {
         let mut change = Change::default();
+        let end = listing.end_position();
+        // The store has come back from a copy since the last listing of upstreams.
+        let from_copy = topic == Topic::Upstreams && end.era > self.listing_end.era;
         let is_listed = |key: &str| listing.items.iter().any(|item| *item.key == *key);
         match topic {
             Topic::Operator => {
@@ -228,18 +231,14 @@
             Topic::Upstreams => {
                 let missing = |upstream: &&RegisteredUpstream| !is_listed(upstream.name.as_str());
                 let removed: Vec<_> = self.upstreams.iter().filter(missing).cloned().collect();
-                let position = Position {
-                    era: listing.era,
-                    offset: listing.end,
-                };
-                if listing.era > self.listing_end.era {
+                if from_copy {
                     // Upstreams have to write their entries once more.
                     for upstream in &mut self.upstreams {
                         upstream.grace = None;
                     }
                 }
                 for upstream in removed {
-                    self.remember_removal(&upstream, position, lapsing);
+                    self.remember_removal(&upstream, end, lapsing);
                     self.remove(&upstream.name, now, lapsing, &mut change);
                 }
                 self.upstreams_listed = true;
@@ -247,16 +246,11 @@
             Topic::Progress => self.progress_listed = true,
             Topic::Instances => {}
         }
-        let from_copy = topic == Topic::Upstreams && listing.era > self.listing_end.era;
         for item in &listing.items {
             if !(from_copy && self.has_left(item)) {
                 self.apply_item(topic, item, now, lapsing, &mut change);
             }
         }
-        let end = Position {
-            era: listing.era,
-            offset: listing.end,
-        };
         match topic {
             Topic::Operator => self.operator_positions.record_listing(&listing.items, end),
             Topic::Upstreams => self.listing_end = self.listing_end.max(end),
--- a/crates/forward/src/positions.rs
+++ b/crates/forward/src/positions.rs
@@ -1,6 +1,7 @@
 //! The newest position of each key of a topic, by which late records are recognised.
 
 use crate::source::{Item, Position};
+use entity::sorted;
 
 /// Largest number of keys that are remembered.
 const MAX_KEY_COUNT: usize = 256;
@@ -17,18 +18,16 @@
 impl Positions {
     /// Returns whether a newer record of the key was applied, or its removal.
     pub fn is_outdated(&self, item: &Item) -> bool {
-        match self.find(&item.key) {
-            Ok(index) => item.position < self.keys[index].1,
-            Err(_) => item.position < self.listed,
-        }
+        let found = self
+            .keys
+            .binary_search_by(|(known, _)| known.cmp(&item.key));
+        let newest = found.map_or(self.listed, |index| self.keys[index].1);
+        item.position < newest
     }
 
     /// Records that a record was applied.
     pub fn record(&mut self, item: &Item) {
-        match self.find(&item.key) {
-            Ok(index) => self.keys[index].1 = item.position,
-            Err(index) => self.keys.insert(index, (item.key.clone(), item.position)),
-        }
+        *sorted::entry(&mut self.keys, &item.key, || item.position) = item.position;
         if self.keys.len() <= MAX_KEY_COUNT {
             return;
         }
@@ -47,8 +46,4 @@
         self.keys.sort();
         self.listed = end;
     }
-
-    fn find(&self, key: &str) -> Result<usize, usize> {
-        self.keys.binary_search_by(|(known, _)| (**known).cmp(key))
-    }
 }
--- a/crates/forward/src/source.rs
+++ b/crates/forward/src/source.rs
@@ -52,6 +52,16 @@
     pub era: Era,
 }
 
+impl Listing {
+    /// Returns the position of the end.
+    pub fn end_position(&self) -> Position {
+        Position {
+            era: self.era,
+            offset: self.end,
+        }
+    }
+}
+
 /// Consecutive records of a topic.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Page {
--- a/crates/forward/tests/restore/world.rs
+++ b/crates/forward/tests/restore/world.rs
@@ -106,7 +106,6 @@
             relayed: Vec::new(),
         };
         world.write_all();
-
         world
     }
 
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -299,7 +299,7 @@
     }
 
     /// Records that an upstream wants no requests until a time.
-    pub fn record_rest(&mut self, incarnation: Incarnation, until: Moment, now: Moment) {
+    pub fn record_rest(&mut self, incarnation: &Incarnation, until: Moment, now: Moment) {
         self.restrictions.record_rest(incarnation, until, now);
     }
 
@@ -649,9 +649,9 @@
 
     /// Divides the rates of the cold upstreams in use among the live instances. Neither changes
     /// between two rebuilds.
-    fn divide_cold_rates(&mut self, now: Moment) {
-        for upstream in self.pools.used() {
-            let upstream = &self.config.upstreams[upstream];
+    fn divide_cold_rates(&mut self, used: &[id::Upstream], now: Moment) {
+        for &id in used {
+            let upstream = &self.config.upstreams[id];
             let Some(registration) = &upstream.registration else {
                 continue;
             };
@@ -664,9 +664,7 @@
                 assumed: ASSUMED_LIVE_COUNT,
             };
             let share = rate_limit::share(&upstream.name, registration.cold_rate, sharers);
-            if let Some(state) = self.states.by_name_mut(&upstream.name) {
-                state.cold_share = share;
-            }
+            self.states.in_use_mut(id).cold_share = share;
         }
     }
 
@@ -682,8 +680,9 @@
         }
         let slotted: Vec<id::Upstream> = claims.iter().map(|(id, _)| *id).collect();
         self.pools = Pools::new(&self.own, &config, &slotted);
-        self.states.sync(&config, &self.pools.used(), now);
-        self.divide_cold_rates(now);
+        let used = self.pools.used();
+        self.states.sync(&config, &used, now);
+        self.divide_cold_rates(&used, now);
         for state in self.states.iter_mut() {
             state.slots.claims.clear();
         }
--- a/crates/routing/src/peer_loads.rs
+++ b/crates/routing/src/peer_loads.rs
@@ -16,8 +16,6 @@
     name: name::Instance,
     received_at: Moment,
     loads: Loads,
-    /// Whether the loads are part of the sums.
-    counts: bool,
 }
 
 /// The loads that peers announced, and their sums by upstream.
@@ -26,15 +24,13 @@
 /// peers there are. Loads are whole numbers, so that sums of them are exact.
 #[derive(Clone, Debug, Default)]
 pub struct PeerLoads {
-    /// Sorted by name.
+    /// Peers whose loads are part of the sums, sorted by name.
     peers: Vec<PeerLoad>,
     /// Announcements by the time at which they were received, the oldest first. Those that were
     /// replaced stay until they expire.
     order: VecDeque<(Moment, name::Instance)>,
     /// Number of peers, whether they announced a load or not.
     peer_count: usize,
-    /// Number of peers whose loads are part of the sums.
-    counted: u32,
     sums: Map<id::Upstream, Work>,
 }
 
@@ -62,9 +58,7 @@
     pub fn configure(&mut self, config: &Config) {
         self.sums = Map::filled(Work::default(), config.upstreams.len());
         for index in 0..self.peers.len() {
-            if self.peers[index].counts {
-                self.add(config, index, 1.0);
-            }
+            self.add(config, index, 1.0);
         }
     }
 
@@ -83,12 +77,11 @@
             name: name.clone(),
             received_at,
             loads,
-            counts: false,
         };
         let found = self.peers.binary_search_by(|peer| peer.name.cmp(name));
         let index = match found {
             Ok(index) => {
-                self.stop_counting(config, index);
+                self.add(config, index, -1.0);
                 self.peers[index] = peer;
                 index
             }
@@ -97,8 +90,6 @@
                 index
             }
         };
-        self.peers[index].counts = true;
-        self.counted += 1;
         self.add(config, index, 1.0);
         self.order.push_back((received_at, name.clone()));
     }
@@ -106,43 +97,31 @@
     /// Returns the total work of the peers at each upstream. Peers without a recent announcement
     /// are assumed to have the average load of the others.
     pub fn work(&self, now: Moment) -> Others<'_> {
-        let expired = self.order.iter();
-        let expired = expired.take_while(|(at, _)| now.since(*at) >= LOAD_TTL);
-        if self.counted == 0 || expired.count() == self.order.len() {
+        let newest = self.order.back();
+        if newest.is_none_or(|(at, _)| now.since(*at) >= LOAD_TTL) {
             return Others::default();
         }
         Others {
             sums: Some(&self.sums),
-            factor: (self.peer_count as f64 / f64::from(self.counted)).max(1.0),
+            factor: (self.peer_count as f64 / self.peers.len() as f64).max(1.0),
         }
     }
 
     /// Drops announcements that no longer count.
     pub fn expire(&mut self, config: &Config, now: Moment) {
-        while let Some((at, _)) = self.order.front()
-            && now.since(*at) >= LOAD_TTL
-        {
-            let Some((at, name)) = self.order.pop_front() else {
-                return;
-            };
+        let is_over = |(at, _): &mut (Moment, _)| now.since(*at) >= LOAD_TTL;
+        while let Some((at, name)) = self.order.pop_front_if(is_over) {
             let found = self.peers.binary_search_by(|peer| peer.name.cmp(&name));
             if let Ok(index) = found
                 && self.peers[index].received_at == at
             {
-                self.stop_counting(config, index);
+                self.add(config, index, -1.0);
                 self.peers.remove(index);
             }
         }
     }
 
-    fn stop_counting(&mut self, config: &Config, index: usize) {
-        if self.peers[index].counts {
-            self.add(config, index, -1.0);
-            self.peers[index].counts = false;
-            self.counted -= 1;
-        }
-    }
-
+    /// Adds the loads of a peer to the sums, or takes them off if `sign` is negative.
     fn add(&mut self, config: &Config, index: usize, sign: f64) {
         let loads = &self.peers[index].loads;
         work::count(loads.len());
--- a/crates/routing/src/restriction.rs
+++ b/crates/routing/src/restriction.rs
@@ -1,7 +1,7 @@
 //! What upstreams say about themselves in their answers: that they are leaving, or that they want no
 //! requests for a while.
 
-use entity::{Moment, Span, name};
+use entity::{Moment, Span, name, sorted};
 
 /// Time for which the leaving of an incarnation is remembered. It ends long before.
 const LEAVING_TTL: Span = Span::from_secs(600);
@@ -57,15 +57,10 @@
     }
 
     /// Records that an incarnation wants no requests until a time.
-    pub fn record_rest(&mut self, incarnation: Incarnation, until: Moment, now: Moment) {
+    pub fn record_rest(&mut self, incarnation: &Incarnation, until: Moment, now: Moment) {
         self.resting.retain(|(_, end)| now < *end);
-        match self
-            .resting
-            .binary_search_by(|(known, _)| known.cmp(&incarnation))
-        {
-            Ok(index) => self.resting[index].1 = self.resting[index].1.max(until),
-            Err(index) => self.resting.insert(index, (incarnation, until)),
-        }
+        let end = sorted::entry(&mut self.resting, incarnation, || until);
+        *end = (*end).max(until);
     }
 
     /// Returns why an incarnation must get no request now; none if it may get one.
--- a/crates/routing/tests/restriction.rs
+++ b/crates/routing/tests/restriction.rs
@@ -75,9 +75,9 @@
 #[gtest]
 fn resting_upstream_is_left_alone_until_the_end_of_its_rest() {
     let mut balancer = balancer(1);
-    balancer.record_rest(incarnation(0, 1), at(700), at(0));
+    balancer.record_rest(&incarnation(0, 1), at(700), at(0));
     // A shorter wish that arrives later doesn't shorten the rest.
-    balancer.record_rest(incarnation(0, 1), at(300), at(100));
+    balancer.record_rest(&incarnation(0, 1), at(300), at(100));
     for millis in [100, 400, 699] {
         expect_that!(
             chosen(&mut balancer, at(millis)),
@@ -91,8 +91,8 @@
 #[gtest]
 fn request_is_refused_at_once_with_the_earliest_end_if_all_upstreams_rest() {
     let mut balancer = balancer(1);
-    balancer.record_rest(incarnation(0, 1), at(900), at(0));
-    balancer.record_rest(incarnation(1, 1), at(650), at(0));
+    balancer.record_rest(&incarnation(0, 1), at(900), at(0));
+    balancer.record_rest(&incarnation(1, 1), at(650), at(0));
     let refusal = balancer.choose(&query(at(50)), at(50)).unwrap_err();
     expect_that!(refusal.reason, eq(Reason::Resting));
     expect_that!(refusal.retry_after, some(eq(Span::from_millis(600))));
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -739,7 +739,7 @@
                 self.balancer.record_leaving(incarnation, now);
             }
             ForwardMessage::RecordRest(incarnation, until) => {
-                self.balancer.record_rest(incarnation, until, now);
+                self.balancer.record_rest(&incarnation, until, now);
             }
             ForwardMessage::RecordPeerLoads(instance, loads, others) => {
                 self.balancer
--- a/crates/server/src/forward/notices.rs
+++ b/crates/server/src/forward/notices.rs
@@ -77,7 +77,7 @@
             let until = now + rest;
             self.notices
                 .restrictions()
-                .record_rest(incarnation.clone(), until, now);
+                .record_rest(&incarnation, until, now);
             core.metric.count(Counter::RestingUpstreams);
             let draft = core.recorder.event(Kind::Cold);
             draft
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -533,8 +533,8 @@
     Some(regions.into())
 }
 
-/// Returns the longest time without a whole event from an upstream within its answer. A stream that can't be
-/// resumed is waited for up to the route's timeout.
+/// Returns the longest time without a whole event from an upstream within its answer. A stream that
+/// can't be resumed is waited for up to the route's timeout.
 fn stall_timeout(route: &Forward) -> Duration {
     match (route.repeat, route.max_event_gap) {
         (Repeat::Resumable, Some(max_event_gap)) => max_event_gap.duration() * STALL_PAUSE_COUNT,
