--- a/crates/forward/src/head.rs
+++ b/crates/forward/src/head.rs
@@ -67,6 +67,11 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// Returns the parts of the prompt that other requests can share: all but the last.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the last part of the prompt that other requests can share, which is the one before
     /// the request's own part. Prefix affinity is keyed by it.
     pub fn last_shared_part(&self) -> Option<Part> {
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -88,6 +88,8 @@
 pub struct OpenStream {
     /// Answer of the upstream, whose body is still being read.
     pub response: IncomingAnswer,
+    /// Time at which its head arrived.
+    pub begun: Instant,
     /// First events, not yet sent to the caller.
     pub first: Bytes,
     /// Splits the body into events, and holds the incomplete one.
@@ -229,6 +231,7 @@
         mut response: IncomingAnswer,
         end: Instant,
     ) -> Result<Answer, Failure> {
+        let begun = Instant::now();
         if self.should_escalate(response.head.confidence).await {
             return Ok(Answer::BelowThreshold);
         }
@@ -246,6 +249,7 @@
             }
             return Ok(Answer::Stream(Box::new(OpenStream {
                 response,
+                begun,
                 first: first.unwrap_or_default(),
                 splitter,
                 ended,
@@ -335,6 +339,7 @@
         if notice != Notice::default() {
             self.run.shared.record_notice(choice, notice).await;
         }
+        let begun = sent_to.is_ok().then(Instant::now);
         let answer = match sent_to {
             Ok(response) if self.route().repeat.streams() && response.status.is_success() => {
                 self.read_first_events(response, try_deadline).await
@@ -342,6 +347,11 @@
             Ok(response) => self.read_whole(response, try_deadline).await,
             Err(failure) => Err(failure),
         };
+        if let Err(failure) = &answer
+            && failure.is_lost_answer()
+        {
+            self.run.record_lost_answer(&choice.upstream, begun);
+        }
         self.record_result(choice, &answer, Span::from(sent.elapsed()))
             .await;
         if matches!(answer, Ok(Answer::Stream(_))) {
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -83,6 +83,9 @@
                 }
                 StreamEnd::Broken(failure) => failure,
             };
+            if failure.is_lost_answer() {
+                self.run.record_lost_answer(&upstream, Some(stream.begun));
+            }
             core.recorder
                 .event(Kind::Failed)
                 .request(self.run.id)
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -26,6 +26,7 @@
 use std::time::Duration;
 use timeline::{Counter, Kind, Timer};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Largest number of times that a request is resolved because the configuration changed meanwhile.
 const MAX_RESOLUTIONS: u32 = 50;
@@ -468,6 +469,23 @@
             .record();
     }
 
+    /// Records that an upstream closed its connection before the answer was complete. `begun` is the
+    /// time at which the head of the answer arrived; none if it didn't.
+    pub fn record_lost_answer(&self, upstream: &name::Upstream, begun: Option<Instant>) {
+        let parts = self.arrival.request.head.shared_parts();
+        let parts: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        let draft = self.shared.core.recorder.event(Kind::Lost);
+        let draft = draft
+            .request(self.id)
+            .text("upstream", upstream)
+            .text("parts", parts.join(","));
+        let draft = match begun {
+            Some(begun) => draft.text("begun", Span::from(begun.elapsed())),
+            None => draft,
+        };
+        draft.record();
+    }
+
     /// Counts and records the result of the request.
     pub fn record_result(&self, answer: &Result<Reply, Refusal>) {
         let core = &self.shared.core;
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -67,6 +67,8 @@
     FirstByte = "first-byte",
     /// A try failed.
     Failed = "failed",
+    /// An upstream closed its connection before its answer was complete.
+    Lost = "lost",
     /// A request is tried again.
     Retried = "retried",
     /// A request was escalated to a more expensive version.
--- a/crates/upstream/src/failure.rs
+++ b/crates/upstream/src/failure.rs
@@ -62,4 +62,11 @@
             retry_after: None,
         }
     }
+
+    /// Returns whether the upstream closed the connection before its answer was complete, as it does
+    /// when it ends.
+    pub fn is_lost_answer(&self) -> bool {
+        let lost = matches!(self.reason, Reason::ConnectionLost | Reason::Truncated);
+        lost && self.ran == Ran::Maybe
+    }
 }
