--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -198,6 +198,31 @@
   2: required i64 incarnation,
 }
 
+/** The end of an upstream soon after it began an answer. */
+struct Crash {
+  /** Hash of the incarnation that ended. */
+  1: required i64 victim,
+  /** How long ago it ended, in microseconds. */
+  2: required i64 age_us,
+  /** Whether nothing of the answer had arrived but its head. */
+  3: required bool strong,
+  /** Time from the head of the answer to the end, in microseconds. */
+  4: required i64 since_head_us,
+}
+
+/** A part of prompts that may end upstreams. */
+struct Suspect {
+  1: required i64 part,
+  2: required list<Crash> crashes,
+}
+
+/** A part of prompts with which an answer went on. */
+struct Rebuttal {
+  1: required i64 part,
+  /** How long ago, in microseconds. */
+  2: required i64 age_us,
+}
+
 /** What an instance tells others in a datagram, which is not answered. */
 struct Beacon {
   1: required string instance,
@@ -219,6 +244,10 @@
   11: optional i64 run,
   /** Upstreams that said so in their answers, or of which a peer has told it. */
   12: optional list<Departure> departures,
+  /** Parts of prompts that may end upstreams, as the sender or a peer found. */
+  13: optional list<Suspect> suspects,
+  /** Parts that were told to it as suspects, and are sound. */
+  14: optional list<Rebuttal> rebuttals,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2134,6 +2134,252 @@
   }
 }
 
+//
+// Crash
+//
+
+/// The end of an upstream soon after it began an answer.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Crash {
+  /// Hash of the incarnation that ended.
+  pub victim: i64,
+  /// How long ago it ended, in microseconds.
+  pub age_us: i64,
+  /// Whether nothing of the answer had arrived but its head.
+  pub strong: bool,
+  /// Time from the head of the answer to the end, in microseconds.
+  pub since_head_us: i64,
+}
+
+impl Crash {
+  pub fn new(victim: i64, age_us: i64, strong: bool, since_head_us: i64) -> Crash {
+    Crash {
+      victim,
+      age_us,
+      strong,
+      since_head_us,
+    }
+  }
+}
+
+impl TSerializable for Crash {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Crash> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<bool> = None;
+    let mut f_4: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bool()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Crash.victim", &f_1)?;
+    verify_required_field_exists("Crash.age_us", &f_2)?;
+    verify_required_field_exists("Crash.strong", &f_3)?;
+    verify_required_field_exists("Crash.since_head_us", &f_4)?;
+    let ret = Crash {
+      victim: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      age_us: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      strong: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      since_head_us: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Crash");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("victim", TType::I64, 1))?;
+    o_prot.write_i64(self.victim)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("age_us", TType::I64, 2))?;
+    o_prot.write_i64(self.age_us)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("strong", TType::Bool, 3))?;
+    o_prot.write_bool(self.strong)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("since_head_us", TType::I64, 4))?;
+    o_prot.write_i64(self.since_head_us)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Suspect
+//
+
+/// A part of prompts that may end upstreams.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Suspect {
+  pub part: i64,
+  pub crashes: Vec<Crash>,
+}
+
+impl Suspect {
+  pub fn new(part: i64, crashes: Vec<Crash>) -> Suspect {
+    Suspect {
+      part,
+      crashes,
+    }
+  }
+}
+
+impl TSerializable for Suspect {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Suspect> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<Vec<Crash>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Crash> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_11 = Crash::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_11);
+          }
+          i_prot.read_list_end()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Suspect.part", &f_1)?;
+    verify_required_field_exists("Suspect.crashes", &f_2)?;
+    let ret = Suspect {
+      part: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      crashes: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Suspect");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("part", TType::I64, 1))?;
+    o_prot.write_i64(self.part)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("crashes", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.crashes.len() as i32))?;
+    for e in &self.crashes {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Rebuttal
+//
+
+/// A part of prompts with which an answer went on.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Rebuttal {
+  pub part: i64,
+  /// How long ago, in microseconds.
+  pub age_us: i64,
+}
+
+impl Rebuttal {
+  pub fn new(part: i64, age_us: i64) -> Rebuttal {
+    Rebuttal {
+      part,
+      age_us,
+    }
+  }
+}
+
+impl TSerializable for Rebuttal {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Rebuttal> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Rebuttal.part", &f_1)?;
+    verify_required_field_exists("Rebuttal.age_us", &f_2)?;
+    let ret = Rebuttal {
+      part: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      age_us: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Rebuttal");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("part", TType::I64, 1))?;
+    o_prot.write_i64(self.part)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("age_us", TType::I64, 2))?;
+    o_prot.write_i64(self.age_us)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Beacon
 //
@@ -2160,10 +2406,14 @@
   pub run: Option<i64>,
   /// Upstreams that said so in their answers, or of which a peer has told it.
   pub departures: Option<Vec<Departure>>,
+  /// Parts of prompts that may end upstreams, as the sender or a peer found.
+  pub suspects: Option<Vec<Suspect>>,
+  /// Parts that were told to it as suspects, and are sound.
+  pub rebuttals: Option<Vec<Rebuttal>>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>> {
     Beacon {
       instance,
       address,
@@ -2177,6 +2427,8 @@
       sent_us: sent_us.into(),
       run: run.into(),
       departures: departures.into(),
+      suspects: suspects.into(),
+      rebuttals: rebuttals.into(),
     }
   }
 }
@@ -2196,6 +2448,8 @@
     let mut f_10: Option<i64> = None;
     let mut f_11: Option<i64> = None;
     let mut f_12: Option<Vec<Departure>> = None;
+    let mut f_13: Option<Vec<Suspect>> = None;
+    let mut f_14: Option<Vec<Rebuttal>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2219,8 +2473,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Trial> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_11 = Trial::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_11);
+            let list_elem_12 = Trial::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_12);
           }
           i_prot.read_list_end()?;
           f_4 = Some(val);
@@ -2229,8 +2483,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<UpstreamLoad> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_12 = UpstreamLoad::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_12);
+            let list_elem_13 = UpstreamLoad::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_13);
           }
           i_prot.read_list_end()?;
           f_5 = Some(val);
@@ -2239,8 +2493,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_13 = Sight::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_13);
+            let list_elem_14 = Sight::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_14);
           }
           i_prot.read_list_end()?;
           f_6 = Some(val);
@@ -2249,8 +2503,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Told> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_14 = Told::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_14);
+            let list_elem_15 = Told::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_15);
           }
           i_prot.read_list_end()?;
           f_7 = Some(val);
@@ -2263,8 +2517,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Acquaintance> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_15 = Acquaintance::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_15);
+            let list_elem_16 = Acquaintance::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_16);
           }
           i_prot.read_list_end()?;
           f_9 = Some(val);
@@ -2281,12 +2535,32 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Departure> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_16 = Departure::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_16);
+            let list_elem_17 = Departure::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_17);
           }
           i_prot.read_list_end()?;
           f_12 = Some(val);
         },
+        13 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Suspect> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_18 = Suspect::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_18);
+          }
+          i_prot.read_list_end()?;
+          f_13 = Some(val);
+        },
+        14 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Rebuttal> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_19 = Rebuttal::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_19);
+          }
+          i_prot.read_list_end()?;
+          f_14 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2314,6 +2588,8 @@
       sent_us: f_10,
       run: f_11,
       departures: f_12,
+      suspects: f_13,
+      rebuttals: f_14,
     };
     Ok(ret)
   }
@@ -2390,6 +2666,24 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.suspects {
+      o_prot.write_field_begin(&TFieldIdentifier::new("suspects", TType::List, 13))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.rebuttals {
+      o_prot.write_field_begin(&TFieldIdentifier::new("rebuttals", TType::List, 14))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -18,6 +18,8 @@
         sent_us: Some(5),
         run: Some(-7),
         departures: None,
+        suspects: None,
+        rebuttals: None,
     }
 }
 
--- /dev/null
+++ b/crates/quarantine/src/evidence.rs
@@ -0,0 +1,157 @@
+//! Evidence against one part.
+
+use crate::part::Part;
+use entity::{Moment, Span};
+
+/// Largest number of victims that are kept for one part.
+const MAX_VICTIMS: usize = 16;
+/// Time within which ends of upstreams count as one, as a common cause ends several at once. An answer
+/// that began after the first end has no cause in common with it.
+const COMMON_CAUSE_TIME: Span = Span::from_millis(100);
+/// Time after the head of an answer in which it only begins.
+const BEGINNING_TIME: Span = Span::from_millis(250);
+
+/// Time after the head of an answer from which it has gone on, so that its prompt is sound.
+pub const SOUND_TIME: Span = Span::from_secs(2);
+
+/// A hash of one incarnation of an upstream that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Victim(pub u64);
+
+/// How much the end of an upstream tells against the prompt whose answer had begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Weight(u32);
+
+impl Weight {
+    /// The answer had delivered something.
+    pub const WEAK: Self = Self(1);
+    /// The answer had only just begun, and nothing of its body had arrived.
+    pub const STRONG: Self = Self(2);
+    /// Sum from which a part is held back.
+    pub(crate) const ENOUGH: Self = Self(4);
+
+    /// Returns the weight of an upstream's end at a time after the head of an answer; none if the
+    /// answer had gone on for too long. `delivered` says whether anything of its body had arrived.
+    pub fn of(since_head: Span, delivered: bool) -> Option<Self> {
+        if !delivered {
+            return Some(Self::STRONG);
+        }
+        (since_head < BEGINNING_TIME).then_some(Self::WEAK)
+    }
+}
+
+/// The end of an upstream while it began an answer to a prompt with the part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The part.
+    pub part: Part,
+    /// The upstream that ended.
+    pub victim: Victim,
+    /// How much it tells.
+    pub weight: Weight,
+    /// Time of the end, on the clock of this instance.
+    pub at: Moment,
+    /// Time from the head of the answer to the end.
+    pub since_head: Span,
+}
+
+/// An answer to a prompt with the part that went on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rebuttal {
+    /// The part.
+    pub part: Part,
+    /// When the answer had gone on, on the clock of this instance.
+    pub at: Moment,
+}
+
+/// The crashes of one part.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Evidence {
+    /// Sorted by victim.
+    crashes: Vec<Crash>,
+}
+
+impl Evidence {
+    /// Adds a crash. Returns whether it tells something new.
+    pub fn add(&mut self, crash: Crash) -> bool {
+        let found = self
+            .crashes
+            .binary_search_by_key(&crash.victim, |known| known.victim);
+        match found {
+            Ok(index) => {
+                let known = &mut self.crashes[index];
+                known.at = known.at.min(crash.at);
+                let stronger = crash.weight > known.weight;
+                known.weight = known.weight.max(crash.weight);
+                stronger
+            }
+            Err(_) if self.crashes.len() == MAX_VICTIMS => false,
+            Err(index) => {
+                self.crashes.insert(index, crash);
+                true
+            }
+        }
+    }
+
+    /// Drops the crashes up to a time.
+    pub fn clear_until(&mut self, end: Moment) {
+        self.crashes.retain(|crash| crash.at > end);
+    }
+
+    /// Returns the crashes, sorted by victim.
+    pub fn crashes(&self) -> &[Crash] {
+        &self.crashes
+    }
+
+    /// Returns the time of the last crash; none if there is none.
+    pub fn last(&self) -> Option<Moment> {
+        self.crashes.iter().map(|crash| crash.at).max()
+    }
+
+    /// Returns how often no crash was known for a time that long.
+    pub fn pause_count(&self, pause: Span) -> u32 {
+        let mut times: Vec<Moment> = self.crashes.iter().map(|crash| crash.at).collect();
+        times.sort_unstable();
+        let pairs = times.windows(2);
+        let pauses = pairs.filter(|pair| pair[1].since(pair[0]) >= pause);
+        pauses.count() as u32
+    }
+
+    /// Returns whether there is enough evidence to hold a part back.
+    pub fn is_enough(&self) -> bool {
+        self.weight() >= Weight::ENOUGH
+    }
+
+    /// Returns the sum of the weights.
+    pub fn weight(&self) -> Weight {
+        self.weight_of(|_| true)
+    }
+
+    /// Returns the sum of the weights of some crashes. Of those at the same moment, the heaviest
+    /// counts.
+    pub fn weight_of(&self, counts: impl Fn(&Crash) -> bool) -> Weight {
+        let mut crashes: Vec<&Crash> = self.crashes.iter().filter(|crash| counts(crash)).collect();
+        crashes.sort_unstable_by_key(|crash| crash.at);
+        let (mut sum, mut heaviest, mut since) = (0, 0, None);
+        for crash in crashes {
+            let is_apart = |since: Moment| {
+                let begun = crash.at - crash.since_head;
+                begun > since || crash.at.since(since) >= COMMON_CAUSE_TIME
+            };
+            if since.is_none_or(is_apart) {
+                sum += heaviest;
+                (heaviest, since) = (0, Some(crash.at));
+            }
+            heaviest = heaviest.max(crash.weight.0);
+        }
+        Weight(sum + heaviest)
+    }
+
+    /// Returns whether a victim is one of this part.
+    pub fn has_victim(&self, victim: Victim) -> bool {
+        let found = self
+            .crashes
+            .binary_search_by_key(&victim, |known| known.victim);
+        found.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,13 @@
+//! Parts of prompts that end the upstreams which run them.
+//!
+//! The crate is pure: time is an argument, and messages between instances are plain values. Each
+//! instance owns a [`Quarantine`], records what happens to its own requests, and exchanges
+//! [`Crash`]es and [`Rebuttal`]s with its peers.
+
+mod evidence;
+mod part;
+mod quarantine;
+
+pub use evidence::{Crash, Rebuttal, SOUND_TIME, Victim, Weight};
+pub use part::{Error, Part};
+pub use quarantine::{Hold, Quarantine};
--- /dev/null
+++ b/crates/quarantine/src/quarantine.rs
@@ -0,0 +1,368 @@
+//! What one instance knows of parts that end upstreams.
+
+use crate::evidence::{Crash, Evidence, Rebuttal, Victim, Weight};
+use crate::part::Part;
+use entity::{Moment, Span, sorted, work};
+
+/// Time after an answer that went on for which ends of upstreams don't tell against its parts.
+const SOUND_TTL: Span = Span::from_secs(10);
+/// Time after the last crash for which evidence that is not enough is kept.
+const SUSPICION_TTL: Span = Span::from_secs(30);
+/// Time after the last crash for which a part is first held back everywhere. It doubles with each probe
+/// that ends an upstream.
+const HOLD_TIME: Span = Span::from_secs(30);
+/// Largest number of times that the hold time is doubled.
+const MAX_DOUBLINGS: u32 = 5;
+/// Time after which twice as many instances may probe a part as before.
+const PROBE_STAGGER: Span = Span::from_secs(5);
+/// Time that an instance gives a probe to end its upstream or to be answered.
+const PROBE_TIME: Span = Span::from_secs(10);
+/// Time after the end of the hold for which a part is remembered that nobody probes.
+const PROBE_PERIOD: Span = Span::from_secs(600);
+/// Time for which news are told to peers.
+const TELL_TIME: Span = Span::from_millis(2500);
+/// Largest number of suspects that are kept.
+const MAX_SUSPECTS: usize = 64;
+/// Largest number of sound parts that are kept.
+const MAX_SOUND: usize = 2048;
+/// Largest number of suspects, and of rebuttals, in one message to a peer.
+const MAX_TOLD: usize = 16;
+
+/// Why a prompt must not be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// The part that ends upstreams.
+    pub part: Part,
+    /// Number of upstreams that it ended.
+    pub victims: usize,
+    /// Time before which it is certainly not sent.
+    pub until: Moment,
+}
+
+/// A part against which there is evidence.
+#[derive(Clone, Debug)]
+struct Suspect {
+    evidence: Evidence,
+    /// When something new was learned.
+    changed_at: Moment,
+    /// Rank of this instance among those that probe the part; none if it isn't known.
+    rank: Option<usize>,
+    /// When this instance last sent a prompt with the part.
+    sent_at: Option<Moment>,
+}
+
+impl Suspect {
+    fn new(now: Moment) -> Self {
+        Self {
+            evidence: Evidence::default(),
+            changed_at: now,
+            rank: None,
+            sent_at: None,
+        }
+    }
+
+    /// Returns the end of the time for which the part is held back everywhere.
+    fn hold_end(&self) -> Moment {
+        let last = self.evidence.last().unwrap_or_default();
+        let doublings = self.evidence.pause_count(HOLD_TIME).min(MAX_DOUBLINGS);
+        last + HOLD_TIME.scaled(f64::from(1_u32 << doublings))
+    }
+
+    /// Returns when the part is forgotten.
+    fn end(&self) -> Moment {
+        if self.evidence.is_enough() {
+            self.hold_end() + PROBE_PERIOD
+        } else {
+            self.evidence.last().unwrap_or_default() + SUSPICION_TTL
+        }
+    }
+
+    /// Returns the time before which this instance doesn't send the part; none if it may now.
+    fn held_until(&self, now: Moment) -> Option<Moment> {
+        if !self.evidence.is_enough() {
+            return None;
+        }
+        let stagger = match self.rank {
+            Some(rank) => PROBE_STAGGER.scaled(((rank + 1) as f64).log2()),
+            None => PROBE_PERIOD,
+        };
+        let turn = self.hold_end() + stagger;
+        let until = match self.sent_at {
+            Some(sent) => turn.max(sent + PROBE_TIME),
+            None => turn,
+        };
+        (now < until).then_some(until)
+    }
+}
+
+/// Suspects, and parts that are known to be sound.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    /// Sorted by part.
+    suspects: Vec<(Part, Suspect)>,
+    /// When an answer to a prompt with the part last went on, sorted by part.
+    sound: Vec<(Part, Moment)>,
+    /// Rebuttals to tell, and since when, sorted by part.
+    rebuttals: Vec<(Part, (Rebuttal, Moment))>,
+}
+
+impl Quarantine {
+    /// Records that an upstream ended a time after the head of its answer to a prompt with the shared
+    /// `parts`; `delivered` says whether anything of the body had arrived. Returns the parts that are
+    /// held back by it and were not before.
+    pub fn record_crash(
+        &mut self,
+        parts: &[Part],
+        victim: Victim,
+        (since_head, delivered): (Span, bool),
+        now: Moment,
+    ) -> Vec<Part> {
+        let Some(weight) = Weight::of(since_head, delivered) else {
+            return Vec::new();
+        };
+        self.expire(now);
+        let mut held = Vec::new();
+        for &part in parts {
+            let crash = Crash {
+                part,
+                victim,
+                weight,
+                at: now,
+                since_head,
+            };
+            if self.add(crash, now) {
+                held.push(part);
+            }
+        }
+        held
+    }
+
+    /// Records that an answer to a prompt with these parts went on. Returns the parts that are no
+    /// longer suspected.
+    pub fn record_sound(&mut self, parts: &[Part], now: Moment) -> Vec<Part> {
+        let mut cleared = Vec::new();
+        for &part in parts {
+            if self.rebut(Rebuttal { part, at: now }, now) {
+                cleared.push(part);
+            }
+        }
+        cleared
+    }
+
+    /// Records a crash that a peer told. Returns whether the part is held back by it and was not
+    /// before.
+    pub fn receive_crash(&mut self, crash: Crash, now: Moment) -> bool {
+        self.expire(now);
+        let known = self.sound_until(crash.part);
+        if known.is_some_and(|end| crash.at <= end) {
+            let at = self.sound_at(crash.part).unwrap_or_default();
+            let part = crash.part;
+            self.tell_rebuttal(Rebuttal { part, at }, now);
+            return false;
+        }
+        self.add(crash, now)
+    }
+
+    /// Records a rebuttal that a peer told. Returns whether the part is no longer suspected.
+    pub fn receive_rebuttal(&mut self, rebuttal: Rebuttal, now: Moment) -> bool {
+        self.rebut(rebuttal, now)
+    }
+
+    /// Returns why a prompt with the shared `parts` must not be sent; none if it may be.
+    pub fn find(&self, parts: &[Part], now: Moment) -> Option<Hold> {
+        if self.suspects.is_empty() {
+            return None;
+        }
+        for &part in parts {
+            let Some(suspect) = self.suspect(part) else {
+                continue;
+            };
+            let Some(until) = suspect.held_until(now) else {
+                continue;
+            };
+            if !self.is_guilty(part, parts) {
+                continue;
+            }
+            return Some(Hold {
+                part,
+                victims: suspect.evidence.crashes().len(),
+                until,
+            });
+        }
+        None
+    }
+
+    /// Records that a prompt with the shared `parts` is sent, which is a probe of those that were held
+    /// back.
+    pub fn record_dispatch(&mut self, parts: &[Part], now: Moment) {
+        for (part, suspect) in &mut self.suspects {
+            if parts.contains(part) {
+                suspect.sent_at = Some(now);
+            }
+        }
+    }
+
+    /// Sets the rank of this instance among those that probe each suspect, in the order in which they
+    /// do.
+    pub fn set_ranks(&mut self, rank: impl Fn(Part) -> Option<usize>) {
+        for (part, suspect) in &mut self.suspects {
+            suspect.rank = rank(*part);
+        }
+    }
+
+    /// Returns the crashes to tell to peers: those of held parts, and those that are news.
+    pub fn crashes(&self, now: Moment) -> Vec<Crash> {
+        let is_told = |suspect: &Suspect| {
+            suspect.evidence.is_enough() || now.since(suspect.changed_at) < TELL_TIME
+        };
+        let mut told: Vec<&Suspect> = self
+            .suspects
+            .iter()
+            .map(|(_, suspect)| suspect)
+            .filter(|suspect| is_told(suspect))
+            .collect();
+        told.sort_by_key(|suspect| std::cmp::Reverse(suspect.evidence.weight()));
+        told.truncate(MAX_TOLD);
+        let crashes = told.iter().flat_map(|suspect| suspect.evidence.crashes());
+        crashes.copied().collect()
+    }
+
+    /// Returns the rebuttals to tell to peers.
+    pub fn rebuttals(&self, now: Moment) -> Vec<Rebuttal> {
+        let news = self.rebuttals.iter().map(|(_, told)| told);
+        let news = news.filter(|(_, since)| now.since(*since) < TELL_TIME);
+        news.map(|(rebuttal, _)| *rebuttal).take(MAX_TOLD).collect()
+    }
+
+    /// Returns the number of parts that are held back.
+    pub fn held_count(&self) -> usize {
+        let held = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.evidence.is_enough());
+        held.count()
+    }
+
+    fn suspect(&self, part: Part) -> Option<&Suspect> {
+        let index = self
+            .suspects
+            .binary_search_by_key(&part, |(known, _)| *known);
+        index.ok().map(|index| &self.suspects[index].1)
+    }
+
+    /// Returns whether there is enough evidence against a part of a prompt that no held part outside of
+    /// the prompt explains as well or better.
+    fn is_guilty(&self, part: Part, parts: &[Part]) -> bool {
+        let Some(suspect) = self.suspect(part) else {
+            return false;
+        };
+        work::count(self.suspects.len());
+        // A part that was never sound explains more than one that was, and else the one with more
+        // victims.
+        let order = |part: Part, known: &Suspect| {
+            let was_sound = self.sound_at(part).is_some();
+            (!was_sound, known.evidence.crashes().len())
+        };
+        let own = order(part, suspect);
+        let mut others: Vec<&Evidence> = Vec::new();
+        for (other, known) in &self.suspects {
+            let is_outside = !parts.contains(other) && known.evidence.is_enough();
+            if is_outside && order(*other, known) >= own {
+                others.push(&known.evidence);
+            }
+        }
+        let is_explained = |crash: &Crash| others.iter().any(|one| one.has_victim(crash.victim));
+        let unexplained = suspect.evidence.weight_of(|crash| !is_explained(crash));
+        unexplained >= Weight::ENOUGH
+    }
+
+    /// Adds a crash, unless the part is known to be sound. Returns whether the part is held back by
+    /// it and was not before.
+    fn add(&mut self, crash: Crash, now: Moment) -> bool {
+        if self
+            .sound_until(crash.part)
+            .is_some_and(|end| crash.at <= end)
+        {
+            return false;
+        }
+        self.make_room(crash.part);
+        let suspect = sorted::entry(&mut self.suspects, &crash.part, || Suspect::new(now));
+        let was_enough = suspect.evidence.is_enough();
+        if suspect.evidence.add(crash) {
+            suspect.changed_at = now;
+        }
+        !was_enough && suspect.evidence.is_enough()
+    }
+
+    /// Drops the suspect with the least evidence if there is no room for another one.
+    fn make_room(&mut self, part: Part) {
+        if self.suspects.len() < MAX_SUSPECTS || self.suspect(part).is_some() {
+            return;
+        }
+        let order = |(_, suspect): &(usize, &(Part, Suspect))| {
+            (suspect.1.evidence.weight(), suspect.1.changed_at)
+        };
+        let least = self.suspects.iter().enumerate().min_by_key(order);
+        let index = least.map(|(index, _)| index).unwrap_or_default();
+        self.suspects.remove(index);
+    }
+
+    fn rebut(&mut self, rebuttal: Rebuttal, now: Moment) -> bool {
+        let Rebuttal { part, at } = rebuttal;
+        if self.sound.len() >= MAX_SOUND {
+            self.forget_half_of_sound();
+        }
+        let known = sorted::entry(&mut self.sound, &part, || at);
+        *known = (*known).max(at);
+        let found = self
+            .suspects
+            .binary_search_by_key(&part, |(known, _)| *known);
+        let Ok(index) = found else {
+            return false;
+        };
+        let evidence = &mut self.suspects[index].1.evidence;
+        let before = evidence.crashes().len();
+        evidence.clear_until(at + SOUND_TTL);
+        let is_news = evidence.crashes().len() < before;
+        if evidence.crashes().is_empty() {
+            self.suspects.remove(index);
+        }
+        if is_news {
+            self.tell_rebuttal(rebuttal, now);
+        }
+        is_news
+    }
+
+    /// Drops the half of the sound parts that was sound longest ago.
+    fn forget_half_of_sound(&mut self) {
+        let mut times: Vec<Moment> = self.sound.iter().map(|(_, at)| *at).collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.sound.retain(|(_, at)| *at > median);
+    }
+
+    fn tell_rebuttal(&mut self, rebuttal: Rebuttal, now: Moment) {
+        self.rebuttals
+            .retain(|(_, (_, since))| now.since(*since) < TELL_TIME);
+        if self.rebuttals.len() >= MAX_SUSPECTS {
+            return;
+        }
+        let told = sorted::entry(&mut self.rebuttals, &rebuttal.part, || (rebuttal, now));
+        *told = (rebuttal, now);
+    }
+
+    fn sound_at(&self, part: Part) -> Option<Moment> {
+        let index = self.sound.binary_search_by_key(&part, |(known, _)| *known);
+        index.ok().map(|index| self.sound[index].1)
+    }
+
+    /// Returns the time up to which ends of upstreams don't tell against a part.
+    fn sound_until(&self, part: Part) -> Option<Moment> {
+        self.sound_at(part).map(|at| at + SOUND_TTL)
+    }
+
+    fn expire(&mut self, now: Moment) {
+        self.suspects.retain(|(_, suspect)| now < suspect.end());
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/evidence.rs
@@ -0,0 +1,232 @@
+//! Which parts are held back by the evidence of one instance, and for how long.
+
+use entity::{Moment, Span};
+use googletest::prelude::*;
+use quarantine::{Part, Quarantine, Rebuttal, Victim, Weight};
+
+const SHARED: Part = Part(1);
+const BAD: Part = Part(2);
+const RARE: Part = Part(3);
+/// The head of an answer came 60 milliseconds before the end, and nothing else.
+const BEGUN: (Span, bool) = (Span::from_millis(60), false);
+
+fn at(millis: u64) -> Moment {
+    Moment(1_000_000_000) + Span::from_millis(millis)
+}
+
+/// Returns a quarantine that has seen the parts in the ends of so many upstreams, a second apart.
+fn after(parts: &[Part], count: u64) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for victim in 0..count {
+        let now = at(victim * 1000);
+        quarantine.record_crash(parts, Victim(victim), BEGUN, now);
+    }
+    quarantine
+}
+
+/// One upstream that ends tells nothing against the prompts that it had begun.
+#[gtest]
+fn one_end_is_not_enough() {
+    let quarantine = after(&[SHARED, BAD], 1);
+    expect_that!(quarantine.find(&[SHARED, BAD], at(1)), none());
+}
+
+#[gtest]
+fn part_that_ends_upstreams_is_held() {
+    let quarantine = after(&[SHARED, BAD], 2);
+    let hold = quarantine.find(&[SHARED, BAD], at(1001));
+    expect_that!(hold, some(anything()));
+    expect_that!(hold.unwrap().victims, eq(2));
+}
+
+/// All requests of a kind share their first part; it must not be held for one that is bad.
+#[gtest]
+fn shared_part_is_not_held_without_the_bad_one() {
+    let quarantine = after(&[SHARED, BAD], 5);
+    expect_that!(quarantine.find(&[SHARED], at(5000)), none());
+    expect_that!(quarantine.find(&[SHARED, RARE], at(5000)), none());
+}
+
+/// Two bad parts end upstreams in turn, so that only the part that they share is in all ends. It was
+/// sound once, as its kind of requests is served most of the time.
+#[gtest]
+fn shared_part_of_two_bad_ones_is_not_held() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(&[SHARED], Moment(1));
+    for victim in 0..2 {
+        let now = at(victim * 1000);
+        quarantine.record_crash(&[SHARED, BAD], Victim(victim), BEGUN, now);
+    }
+    for victim in 10..12 {
+        let now = at(victim * 1000);
+        quarantine.record_crash(&[SHARED, RARE], Victim(victim), BEGUN, now);
+    }
+    expect_that!(quarantine.find(&[SHARED], at(12_000)), none());
+    expect_that!(
+        quarantine.find(&[SHARED, BAD], at(12_000)),
+        some(anything())
+    );
+    expect_that!(
+        quarantine.find(&[SHARED, RARE], at(12_000)),
+        some(anything())
+    );
+}
+
+/// A bad part that has only come with one other part is held with any part once it has ended an
+/// upstream without that one.
+#[gtest]
+fn bad_part_is_held_with_any_other_part() {
+    let mut quarantine = after(&[SHARED, BAD], 2);
+    for victim in [8, 9] {
+        let now = at(victim * 1000);
+        quarantine.record_crash(&[RARE, BAD], Victim(victim), BEGUN, now);
+    }
+    expect_that!(quarantine.find(&[Part(7), BAD], at(9001)), some(anything()));
+}
+
+/// A zone that loses power ends many upstreams at once, with whatever prompts they had begun.
+#[gtest]
+fn ends_at_the_same_moment_count_once() {
+    let mut quarantine = Quarantine::default();
+    for victim in 0..6 {
+        quarantine.record_crash(&[SHARED], Victim(victim), BEGUN, at(victim * 10));
+    }
+    expect_that!(quarantine.find(&[SHARED], at(100)), none());
+}
+
+/// A retry of a request can end the next upstream soon after the first.
+#[gtest]
+fn ends_one_after_the_other_count_each() {
+    let mut quarantine = Quarantine::default();
+    for victim in 0..2 {
+        let now = at(victim * 70);
+        quarantine.record_crash(&[BAD], Victim(victim), BEGUN, now);
+    }
+    expect_that!(quarantine.find(&[BAD], at(100)), some(anything()));
+}
+
+#[gtest]
+fn one_upstream_counts_once() {
+    let mut quarantine = Quarantine::default();
+    for second in 0..6 {
+        quarantine.record_crash(&[SHARED], Victim(1), BEGUN, at(second * 1000));
+    }
+    expect_that!(quarantine.find(&[SHARED], at(6000)), none());
+}
+
+/// Upstreams also end for other reasons, while sound prompts begin there.
+#[gtest]
+fn part_of_an_answer_that_went_on_is_not_held() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(&[SHARED], at(0));
+    for second in 1..9 {
+        let victim = Victim(second);
+        quarantine.record_crash(&[SHARED], victim, BEGUN, at(second * 1000));
+    }
+    expect_that!(quarantine.find(&[SHARED], at(9000)), none());
+}
+
+#[gtest]
+fn answer_that_goes_on_releases_a_part() {
+    let mut quarantine = after(&[SHARED], 3);
+    expect_that!(quarantine.find(&[SHARED], at(3000)), some(anything()));
+    let cleared = quarantine.record_sound(&[SHARED], at(3000));
+    expect_that!(cleared, elements_are![eq(&SHARED)]);
+    expect_that!(quarantine.find(&[SHARED], at(3000)), none());
+    expect_that!(quarantine.rebuttals(at(3001)), len(eq(1)));
+}
+
+/// A part that was sound may end upstreams of a new release.
+#[gtest]
+fn sound_part_can_become_bad() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(&[BAD], at(0));
+    for second in [11, 12] {
+        let victim = Victim(second);
+        quarantine.record_crash(&[BAD], victim, BEGUN, at(second * 1000));
+    }
+    expect_that!(quarantine.find(&[BAD], at(12_001)), some(anything()));
+}
+
+/// All instances know the part, and only one of them finds out whether it still ends upstreams.
+#[gtest]
+fn held_part_is_probed_by_one_instance() {
+    let mut quarantine = after(&[BAD], 2);
+    let late = at(1000) + Span::from_secs(31);
+    expect_that!(quarantine.find(&[BAD], late), some(anything()));
+    quarantine.set_ranks(|_| Some(1));
+    expect_that!(quarantine.find(&[BAD], late), some(anything()));
+    quarantine.set_ranks(|_| Some(0));
+    expect_that!(quarantine.find(&[BAD], late), none());
+    quarantine.record_dispatch(&[BAD], late);
+    expect_that!(quarantine.find(&[BAD], late), some(anything()));
+    quarantine.record_crash(&[BAD], Victim(77), BEGUN, late);
+    let later = late + Span::from_secs(59);
+    expect_that!(quarantine.find(&[BAD], later), some(anything()));
+    expect_that!(quarantine.find(&[BAD], late + Span::from_secs(61)), none());
+}
+
+#[gtest]
+fn retry_time_is_when_the_part_may_be_sent() {
+    let mut quarantine = after(&[BAD], 2);
+    quarantine.set_ranks(|_| Some(3));
+    let hold = quarantine.find(&[BAD], at(1000)).unwrap();
+    let before = hold.until - Span::from_millis(1);
+    expect_that!(quarantine.find(&[BAD], before), some(anything()));
+    expect_that!(quarantine.find(&[BAD], hold.until), none());
+}
+
+/// A peer's evidence reaches this instance many times, also after it was rebutted.
+#[gtest]
+fn told_evidence_counts_once_and_not_after_a_rebuttal() {
+    let told = after(&[BAD], 3).crashes(at(2001));
+    let mut quarantine = Quarantine::default();
+    let mut held = 0;
+    for _ in 0..5 {
+        for crash in &told {
+            held += usize::from(quarantine.receive_crash(*crash, at(2100)));
+        }
+    }
+    expect_that!(held, eq(1));
+    let part = BAD;
+    let rebuttal = Rebuttal { part, at: at(2200) };
+    expect_true!(quarantine.receive_rebuttal(rebuttal, at(2200)));
+    for crash in &told {
+        quarantine.receive_crash(*crash, at(2300));
+    }
+    expect_that!(quarantine.find(&[BAD], at(2300)), none());
+    // Peers that still have the evidence are told.
+    expect_that!(quarantine.rebuttals(at(2301)), len(eq(1)));
+}
+
+/// Nothing that callers send can make an instance, or its messages, grow without limit.
+#[gtest]
+fn everything_is_bounded() {
+    let mut quarantine = after(&[BAD], 3);
+    for number in 0..50_000 {
+        let now = at(3000 + number);
+        let part = Part(1000 + number);
+        quarantine.record_sound(&[Part(1_000_000 + number)], now);
+        quarantine.record_crash(&[part], Victim(number), BEGUN, now);
+    }
+    let now = at(53_000);
+    expect_that!(quarantine.crashes(now).len(), le(256));
+    expect_that!(quarantine.rebuttals(now).len(), le(16));
+    expect_that!(quarantine.find(&[BAD], now), some(anything()));
+}
+
+#[gtest]
+fn end_in_the_middle_of_an_answer_tells_nothing() {
+    let late = Span::from_secs(1);
+    expect_that!(Weight::of(late, true), none());
+    expect_that!(Weight::of(late, false), some(eq(Weight::STRONG)));
+    let soon = Span::from_millis(100);
+    expect_that!(Weight::of(soon, true), some(eq(Weight::WEAK)));
+}
+
+#[gtest]
+fn part_is_written_in_hexadecimal() {
+    let part: Part = "a05928d8452a".parse().unwrap();
+    expect_that!(part.to_string(), eq("a05928d8452a"));
+    expect_that!("".parse::<Part>(), err(anything()));
+}
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -5,9 +5,11 @@
 use crate::core::Core;
 use crate::decider::Closed;
 use crate::forward::key_validity::boot_time;
+use crate::forward::prompts::LostAnswer;
 use crate::forward::run::{Resolved, Run};
 use crate::tries::{Dispatch, TryLimits};
 use bytes::Bytes;
+use caller::Refusal;
 use caller::forward::{Content, Forwarded};
 use config::Forward;
 use entity::{Span, name};
@@ -90,6 +92,8 @@
     pub response: IncomingAnswer,
     /// Time at which its head arrived.
     pub begun: Instant,
+    /// Whether it has gone on for long enough to show that the prompt is sound.
+    pub is_sound: bool,
     /// First events, not yet sent to the caller.
     pub first: Bytes,
     /// Splits the body into events, and holds the incomplete one.
@@ -250,6 +254,7 @@
             return Ok(Answer::Stream(Box::new(OpenStream {
                 response,
                 begun,
+                is_sound: false,
                 first: first.unwrap_or_default(),
                 splitter,
                 ended,
@@ -318,6 +323,17 @@
         freshness.wait_for_dispatch(Topic::Upstreams).await;
     }
 
+    fn check(&self) -> Result<(), Refusal> {
+        let shared = &self.run.shared;
+        shared.prompts.check(&shared.core, &self.run.parts)
+    }
+
+    async fn wait_for_hold(&self) -> Refusal {
+        let shared = &self.run.shared;
+        let prompts = &shared.prompts;
+        prompts.wait_for_hold(&shared.core, &self.run.parts).await
+    }
+
     fn is_wanted(&self, choice: &Choice) -> bool {
         let shared = &self.run.shared;
         shared.notices.is_wanted(&shared.core, choice)
@@ -334,6 +350,10 @@
             end: try_deadline,
             ..sending
         };
+        let shared = &self.run.shared;
+        shared
+            .prompts
+            .record_dispatch(&shared.core, &self.run.parts);
         let mut notice = Notice::default();
         let sent_to = self.run.shared.pool.send(&sending, &mut notice).await;
         if notice != Notice::default() {
@@ -350,7 +370,11 @@
         if let Err(failure) = &answer
             && failure.is_lost_answer()
         {
-            self.run.record_lost_answer(&choice.upstream, begun);
+            let lost = begun.map(|begun| LostAnswer {
+                begun,
+                delivered: false,
+            });
+            self.run.record_lost_answer(choice, lost);
         }
         self.record_result(choice, &answer, Span::from(sent.elapsed()))
             .await;
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -5,10 +5,12 @@
 use crate::forward::freshness::Freshness;
 use crate::forward::key_validity::boot_time;
 use crate::forward::notices::Notices;
+use crate::forward::prompts::Prompts;
 use crate::forward::run::{Run, timeline_id};
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
 use forward::source::Topic;
+use quarantine::Part;
 use std::sync::Arc;
 use timeline::{Counter, Kind};
 use upstream::forward::Pool;
@@ -33,6 +35,8 @@
     pub freshness: Freshness,
     /// What upstreams said about themselves.
     pub notices: Notices,
+    /// Which prompts must not be sent.
+    pub prompts: Prompts,
     /// Connections to upstreams.
     pub pool: Pool,
     /// How a model is chosen for requests that leave the choice to the router.
@@ -72,8 +76,10 @@
     async fn handle(&self, arrival: Arrival) -> Reply {
         let core = &self.shared.core;
         core.metric.count(Counter::Requests);
+        let parts = arrival.request.head.shared_parts();
         let run = Arc::new(Run {
             shared: self.shared.clone(),
+            parts: parts.iter().map(|part| Part(part.id)).collect(),
             id: timeline_id(&arrival.request.head.id),
             arrival,
         });
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -8,6 +8,7 @@
 use crate::forward::freshness::Freshness;
 use crate::forward::front::{Cascade, Front, Shared};
 use crate::forward::notices::Notices;
+use crate::forward::prompts::Prompts;
 use crate::forward::{peers, probe};
 use anyhow::{Context as _, Result};
 use arc_swap::ArcSwap;
@@ -93,6 +94,7 @@
                 settings.bounds.drain,
             ),
             notices: Notices::default(),
+            prompts: Prompts::default(),
             pool: upstream::forward::Pool::new(dialect.clone()),
             cascade: match settings.cascade {
                 None => Cascade::Largest,
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod payload;
 mod peers;
 mod probe;
+mod prompts;
 mod relay;
 mod run;
 
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -8,6 +8,7 @@
 use peer::message;
 use quality::release::Report;
 use quality::trial::{Ruling, Tally};
+use quarantine::{Crash, Part, Rebuttal, Victim, Weight};
 use rand::seq::IndexedRandom;
 use routing::demand::Work;
 use routing::membership::Peer;
@@ -117,6 +118,64 @@
     })
 }
 
+/// Encodes ends of upstreams, of the same part one after the other.
+pub fn encode_crashes(crashes: &[Crash], now: Moment) -> Vec<message::Suspect> {
+    let mut suspects: Vec<message::Suspect> = Vec::new();
+    for crash in crashes {
+        let part = crash.part.0 as i64;
+        let told = message::Crash {
+            victim: crash.victim.0 as i64,
+            age_us: now.since(crash.at).as_micros() as i64,
+            strong: crash.weight == Weight::STRONG,
+            since_head_us: crash.since_head.as_micros() as i64,
+        };
+        match suspects.last_mut() {
+            Some(suspect) if suspect.part == part => suspect.crashes.push(told),
+            _ => suspects.push(message::Suspect::new(part, vec![told])),
+        }
+    }
+    suspects
+}
+
+/// Decodes ends of upstreams.
+pub fn decode_crashes(suspects: &[message::Suspect], now: Moment) -> Vec<Crash> {
+    let mut crashes = Vec::new();
+    for suspect in suspects {
+        for crash in &suspect.crashes {
+            let strong = crash.strong;
+            crashes.push(Crash {
+                part: Part(suspect.part as u64),
+                victim: Victim(crash.victim as u64),
+                weight: if strong { Weight::STRONG } else { Weight::WEAK },
+                at: now - decode_age(crash.age_us),
+                since_head: decode_age(crash.since_head_us),
+            });
+        }
+    }
+    crashes
+}
+
+/// Encodes a part that is sound.
+pub fn encode_rebuttal(rebuttal: &Rebuttal, now: Moment) -> message::Rebuttal {
+    message::Rebuttal {
+        part: rebuttal.part.0 as i64,
+        age_us: now.since(rebuttal.at).as_micros() as i64,
+    }
+}
+
+/// Decodes a part that is sound.
+pub fn decode_rebuttal(rebuttal: &message::Rebuttal, now: Moment) -> Rebuttal {
+    Rebuttal {
+        part: Part(rebuttal.part as u64),
+        at: now - decode_age(rebuttal.age_us),
+    }
+}
+
+/// Decodes an age in microseconds.
+fn decode_age(micros: i64) -> Span {
+    Span::from_micros(micros.max(0) as u64)
+}
+
 /// Encodes the work that this instance has at an upstream.
 pub fn encode_load((upstream, work): &(name::Upstream, Work)) -> message::UpstreamLoad {
     message::UpstreamLoad {
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -11,9 +11,11 @@
 use crate::forward::front::Shared;
 use crate::forward::key_validity::boot_time;
 use crate::forward::payload::{
-    decode_departure, decode_era, decode_load, decode_peer, decode_trial, decode_update,
-    encode_departure, encode_load, encode_peer, encode_trial, encode_update, topic_number,
+    decode_crashes, decode_departure, decode_era, decode_load, decode_peer, decode_rebuttal,
+    decode_trial, decode_update, encode_crashes, encode_departure, encode_load, encode_peer,
+    encode_rebuttal, encode_trial, encode_update, topic_number,
 };
+use crate::forward::prompts::News;
 use crate::rendezvous;
 use entity::{Era, Moment, Span, name};
 use forward::Source;
@@ -25,6 +27,7 @@
 use peer::message::{self, Beacon};
 use quality::release::Report;
 use quality::trial::Ruling;
+use quarantine::Part;
 use routing::Members;
 use routing::membership::{Membership, Peer};
 use std::net::SocketAddr;
@@ -259,6 +262,14 @@
             let core = &shared.core;
             shared.notices.record_leaving(core, departure, "peer").await;
         }
+        let rebuttals = beacon.rebuttals.iter().flatten();
+        let news = News {
+            crashes: decode_crashes(beacon.suspects.as_deref().unwrap_or_default(), now),
+            rebuttals: rebuttals
+                .map(|rebuttal| decode_rebuttal(rebuttal, now))
+                .collect(),
+        };
+        shared.prompts.receive(&shared.core, &news);
         let decider = &self.parts.shared.core.decider;
         let loads = beacon.loads.iter().filter_map(decode_load).collect();
         decider
@@ -340,6 +351,11 @@
         let loads = self.loads().await;
         let shared = &self.parts.shared;
         let departures = shared.notices.recent_departures(&shared.core);
+        let rank = |part: Part| self.own_rank(&part.to_string(), self.now());
+        shared.prompts.set_ranks(rank);
+        let news = shared.prompts.news(&shared.core);
+        let rebuttals = news.rebuttals.iter();
+        let rebuttals = rebuttals.map(|rebuttal| encode_rebuttal(rebuttal, self.now()));
         let now = boot_time();
         let beacon = Beacon {
             instance: self.parts.own.to_string(),
@@ -354,6 +370,8 @@
             sent_us: Some(now.0 as i64),
             run: Some(self.run.0 as i64),
             departures: Some(departures.iter().map(encode_departure).collect()),
+            suspects: Some(encode_crashes(&news.crashes, self.now())),
+            rebuttals: Some(rebuttals.collect()),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
@@ -533,8 +551,12 @@
 
     /// Returns the rank of this instance in the rendezvous order of a key.
     fn rank(&self, key: &str, now: Moment) -> u64 {
+        self.own_rank(key, now).unwrap_or_default() as u64
+    }
+
+    /// Returns the same, or none if this instance is not among the live ones.
+    fn own_rank(&self, key: &str, now: Moment) -> Option<usize> {
         let ranked = rendezvous::ranked(self.peers.live(now), |name| name, key);
-        let rank = ranked.iter().position(|name| **name == self.parts.own);
-        rank.unwrap_or_default() as u64
+        ranked.iter().position(|name| **name == self.parts.own)
     }
 }
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a stream from an upstream to the caller.
 
 use crate::forward::dispatcher::{Answer, OpenStream};
+use crate::forward::prompts::{self, LostAnswer};
 use crate::forward::run::Run;
 use crate::tries::{self, Accepted, History};
 use bytes::Bytes;
@@ -59,9 +60,19 @@
                 StreamEnd::Broken(_) => Outcome::Failed,
             };
             let upstream = choice.upstream.clone();
+            if let StreamEnd::Broken(failure) = &ended
+                && failure.is_lost_answer()
+            {
+                let lost = LostAnswer {
+                    begun: stream.begun,
+                    delivered: true,
+                };
+                self.run.record_lost_answer(&choice, Some(lost));
+            }
             core.decider.finish(choice, outcome).await;
             let failure = match ended {
                 StreamEnd::Whole => {
+                    self.record_sound();
                     core.recorder
                         .event(Kind::Answered)
                         .request(self.run.id)
@@ -83,9 +94,6 @@
                 }
                 StreamEnd::Broken(failure) => failure,
             };
-            if failure.is_lost_answer() {
-                self.run.record_lost_answer(&upstream, Some(stream.begun));
-            }
             core.recorder
                 .event(Kind::Failed)
                 .request(self.run.id)
@@ -133,6 +141,10 @@
             }
             self.last_event = stream.splitter.last_event_id().or(self.last_event);
             stalled_at = Instant::now() + self.stall_timeout;
+            if !stream.is_sound && prompts::is_sound(stream.begun) {
+                stream.is_sound = true;
+                self.record_sound();
+            }
         }
         if stream.splitter.is_empty() {
             StreamEnd::Whole
@@ -141,6 +153,12 @@
         }
     }
 
+    /// Records that the answer went on, so that its prompt doesn't end upstreams.
+    fn record_sound(&self) {
+        let shared = &self.run.shared;
+        shared.prompts.record_sound(&shared.core, &self.run.parts);
+    }
+
     async fn send(&self, bytes: Bytes) -> Result<(), StreamEnd> {
         if bytes.is_empty() {
             return Ok(());
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -5,6 +5,7 @@
 };
 use crate::forward::front::{Cascade, Shared};
 use crate::forward::key_validity::boot_time;
+use crate::forward::prompts::LostAnswer;
 use crate::forward::relay::Relay;
 use crate::tries::{self, Abort, Accepted, History, Job};
 use adoption::Snapshot;
@@ -20,13 +21,13 @@
 use hyper::StatusCode;
 use quality::governor::Governor;
 use quality::release;
+use quarantine::Part;
 use routing::demand::Demand;
-use routing::{Outcome, Priority, hash};
+use routing::{Choice, Outcome, Priority, hash};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use timeline::{Counter, Kind, Timer};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 /// Largest number of times that a request is resolved because the configuration changed meanwhile.
 const MAX_RESOLUTIONS: u32 = 50;
@@ -62,6 +63,8 @@
     pub shared: Arc<Shared>,
     /// The request as it arrived.
     pub arrival: Arrival,
+    /// Parts of the prompt that other requests can share.
+    pub parts: Box<[Part]>,
     /// Id of the request in the event log.
     pub id: request::Id,
 }
@@ -333,6 +336,7 @@
         let first_token = Some(Span::from(sent.elapsed()));
         match value {
             Answer::Whole(answer) => {
+                self.shared.prompts.record_sound(core, &self.parts);
                 core.decider
                     .finish(choice, Outcome::Done { first_token })
                     .await;
@@ -366,7 +370,7 @@
         self: &Arc<Self>,
         resolved: &Resolved,
         stream: OpenStream,
-        choice: routing::Choice,
+        choice: Choice,
         model: Option<name::Model>,
         history: &mut History,
     ) -> Reply {
@@ -469,21 +473,28 @@
             .record();
     }
 
-    /// Records that an upstream closed its connection before the answer was complete. `begun` is the
-    /// time at which the head of the answer arrived; none if it didn't.
-    pub fn record_lost_answer(&self, upstream: &name::Upstream, begun: Option<Instant>) {
-        let parts = self.arrival.request.head.shared_parts();
-        let parts: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
-        let draft = self.shared.core.recorder.event(Kind::Lost);
+    /// Records that the upstream of a choice closed its connection before the answer was complete;
+    /// `lost` is none if its head had not arrived.
+    pub fn record_lost_answer(&self, choice: &Choice, lost: Option<LostAnswer>) {
+        let core = &self.shared.core;
+        let parts: Vec<String> = self.parts.iter().map(Part::to_string).collect();
+        let draft = core.recorder.event(Kind::Lost);
         let draft = draft
             .request(self.id)
-            .text("upstream", upstream)
+            .text("upstream", &choice.upstream)
             .text("parts", parts.join(","));
-        let draft = match begun {
-            Some(begun) => draft.text("begun", Span::from(begun.elapsed())),
-            None => draft,
+        let Some(lost) = lost else {
+            draft.record();
+            return;
         };
-        draft.record();
+        draft
+            .text("begun", Span::from(lost.begun.elapsed()))
+            .text("delivered", lost.delivered)
+            .record();
+        if let Some(incarnation) = choice.incarnation() {
+            let prompts = &self.shared.prompts;
+            prompts.record_lost(core, &self.parts, &incarnation, lost);
+        }
     }
 
     /// Counts and records the result of the request.
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -199,6 +199,20 @@
     /// Result of a request that the upstream accepts.
     type Value: Send;
 
+    /// Returns whether the request may still be sent at all.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for its caller if it may not.
+    fn check(&self) -> Result<(), Refusal> {
+        Ok(())
+    }
+
+    /// Waits until something is learned by which the request may not be sent any more, and returns the refusal for its caller.
+    fn wait_for_hold(&self) -> impl Future<Output = Refusal> + Send {
+        std::future::pending()
+    }
+
     /// Waits until the state that choices go by is recent enough to dispatch by.
     fn wait_for_state(&self) -> impl Future<Output = ()> + Send {
         std::future::ready(())
@@ -248,9 +262,24 @@
     history: &mut History,
     dispatch: &D,
 ) -> Result<Accepted<D::Value>, Abort> {
+    let held = |refusal: Refusal, ran| {
+        let ran = refusal.ran.max(ran);
+        Abort::Refused(Refusal { ran, ..refusal })
+    };
     while history.can_try(job) {
-        let choice = choose(core, job, history).await?;
+        dispatch
+            .check()
+            .map_err(|refusal| held(refusal, history.ran()))?;
+        let choice = tokio::select! {
+            biased;
+            chosen = choose(core, job, history) => chosen?,
+            refusal = dispatch.wait_for_hold() => return Err(held(refusal, history.ran())),
+        };
         dispatch.wait_for_state().await;
+        if let Err(refusal) = dispatch.check() {
+            core.decider.finish(choice, Outcome::Cancelled).await;
+            return Err(held(refusal, history.ran()));
+        }
         if core.clock.now().since(choice.chosen_at) > core.slack {
             // The process was paused: the chosen slot may belong to another instance by now.
             core.decider.finish(choice, Outcome::Cancelled).await;
@@ -282,6 +311,11 @@
                 core.decider.finish(choice, Outcome::Cancelled).await;
                 return Err(Abort::Refused(disconnected_refusal()));
             }
+            // A prompt that waits at an upstream would end it as well.
+            refusal = dispatch.wait_for_hold() => {
+                core.decider.finish(choice, Outcome::Cancelled).await;
+                return Err(held(refusal, Ran::Maybe));
+            }
         };
         let failure = match dispatched {
             Ok(value) => {
