Read the limit that an upstream names, and log it

Nothing in the logs told that an upstream had named a limit. The header is parsed, bounded and logged when it changes; no decision goes by it yet.

--- a/crates/entity/src/unit.rs
+++ b/crates/entity/src/unit.rs
@@ -287,6 +287,43 @@
     }
 }
 
+/// A number of events per second in thousandths, written as `2.4/s`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    SerializeDisplay,
+    DeserializeFromStr,
+)]
+pub struct Frequency(pub u64);
+
+impl Frequency {
+    /// Returns the number of events per second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+}
+
+impl FromStr for Frequency {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        parse_decimal(strip_unit(text, "/s")?, 3, "/s").map(Self)
+    }
+}
+
+impl fmt::Display for Frequency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.per_second())
+    }
+}
+
 /// A number of events per second, written as `300/s`.
 #[derive(
     Clone,
--- a/crates/forward/src/answer.rs
+++ b/crates/forward/src/answer.rs
@@ -1,6 +1,7 @@
 //! Response headers of an upstream that the router acts on.
 
 use entity::Span;
+use entity::unit::Frequency;
 
 /// The fields of an upstream's response head that the router acts on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -21,6 +22,8 @@
     pub retry_after: Option<Span>,
     /// Whether the upstream says that it is leaving and wants no further requests.
     pub leaving: bool,
+    /// Number of requests per second that the upstream takes of all instances together.
+    pub limit: Option<Frequency>,
     /// Names of headers whose values can't be used as they are.
     pub malformed: Vec<&'static str>,
 }
--- a/crates/server/src/forward/notices.rs
+++ b/crates/server/src/forward/notices.rs
@@ -2,6 +2,8 @@
 
 use crate::core::Core;
 use crate::forward::front::Shared;
+use entity::sorted;
+use entity::unit::Frequency;
 use routing::Choice;
 use routing::restriction::{Incarnation, Restrictions};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct Notices {
     restrictions: Mutex<Restrictions>,
+    /// Limits that upstreams named last, sorted.
+    limits: Mutex<Vec<(Incarnation, Frequency)>>,
 }
 
 impl Notices {
@@ -39,6 +43,26 @@
         recent.cloned().collect()
     }
 
+    /// Records the limit that an upstream named. A change is logged.
+    fn record_limit(&self, core: &Core, incarnation: &Incarnation, limit: Frequency) {
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut is_new = false;
+        let known = sorted::entry(&mut limits, incarnation, || {
+            is_new = true;
+            limit
+        });
+        if !is_new && *known == limit {
+            return;
+        }
+        *known = limit;
+        let draft = core.recorder.event(Kind::Cold);
+        draft
+            .text("upstream", &incarnation.upstream)
+            .text("why", "names a limit")
+            .text("limit", limit)
+            .record();
+    }
+
     /// Records that an upstream is leaving, as it or a peer says.
     pub async fn record_leaving(&self, core: &Core, incarnation: Incarnation, by: &'static str) {
         let now = core.clock.now();
@@ -72,6 +96,9 @@
         let Some(incarnation) = choice.incarnation() else {
             return;
         };
+        if let Some(limit) = notice.limit {
+            self.notices.record_limit(core, &incarnation, limit);
+        }
         if let Some(rest) = notice.rest {
             let now = core.clock.now();
             let until = now + rest;
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -6,6 +6,7 @@
 use crate::failure::{Failure, Reason};
 use bytes::Bytes;
 use entity::request::Ran;
+use entity::unit::Frequency;
 use entity::{Span, sorted};
 use forward::dialect::{Dialect, Order};
 use forward::{Answer, Head};
@@ -61,6 +62,8 @@
     pub leaving: bool,
     /// Time for which it wants no requests.
     pub rest: Option<Span>,
+    /// Number of requests per second that it takes of all instances together.
+    pub limit: Option<Frequency>,
     /// Names of headers whose values can't be used as they are.
     pub malformed: Vec<&'static str>,
 }
@@ -276,6 +279,7 @@
     Notice {
         leaving: head.leaving,
         rest: head.retry_after.filter(|_| overloaded),
+        limit: head.limit,
         malformed: std::mem::take(&mut head.malformed),
     }
 }
