Divide the limit that an upstream names among few owners

Operators saw: an upstream in need that named 1.9 requests a second got 21 in 4 s, 16 allowed (LIMIT). A limit belongs to an incarnation, ends with a later answer that names none, is told to peers, and is divided among the first instances in the upstream's rendezvous order, two for each request a second and two more; each sends at nine tenths of its part and never two at once. So the bound doesn't grow with the instances.

Ruled out: equal parts (one request each is 75 at once), the cold rates' whole numbers, turns by the clock.

--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -198,6 +198,17 @@
   2: required i64 incarnation,
 }
 
+/** What an upstream last said about the requests that it takes of all instances together. */
+struct Limit {
+  1: required string upstream,
+  /** The start time of the incarnation, as the upstream registered it. */
+  2: required i64 incarnation,
+  /** Requests a second in thousandths; absent if it names no limit any more. */
+  3: optional i64 frequency,
+  /** How long ago it answered, in microseconds. */
+  4: required i64 age_us,
+}
+
 /** The end of an upstream soon after it began an answer. */
 struct Crash {
   /** Hash of the incarnation that ended. */
@@ -250,6 +261,8 @@
   13: optional list<Suspect> suspects,
   /** Parts that were told to it as suspects, and are sound. */
   14: optional list<Rebuttal> rebuttals,
+  /** Limits that upstreams named, to the sender or to a peer. */
+  15: optional list<Limit> limits,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2134,6 +2134,103 @@
   }
 }
 
+//
+// Limit
+//
+
+/// What an upstream last said about the requests that it takes of all instances together.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Limit {
+  pub upstream: String,
+  /// The start time of the incarnation, as the upstream registered it.
+  pub incarnation: i64,
+  /// Requests a second in thousandths; absent if it names no limit any more.
+  pub frequency: Option<i64>,
+  /// How long ago it answered, in microseconds.
+  pub age_us: i64,
+}
+
+impl Limit {
+  pub fn new<F3>(upstream: String, incarnation: i64, frequency: F3, age_us: i64) -> Limit where F3: Into<Option<i64>> {
+    Limit {
+      upstream,
+      incarnation,
+      frequency: frequency.into(),
+      age_us,
+    }
+  }
+}
+
+impl TSerializable for Limit {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Limit> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Limit.upstream", &f_1)?;
+    verify_required_field_exists("Limit.incarnation", &f_2)?;
+    verify_required_field_exists("Limit.age_us", &f_4)?;
+    let ret = Limit {
+      upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      frequency: f_3,
+      age_us: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Limit");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.frequency {
+      o_prot.write_field_begin(&TFieldIdentifier::new("frequency", TType::I64, 3))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("age_us", TType::I64, 4))?;
+    o_prot.write_i64(self.age_us)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Crash
 //
@@ -2424,10 +2521,12 @@
   pub suspects: Option<Vec<Suspect>>,
   /// Parts that were told to it as suspects, and are sound.
   pub rebuttals: Option<Vec<Rebuttal>>,
+  /// Limits that upstreams named, to the sender or to a peer.
+  pub limits: Option<Vec<Limit>>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>> {
     Beacon {
       instance,
       address,
@@ -2443,6 +2542,7 @@
       departures: departures.into(),
       suspects: suspects.into(),
       rebuttals: rebuttals.into(),
+      limits: limits.into(),
     }
   }
 }
@@ -2464,6 +2564,7 @@
     let mut f_12: Option<Vec<Departure>> = None;
     let mut f_13: Option<Vec<Suspect>> = None;
     let mut f_14: Option<Vec<Rebuttal>> = None;
+    let mut f_15: Option<Vec<Limit>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2575,6 +2676,16 @@
           i_prot.read_list_end()?;
           f_14 = Some(val);
         },
+        15 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Limit> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_20 = Limit::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_20);
+          }
+          i_prot.read_list_end()?;
+          f_15 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2604,6 +2715,7 @@
       departures: f_12,
       suspects: f_13,
       rebuttals: f_14,
+      limits: f_15,
     };
     Ok(ret)
   }
@@ -2698,6 +2810,15 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.limits {
+      o_prot.write_field_begin(&TFieldIdentifier::new("limits", TType::List, 15))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -20,6 +20,7 @@
         departures: None,
         suspects: None,
         rebuttals: None,
+        limits: None,
     }
 }
 
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -4,6 +4,7 @@
 use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
 use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
 use crate::hash;
+use crate::limit::{Limit, Limits, Wait};
 use crate::load::Load;
 use crate::peer_loads::{Others, PeerLoads};
 use crate::pool::Pools;
@@ -45,6 +46,9 @@
 /// Upper bound of a prompt's size in relation to the mean.
 const MAX_RELATIVE_PROMPT: f64 = 50.0;
 
+/// Longest time for which a request waits for room in the limit that an upstream named.
+const MAX_LIMIT_WAIT: Span = Span::from_secs(1);
+
 /// Retry delay that is suggested after a refusal for lack of capacity.
 const CAPACITY_RETRY_AFTER: Span = Span::from_secs(1);
 
@@ -69,6 +73,7 @@
     tickets: u64,
     peer_loads: PeerLoads,
     restrictions: Restrictions,
+    limits: Limits,
     /// Moving average of prompt sizes, in bytes.
     mean_prompt: f64,
 }
@@ -111,6 +116,7 @@
             tickets: 0,
             peer_loads: PeerLoads::default(),
             restrictions: Restrictions::default(),
+            limits: Limits::default(),
             mean_prompt: 0.0,
         }
     }
@@ -303,6 +309,19 @@
         self.restrictions.record_rest(incarnation, until, now);
     }
 
+    /// Records the limit in an answer of an upstream to this instance or to a peer.
+    pub fn record_limit(&mut self, incarnation: &Incarnation, limit: Limit, now: Moment) {
+        let sharers = live_instances(&self.views);
+        self.limits.record(incarnation, limit, sharers, now);
+    }
+
+    /// Returns the limits to tell to peers.
+    pub fn limits(&self, now: Moment) -> Vec<(Incarnation, Limit)> {
+        let told = self.limits.told(now);
+        told.map(|(incarnation, limit)| (incarnation.clone(), limit))
+            .collect()
+    }
+
     /// Removes the pending work of a choice once the first event of its answer has arrived.
     pub fn remove_pending(&mut self, upstream: &name::Upstream, ticket: u64) {
         if let Some(state) = self.states.by_name_mut(upstream) {
@@ -395,6 +414,7 @@
         let mut candidates = Vec::with_capacity(pool.used.len());
         let mut most_transient = self.unavailable_reason(request);
         let mut rest_end: Option<Moment> = None;
+        let mut limit_end: Option<Moment> = None;
         for &upstream in &pool.used {
             if let Some(restriction) = self.restriction(upstream, now) {
                 most_transient = most_transient.max(match restriction {
@@ -406,6 +426,22 @@
                 });
                 continue;
             }
+            if let Some(wait) = self.limit_wait(upstream, now) {
+                let reason = match wait {
+                    Wait::Until(end) => {
+                        limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
+                        let is_soon = end < (now + MAX_LIMIT_WAIT).min(request.deadline);
+                        if is_soon {
+                            Reason::Full
+                        } else {
+                            Reason::Limited
+                        }
+                    }
+                    Wait::Unknown => Reason::Limited,
+                };
+                most_transient = most_transient.max(reason);
+                continue;
+            }
             let state = self.states.in_use(upstream);
             let sharers = self.sharers(upstream);
             let grant = match filter.check(request, upstream, state, sharers, None) {
@@ -424,9 +460,13 @@
         if !candidates.is_empty() {
             return Ok(candidates);
         }
-        let rest = rest_end.filter(|_| most_transient == Reason::Resting);
+        let end = match most_transient {
+            Reason::Resting => rest_end,
+            Reason::Limited => limit_end,
+            _ => None,
+        };
         Err(Refusal {
-            retry_after: rest
+            retry_after: end
                 .map(|end| end.since(now))
                 .or(refusal(most_transient).retry_after),
             reason: most_transient,
@@ -489,6 +529,14 @@
         self.restrictions.find(&upstream.name, number, now)
     }
 
+    /// Returns how long this instance has to wait for room in the limit that a registered upstream
+    /// named; none if there is room.
+    fn limit_wait(&self, upstream: id::Upstream, now: Moment) -> Option<Wait> {
+        let upstream = &self.config.upstreams[upstream];
+        let number = upstream.registration.as_ref()?.incarnation;
+        self.limits.wait(&upstream.name, number, now)
+    }
+
     /// Returns the reason for which a pool has no upstreams.
     fn unavailable_reason(&self, request: &Request) -> Reason {
         let mut reason = Reason::NoUpstream;
@@ -579,6 +627,10 @@
                 .add_pending(ticket, work, query.prefix, now);
         }
         let upstream = &self.config.upstreams[candidate.upstream];
+        if let Some(registration) = &upstream.registration {
+            let number = registration.incarnation;
+            self.limits.record_dispatch(&upstream.name, number, now);
+        }
         Choice {
             chosen_at: now,
             upstream: upstream.name.clone(),
@@ -658,11 +710,7 @@
             if registration.cold_until <= now {
                 continue;
             }
-            let sharers = Sharers {
-                own: self.views.own(),
-                live: self.views.live(),
-                assumed: ASSUMED_LIVE_COUNT,
-            };
+            let sharers = live_instances(&self.views);
             let share = rate_limit::share(&upstream.name, registration.cold_rate, sharers);
             self.states.in_use_mut(id).cold_share = share;
         }
@@ -683,6 +731,7 @@
         let used = self.pools.used();
         self.states.sync(&config, &used, now);
         self.divide_cold_rates(&used, now);
+        self.limits.divide(live_instances(&self.views));
         for state in self.states.iter_mut() {
             state.slots.claims.clear();
         }
@@ -695,6 +744,15 @@
     }
 }
 
+/// Returns the instances that share the rates of upstreams.
+fn live_instances(views: &Views) -> Sharers<'_> {
+    Sharers {
+        own: views.own(),
+        live: views.live(),
+        assumed: ASSUMED_LIVE_COUNT,
+    }
+}
+
 fn refusal(reason: Reason) -> Refusal {
     let retry_after = match reason {
         Reason::NoUpstream
@@ -704,7 +762,9 @@
         | Reason::Region
         | Reason::Deadline => None,
         Reason::Generation => Some(Span::ZERO),
-        Reason::Excluded | Reason::Full | Reason::Resting => Some(CAPACITY_RETRY_AFTER),
+        Reason::Excluded | Reason::Full | Reason::Resting | Reason::Limited => {
+            Some(CAPACITY_RETRY_AFTER)
+        }
         Reason::Cold | Reason::Failing => Some(RECOVERY_RETRY_AFTER),
         Reason::ZoneOut | Reason::Leaving => Some(OUTAGE_RETRY_AFTER),
     };
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -69,6 +69,9 @@
     /// The upstream asked for no requests for a while.
     #[error("the upstream wants no requests for a while")]
     Resting,
+    /// The upstream named a limit, which leaves no room for a request soon.
+    #[error("the upstream named a limit that is used up")]
+    Limited,
     /// The upstream is in cold start, and this instance owns none of its slots now.
     #[error("the upstream is in cold start")]
     Cold,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod demand;
 pub mod filter;
 pub mod hash;
+pub mod limit;
 pub mod load;
 pub mod membership;
 mod peer_loads;
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -15,6 +15,7 @@
 use quality::{Judge, Plan, Rating, Summary, Verdict};
 use routing::allowance::{Allowance, Bound};
 use routing::demand::{Demand, Loads};
+use routing::limit::Limit;
 use routing::reserve;
 use routing::restriction::Incarnation;
 use routing::slots::DrainNotice;
@@ -176,6 +177,8 @@
     RecordPeerLoads(name::Instance, Loads, usize),
     RecordLeaving(Incarnation),
     RecordRest(Incarnation, Moment),
+    RecordLimit(Incarnation, Limit),
+    Limits(oneshot::Sender<Vec<(Incarnation, Limit)>>),
 }
 
 /// A handle that sends messages to the task.
@@ -305,6 +308,22 @@
             .await;
     }
 
+    /// Records the limit in an answer of an upstream to this instance or to a peer.
+    pub async fn record_limit(&self, incarnation: Incarnation, limit: Limit) {
+        let message = ForwardMessage::RecordLimit(incarnation, limit);
+        self.send(Message::Forward(message)).await;
+    }
+
+    /// Returns the limits of upstreams to tell to peers.
+    ///
+    /// # Errors
+    ///
+    /// The instance is shutting down.
+    pub async fn limits(&self) -> Result<Vec<(Incarnation, Limit)>, Closed> {
+        self.ask(|reply| Message::Forward(ForwardMessage::Limits(reply)))
+            .await
+    }
+
     /// Records that an upstream wants no requests until a time.
     pub async fn record_rest(&self, incarnation: Incarnation, until: Moment) {
         self.send(Message::Forward(ForwardMessage::RecordRest(
@@ -741,6 +760,13 @@
             ForwardMessage::RecordRest(incarnation, until) => {
                 self.balancer.record_rest(&incarnation, until, now);
             }
+            ForwardMessage::RecordLimit(incarnation, limit) => {
+                self.balancer.record_limit(&incarnation, limit, now);
+                self.waiting.drain(&mut self.balancer, now);
+            }
+            ForwardMessage::Limits(reply) => {
+                let _ = reply.send(self.balancer.limits(now));
+            }
             ForwardMessage::RecordPeerLoads(instance, loads, others) => {
                 self.balancer
                     .record_peer_loads(&instance, loads, others, now);
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -347,6 +347,7 @@
         let incarnation = choice.upstream.as_str();
         let sending = self.sending(choice, incarnation, limits.end);
         let sent = Instant::now();
+        let sent_at = self.core().clock.now();
         let try_deadline = self.try_deadline(choice, limits);
         let sending = UpstreamRequest {
             end: try_deadline,
@@ -358,9 +359,13 @@
             .record_dispatch(&shared.core, &self.run.parts);
         let mut notice = Notice::default();
         let sent_to = self.run.shared.pool.send(&sending, &mut notice).await;
+        let names_limit = notice.limit.is_some();
         if notice != Notice::default() {
             self.run.shared.record_notice(choice, notice).await;
         }
+        if sent_to.is_ok() && !names_limit {
+            shared.record_no_limit(choice, sent_at).await;
+        }
         let begun = sent_to.is_ok().then(Instant::now);
         let answer = match sent_to {
             Ok(response) if self.route().repeat.streams() && response.status.is_success() => {
--- a/crates/server/src/forward/notices.rs
+++ b/crates/server/src/forward/notices.rs
@@ -2,21 +2,24 @@
 
 use crate::core::Core;
 use crate::forward::front::Shared;
-use entity::sorted;
-use entity::unit::Frequency;
+use entity::{Moment, Span, sorted};
 use routing::Choice;
+use routing::limit::{LIMIT_TTL, Limit};
 use routing::restriction::{Incarnation, Restrictions};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use timeline::{Counter, Kind};
 use upstream::forward::Notice;
 
+/// Time between two answers after which the later one counts, though it names the same limit.
+const LIMIT_REFRESH: Span = Span::from_millis(500);
+
 /// Upstreams that are leaving or want no requests for a while. The decider has a copy, which it chooses
 /// by; this one is checked right before a request is sent.
 #[derive(Debug, Default)]
 pub struct Notices {
     restrictions: Mutex<Restrictions>,
     /// Limits that upstreams named last, sorted.
-    limits: Mutex<Vec<(Incarnation, Frequency)>>,
+    limits: Mutex<Vec<(Incarnation, Limit)>>,
 }
 
 impl Notices {
@@ -43,24 +46,60 @@
         recent.cloned().collect()
     }
 
-    /// Records the limit that an upstream named. A change is logged.
-    fn record_limit(&self, core: &Core, incarnation: &Incarnation, limit: Frequency) {
-        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut is_new = false;
-        let known = sorted::entry(&mut limits, incarnation, || {
-            is_new = true;
-            limit
-        });
-        if !is_new && *known == limit {
+    /// Records that an upstream named a limit, as it or a peer says. A change is logged.
+    pub async fn record_limit(
+        &self,
+        core: &Core,
+        incarnation: Incarnation,
+        limit: Limit,
+        by: &'static str,
+    ) {
+        let Some(is_change) = self.replace_limit(&incarnation, limit) else {
             return;
+        };
+        if is_change {
+            core.metric.count(Counter::LimitedUpstreams);
+            let frequency = limit.frequency.map(|frequency| frequency.to_string());
+            let draft = core.recorder.event(Kind::Cold);
+            draft
+                .text("upstream", &incarnation.upstream)
+                .text("why", "names a limit")
+                .text("limit", frequency.as_deref().unwrap_or("none"))
+                .text("by", by)
+                .record();
+        }
+        core.decider.record_limit(incarnation, limit).await;
+    }
+
+    /// Replaces the limit that is known of an upstream by that of a newer answer. Returns whether it is
+    /// another one; none if the answer tells nothing new.
+    fn replace_limit(&self, incarnation: &Incarnation, limit: Limit) -> Option<bool> {
+        let mut limits = self.limits();
+        limits.retain(|(_, known)| limit.as_of.since(known.as_of) < LIMIT_TTL);
+        let none = Limit {
+            frequency: None,
+            as_of: Moment::default(),
+        };
+        let known = sorted::entry(&mut limits, incarnation, || none);
+        let is_change = known.frequency != limit.frequency;
+        let age = limit.as_of.since(known.as_of);
+        if age < LIMIT_REFRESH && !(is_change && age > Span::ZERO) {
+            return None;
         }
         *known = limit;
-        let draft = core.recorder.event(Kind::Cold);
-        draft
-            .text("upstream", &incarnation.upstream)
-            .text("why", "names a limit")
-            .text("limit", limit)
-            .record();
+        Some(is_change)
+    }
+
+    /// Returns whether an answer without a limit to a request that was sent at `sent` ends a limit.
+    fn ends_limit(&self, incarnation: &Incarnation, sent: Moment) -> bool {
+        let limits = self.limits();
+        let found = limits.binary_search_by(|(known, _)| known.cmp(incarnation));
+        let known = found.ok().map(|index| limits[index].1);
+        known.is_some_and(|known| known.frequency.is_some() && known.as_of < sent)
+    }
+
+    fn limits(&self) -> MutexGuard<'_, Vec<(Incarnation, Limit)>> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that an upstream is leaving, as it or a peer says.
@@ -96,8 +135,15 @@
         let Some(incarnation) = choice.incarnation() else {
             return;
         };
-        if let Some(limit) = notice.limit {
-            self.notices.record_limit(core, &incarnation, limit);
+        if let Some(frequency) = notice.limit {
+            let limit = Limit {
+                frequency: Some(frequency),
+                as_of: core.clock.now(),
+            };
+            let (notices, incarnation) = (&self.notices, incarnation.clone());
+            notices
+                .record_limit(core, incarnation, limit, "answer")
+                .await;
         }
         if let Some(rest) = notice.rest {
             let now = core.clock.now();
@@ -120,4 +166,23 @@
                 .await;
         }
     }
+
+    /// Follows an answer of the upstream of a choice, without a limit, to a request sent at `sent`.
+    pub async fn record_no_limit(&self, choice: &Choice, sent: Moment) {
+        let Some(incarnation) = choice.incarnation() else {
+            return;
+        };
+        if !self.notices.ends_limit(&incarnation, sent) {
+            return;
+        }
+        let core = &self.core;
+        let limit = Limit {
+            frequency: None,
+            as_of: core.clock.now(),
+        };
+        let notices = &self.notices;
+        notices
+            .record_limit(core, incarnation, limit, "answer")
+            .await;
+    }
 }
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -2,6 +2,7 @@
 
 use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::prompts::News;
+use entity::unit::Frequency;
 use entity::{Era, Moment, Offset, Span, name};
 use forward::delta::Delta;
 use forward::source::{Position, Topic};
@@ -12,6 +13,7 @@
 use quarantine::{Crash, Part, Probe, Rebuttal, Victim, Weight};
 use rand::seq::IndexedRandom;
 use routing::demand::Work;
+use routing::limit::Limit;
 use routing::membership::Peer;
 use routing::restriction::Incarnation;
 
@@ -194,6 +196,30 @@
     Span::from_micros(micros.max(0) as u64)
 }
 
+/// Encodes the limit that an upstream named.
+pub fn encode_limit((incarnation, limit): &(Incarnation, Limit), now: Moment) -> message::Limit {
+    message::Limit {
+        upstream: incarnation.upstream.to_string(),
+        incarnation: incarnation.number as i64,
+        frequency: limit.frequency.map(|frequency| frequency.0 as i64),
+        age_us: now.since(limit.as_of).as_micros() as i64,
+    }
+}
+
+/// Decodes the limit that an upstream named; `None` if the upstream's name is invalid.
+pub fn decode_limit(limit: &message::Limit, now: Moment) -> Option<(Incarnation, Limit)> {
+    let incarnation = Incarnation {
+        upstream: limit.upstream.parse().ok()?,
+        number: limit.incarnation as u64,
+    };
+    let frequency = limit.frequency.map(|frequency| frequency.max(0) as u64);
+    let limit = Limit {
+        frequency: frequency.map(Frequency),
+        as_of: now - decode_age(limit.age_us),
+    };
+    Some((incarnation, limit))
+}
+
 /// Encodes the work that this instance has at an upstream.
 pub fn encode_load((upstream, work): &(name::Upstream, Work)) -> message::UpstreamLoad {
     message::UpstreamLoad {
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -11,9 +11,10 @@
 use crate::forward::front::Shared;
 use crate::forward::key_validity::boot_time;
 use crate::forward::payload::{
-    decode_crashes, decode_departure, decode_era, decode_load, decode_peer, decode_probes,
-    decode_rebuttal, decode_trial, decode_update, encode_departure, encode_load, encode_peer,
-    encode_rebuttal, encode_suspects, encode_trial, encode_update, topic_number,
+    decode_crashes, decode_departure, decode_era, decode_limit, decode_load, decode_peer,
+    decode_probes, decode_rebuttal, decode_trial, decode_update, encode_departure, encode_limit,
+    encode_load, encode_peer, encode_rebuttal, encode_suspects, encode_trial, encode_update,
+    topic_number,
 };
 use crate::forward::prompts::News;
 use crate::rendezvous;
@@ -263,6 +264,11 @@
             let core = &shared.core;
             shared.notices.record_leaving(core, departure, "peer").await;
         }
+        let limits = beacon.limits.iter().flatten();
+        for (incarnation, limit) in limits.filter_map(|limit| decode_limit(limit, now)) {
+            let (core, notices) = (&shared.core, &shared.notices);
+            notices.record_limit(core, incarnation, limit, "peer").await;
+        }
         let rebuttals = beacon.rebuttals.iter().flatten();
         let suspects = beacon.suspects.as_deref().unwrap_or_default();
         let news = News {
@@ -375,6 +381,7 @@
             departures: Some(departures.iter().map(encode_departure).collect()),
             suspects: Some(encode_suspects(&news, self.now())),
             rebuttals: Some(rebuttals.collect()),
+            limits: Some(self.limits().await),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
@@ -458,6 +465,14 @@
         loads.unwrap_or_default().iter().map(encode_load).collect()
     }
 
+    /// Returns the limits that upstreams named; nothing if the decider has ended.
+    async fn limits(&self) -> Vec<message::Limit> {
+        let limits = self.parts.shared.core.decider.limits().await;
+        let now = self.now();
+        let encode = |limit| encode_limit(limit, now);
+        limits.unwrap_or_default().iter().map(encode).collect()
+    }
+
     /// Returns a random sample of the known peers.
     fn peer_sample(&self) -> Vec<message::Acquaintance> {
         let now = self.now();
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -467,6 +467,7 @@
         Why::ZoneOut | Why::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-out"),
         Why::Cold => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-cold"),
         Why::Resting => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-resting"),
+        Why::Limited => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-limited"),
         Why::Failing | Why::Excluded => (StatusCode::BAD_GATEWAY, "upstream-failed"),
         Why::Full => (StatusCode::TOO_MANY_REQUESTS, "overloaded"),
         Why::Generation => (StatusCode::SERVICE_UNAVAILABLE, "configuration-changed"),
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -55,6 +55,8 @@
     LeavingUpstreams = "leaving_upstreams",
     /// Answers in which an upstream asked for no requests for a while.
     RestingUpstreams = "resting_upstreams",
+    /// Changes of the limits that upstreams named, or of which a peer told.
+    LimitedUpstreams = "limited_upstreams",
     /// Parts of prompts that were held back because they end upstreams.
     HeldParts = "held_parts",
     /// Answers that were discarded.
