Log the evidence of a release's trial where its share or its ruling changes

The log of a bad release that was completed had one line, judged, without what it was decided by. A line tried tells share, ruling and bad answers of both releases at each instance; judged has the evidence too. No decision changes.

--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -3,7 +3,7 @@
 //! Releases are versions of services that register themselves. Without an order, a service stays on
 //! its current release. Sessions keep their release through the first half of a [`Trial`].
 
-use crate::trial::{Answer, Evidence, Ruling, Side, Trial};
+use crate::trial::{Answer, Evidence, Ruling, Side, Tally, Trial};
 use config::{Config, Move, Progress};
 use entity::id;
 use entity::name;
@@ -49,6 +49,10 @@
     pub relayed_sessions: Vec<u64>,
     /// Whether the trial can be completed, so that the old release may be stopped.
     pub can_complete: bool,
+    /// Share of the requests without a session that go to the new release.
+    pub share: Share,
+    /// Sum of the evidence of all instances that this one knows.
+    pub sum: Tally,
 }
 
 #[derive(Debug)]
@@ -238,6 +242,8 @@
                 kept_sessions: self.sessions_to_report(trial, Origin::Local, now),
                 relayed_sessions: self.sessions_to_report(trial, Origin::Reported, now),
                 can_complete: trial.can_complete(now),
+                share: trial.share(now),
+                sum: trial.sum(),
             });
         }
         reports
--- a/crates/quality/src/trial.rs
+++ b/crates/quality/src/trial.rs
@@ -287,6 +287,11 @@
         evidence
     }
 
+    /// Returns the sum of the evidence of all instances.
+    pub fn sum(&self) -> Tally {
+        self.sum
+    }
+
     /// Returns whether the evidence of all instances shows that the new release is bad.
     pub fn is_bad(&self) -> bool {
         work::count(self.pooled.len());
--- a/crates/quality/tests/work.rs
+++ b/crates/quality/tests/work.rs
@@ -47,6 +47,8 @@
         kept_sessions: Vec::new(),
         relayed_sessions: Vec::new(),
         can_complete: false,
+        share: Share::NONE,
+        sum: Tally::default(),
     }
 }
 
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -2,7 +2,7 @@
 
 use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::prompts::News;
-use entity::unit::Frequency;
+use entity::unit::{Frequency, Share};
 use entity::{Era, Moment, Offset, Span, name};
 use forward::delta::Delta;
 use forward::source::{Position, Topic};
@@ -306,5 +306,7 @@
         kept_sessions: trial.kept.iter().map(|&hash| hash as u64).collect(),
         relayed_sessions: relayed.map(|&hash| hash as u64).collect(),
         can_complete: false,
+        share: Share::NONE,
+        sum: Tally::default(),
     })
 }
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -117,6 +117,8 @@
     Outage = "outage",
     /// A topic of the store was read although peers usually send its changes, or after an outage.
     Read = "read",
+    /// The share of a release under trial, or the ruling on it, changed here.
+    Tried = "tried",
     /// A part of prompts is held back, or isn't any more.
     Quarantined = "quarantined",
     /// Events were dropped because the queue was full.
