Hold the pace of a release's streams against the old one, and complete no doubtful trial

Bad was a first event three times later than the old release's median, and that median is mostly the work that waits at the old engines: 350 ms in the burst, where the new, hardly used ones begin within 60 to 230 ms. Between events the old release took 26 to 82 ms by median, the new one 190 to 330.

So the time between events is measured too, once a stream, after six pauses or 1.5 s; more than 2.5 times the old median is bad. A trial whose new release has clearly more bad answers, without being ruled bad yet, doesn't grow, and one that can't be completed at its end is rolled back half a second after it.

Failed before: the three new tests in quality/tests/trial.rs.

--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -7,6 +7,7 @@
 pub struct Splitter {
     buffer: BytesMut,
     last: Option<u64>,
+    count: usize,
 }
 
 impl Splitter {
@@ -20,6 +21,7 @@
         for line in whole.split(|byte| *byte == b'\n') {
             if let Some(id) = event_id(line) {
                 self.last = Some(id);
+                self.count += 1;
             }
         }
         Some(whole)
@@ -30,6 +32,11 @@
         self.last
     }
 
+    /// Returns the number of complete events that had an id.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
     /// Returns whether no incomplete event is buffered.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/quality/src/lib.rs
+++ b/crates/quality/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod governor;
 pub mod histogram;
 pub mod judge;
+pub mod pace;
 pub mod posterior;
 pub mod record;
 pub mod release;
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -3,7 +3,7 @@
 //! Releases are versions of services that register themselves. Without an order, a service stays on
 //! its current release. Sessions keep their release through the first half of a [`Trial`].
 
-use crate::trial::{Answer, Evidence, Ruling, Side, Tally, Trial};
+use crate::trial::{Answer, Evidence, Measure, Ruling, Side, Tally, Trial};
 use config::{Config, Move, Progress};
 use entity::id;
 use entity::name;
@@ -49,6 +49,8 @@
     pub relayed_sessions: Vec<u64>,
     /// Whether the trial can be completed, so that the old release may be stopped.
     pub can_complete: bool,
+    /// Whether the time of the order has passed without a ruling.
+    pub has_expired: bool,
     /// Share of the requests without a session that go to the new release.
     pub share: Share,
     /// Sum of the evidence of all instances that this one knows.
@@ -181,6 +183,7 @@
             side,
             failed: answer.failed,
             time: answer.time,
+            measure: answer.measure,
         });
         if trial.is_bad() {
             trial.set_ruling(Ruling::Bad);
@@ -242,6 +245,7 @@
                 kept_sessions: self.sessions_to_report(trial, Origin::Local, now),
                 relayed_sessions: self.sessions_to_report(trial, Origin::Reported, now),
                 can_complete: trial.can_complete(now),
+                has_expired: trial.has_expired(now),
                 share: trial.share(now),
                 sum: trial.sum(),
             });
@@ -354,8 +358,10 @@
     pub kind: u64,
     /// Whether the answer is a failure that the release itself caused.
     pub failed: bool,
-    /// Time to the first event, or to the end of an answer without events.
+    /// Time of the answer.
     pub time: Option<Span>,
+    /// What the time is.
+    pub measure: Measure,
 }
 
 fn assigned_version(
--- a/crates/quality/src/trial.rs
+++ b/crates/quality/src/trial.rs
@@ -4,7 +4,9 @@
 //! new release (the candidate), and sessions stay on their release. If the evidence of all
 //! instances shows that the new release is no worse than the old one (the baseline), the share then
 //! grows in steps to the whole. An answer counts as bad if it failed, or if it took much longer
-//! than the old release usually takes for requests of the same kind.
+//! than the old release usually takes for requests of the same kind: up to its first event, or
+//! between two events. The former depends mostly on the work that waits at an engine, which differs
+//! between the releases; the latter on the release.
 
 use entity::unit::Share;
 use entity::{Era, Moment, Span, name, sorted, work};
@@ -31,15 +33,47 @@
 /// Ratio of the share of bad answers to that of the old release from which the new release is
 /// worse.
 const BAD_SHARE_FACTOR: f64 = 2.5;
-/// Ratio of an answer's time to the median of the old release above which the answer is bad.
-const SLOW_FACTOR: f64 = 3.0;
-/// Minimum median for this comparison, so that fast answers are not found slow.
-const MIN_MEDIAN_TIME: Span = Span::from_millis(60);
+/// Number of bad answers from which a release can be doubtful.
+const MIN_BAD_DOUBTFUL: u32 = 3;
+/// Share of bad answers below which a release is never doubtful.
+const MIN_DOUBTFUL_SHARE: f64 = 0.1;
+/// Ratio of the share of bad answers to that of the old release from which the new release is
+/// doubtful: its share doesn't grow.
+const DOUBTFUL_SHARE_FACTOR: f64 = 1.5;
+/// Time after the end of the order at which a trial that can't be completed is rolled back.
+const ROLL_BACK_DELAY: Span = Span::from_millis(500);
 /// Number of recent times of the old release that are kept for each kind of request.
 const MAX_TIMES: usize = 48;
 /// Number of times from which their median is used.
 const MIN_TIMES: usize = 8;
 
+/// What the time of an answer is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Measure {
+    /// The time up to the first event, or to the end of an answer without events.
+    Start,
+    /// The time between two events.
+    Pace,
+}
+
+impl Measure {
+    /// Returns the ratio of a time to the median of the old release above which it is slow.
+    fn slow_factor(self) -> f64 {
+        match self {
+            Self::Start => 3.0,
+            Self::Pace => 2.5,
+        }
+    }
+
+    /// Returns the smallest median for this comparison, so that fast answers are not found slow.
+    fn min_median(self) -> Span {
+        match self {
+            Self::Start => Span::from_millis(60),
+            Self::Pace => Span::from_millis(10),
+        }
+    }
+}
+
 /// One of the two releases of a trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -90,13 +124,23 @@
     /// Returns whether the new release has at least `min_bad` bad answers and a share of them that
     /// is clearly above that of the old release.
     fn is_worse(self, min_bad: u32) -> bool {
-        if self.new_bad < min_bad {
-            return false;
-        }
+        let (usual, seen) = self.bad_shares();
+        self.new_bad >= min_bad && seen >= MIN_BAD_SHARE && seen >= BAD_SHARE_FACTOR * usual
+    }
+
+    /// Returns whether the new release may be worse than the old one.
+    fn is_doubtful(self) -> bool {
+        let (usual, seen) = self.bad_shares();
+        let above = seen >= MIN_DOUBTFUL_SHARE && seen >= DOUBTFUL_SHARE_FACTOR * usual;
+        self.new_bad >= MIN_BAD_DOUBTFUL && above
+    }
+
+    /// Returns the shares of bad answers of the old and of the new release.
+    fn bad_shares(self) -> (f64, f64) {
         // Until enough answers of the old release are counted, 1 bad answer in 20 is assumed.
         let usual = (f64::from(self.old_bad) + 1.0) / (f64::from(self.old) + 20.0);
         let seen = f64::from(self.new_bad) / f64::from(self.new.max(1));
-        seen >= MIN_BAD_SHARE && seen >= BAD_SHARE_FACTOR * usual
+        (usual, seen)
     }
 }
 
@@ -112,8 +156,10 @@
     pub side: Side,
     /// Whether the answer is a failure that the release itself caused.
     pub failed: bool,
-    /// Time to the first event, or to the end of an answer without events.
+    /// Time of the answer.
     pub time: Option<Span>,
+    /// What the time is. Both times of one answer are recorded as an answer each.
+    pub measure: Measure,
 }
 
 /// The state of one order at one instance.
@@ -138,8 +184,8 @@
     pooled: Evidence,
     /// Sum of the evidence of all instances.
     sum: Tally,
-    /// Recent times of the old release, sorted by kind of request.
-    times: Vec<(u64, Vec<Span>)>,
+    /// Recent times of the old release, sorted by kind of request and measure.
+    times: Vec<((u64, Measure), Vec<Span>)>,
 }
 
 impl Trial {
@@ -199,7 +245,8 @@
         let halfway = self.halfway();
         let mut share = first;
         for (begin, step) in STEPS {
-            if now >= halfway + begin && self.sum.new >= MIN_ANSWERS_PER_STEP {
+            let is_proved = self.sum.new >= MIN_ANSWERS_PER_STEP && !self.is_doubtful();
+            if now >= halfway + begin && is_proved {
                 share = step.max(first);
             }
         }
@@ -219,7 +266,7 @@
     pub fn record(&mut self, answer: Answer) {
         let is_slow = answer
             .time
-            .is_some_and(|time| self.is_slow(answer.kind, time));
+            .is_some_and(|time| self.is_slow((answer.kind, answer.measure), time));
         let bad = u32::from(answer.failed || is_slow);
         let tally = match answer.side {
             Side::Old => Tally {
@@ -236,7 +283,7 @@
         add(&mut self.own, answer.kind, tally);
         self.add_to_sums(answer.kind, tally);
         if let (Side::Old, false, Some(time)) = (answer.side, answer.failed, answer.time) {
-            self.record_time(answer.kind, time);
+            self.record_time((answer.kind, answer.measure), time);
         }
     }
 
@@ -300,13 +347,27 @@
         of_kind || self.sum.is_worse(MIN_BAD_OVERALL)
     }
 
+    /// Returns whether the new release may be worse than the old one, by what is known so far.
+    fn is_doubtful(&self) -> bool {
+        work::count(self.pooled.len());
+        let mut kinds = self.pooled.iter();
+        self.sum.is_doubtful() || kinds.any(|(_, tally)| tally.is_worse(MIN_BAD_DOUBTFUL))
+    }
+
+    /// Returns whether the time of the order has passed without a ruling, so that the trial is to be
+    /// rolled back.
+    pub fn has_expired(&self, now: Moment) -> bool {
+        let end = self.started_at + self.duration + ROLL_BACK_DELAY;
+        self.ruling.is_none() && now >= end && !self.can_complete(now)
+    }
+
     /// Returns whether the trial can be completed, so that the old release may be stopped.
     pub fn can_complete(&self, now: Moment) -> bool {
         let end = self.started_at + self.duration;
         self.ruling.is_none() && self.can_move_sessions(now) && now + COMPLETION_MARGIN >= end
     }
 
-    fn is_slow(&self, kind: u64, time: Span) -> bool {
+    fn is_slow(&self, kind: (u64, Measure), time: Span) -> bool {
         let found = self.times.binary_search_by_key(&kind, |(known, _)| *known);
         let Ok(index) = found else {
             return false;
@@ -316,11 +377,12 @@
             return false;
         }
         times.sort_unstable();
-        let median = times[times.len() / 2].max(MIN_MEDIAN_TIME);
-        time.as_secs_f64() > SLOW_FACTOR * median.as_secs_f64()
+        let measure = kind.1;
+        let median = times[times.len() / 2].max(measure.min_median());
+        time.as_secs_f64() > measure.slow_factor() * median.as_secs_f64()
     }
 
-    fn record_time(&mut self, kind: u64, time: Span) {
+    fn record_time(&mut self, kind: (u64, Measure), time: Span) {
         let times = sorted::entry(&mut self.times, &kind, Vec::new);
         if times.len() == MAX_TIMES {
             times.remove(0);
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use quality::governor::{Governor, Observation};
 use quality::release::{AnswerOutcome, Query, Releases};
-use quality::trial::{Answer, Ruling, Side, Trial};
+use quality::trial::{Answer, Measure, Ruling, Side, Trial};
 use support::{DURATION, START, before_the_order, config};
 
 const KIND: u64 = 7;
@@ -34,6 +34,7 @@
         side,
         failed,
         time: Some(Span::from_millis(millis)),
+        measure: Measure::Start,
     }
 }
 
@@ -106,6 +107,7 @@
                 side,
                 failed,
                 time: None,
+                measure: Measure::Start,
             };
             trial.record(answer(Side::Old, false));
             trial.record(answer(Side::New, kind == 2 && index % 2 == 0));
@@ -126,6 +128,70 @@
     expect_true!(trial.is_bad());
 }
 
+/// A new release is slower between its events, while a burst makes the old one slow to begin: each
+/// request to the new one begins sooner than with the old one.
+#[gtest]
+fn release_that_is_slow_only_between_events_is_bad_in_a_burst() {
+    let mut trial = trial();
+    for index in 0..120_u64 {
+        let burst = if index < 60 { 350 } else { 90 };
+        let (side, start, pace) = match index % 11 {
+            10 => (Side::New, 110, if index % 3 == 0 { 60 } else { 250 }),
+            _ => (Side::Old, burst + index, 50 + index % 30),
+        };
+        trial.record(answer(side, false, start));
+        let pace = answer(side, false, pace);
+        trial.record(Answer {
+            measure: Measure::Pace,
+            ..pace
+        });
+    }
+    expect_true!(trial.is_bad());
+}
+
+/// A burst makes all answers slower, those of a sound new release too.
+#[gtest]
+fn sound_release_is_not_bad_in_a_burst() {
+    let mut trial = trial();
+    for index in 0..400_u64 {
+        let load = if index % 200 < 100 { 45 } else { 90 };
+        let side = if index % 11 == 10 {
+            Side::New
+        } else {
+            Side::Old
+        };
+        for (measure, millis) in [(Measure::Start, 2 * load), (Measure::Pace, load)] {
+            let answer = answer(side, false, millis + index % 20);
+            trial.record(Answer { measure, ..answer });
+        }
+    }
+    expect_false!(trial.is_bad());
+    expect_that!(trial.share(after(16_000)), eq(Share::WHOLE));
+}
+
+/// A release was completed although a third more of its answers were bad than of the old one's.
+#[gtest]
+fn doubtful_release_does_not_grow_and_is_rolled_back_at_the_end() {
+    let mut trial = trial();
+    for index in 0..900 {
+        let side = if index % 4 == 3 { Side::New } else { Side::Old };
+        let failed = match side {
+            Side::Old => index % 16 == 0,
+            Side::New => index % 28 == 3,
+        };
+        trial.record(answer(side, failed, 80));
+    }
+    for index in 0..8 {
+        trial.record(answer(Side::New, index % 2 == 0, 80));
+    }
+    expect_false!(trial.is_bad());
+    let end = START + DURATION;
+    expect_that!(trial.share(end), lt(exposure()));
+    expect_false!(trial.can_complete(end));
+    expect_false!(trial.has_expired(end));
+    expect_true!(trial.has_expired(end + Span::from_secs(1)));
+}
+
 #[gtest]
 fn failures_of_both_releases_do_not_make_new_one_bad() {
     let mut trial = trial();
@@ -286,6 +352,7 @@
         ("advice".parse().unwrap(), "advice/v2".parse().unwrap());
     for _ in 0..12 {
         let outcome = AnswerOutcome {
+            measure: Measure::Start,
             kind: KIND,
             failed: true,
             time: None,
--- a/crates/quality/tests/work.rs
+++ b/crates/quality/tests/work.rs
@@ -8,7 +8,7 @@
 use entity::{Moment, Span, name, work};
 use googletest::prelude::*;
 use quality::release::{AnswerOutcome, Query, Releases, Report};
-use quality::trial::Tally;
+use quality::trial::{Measure, Tally};
 use support::{START, before_the_order, config};
 
 /// Kinds of requests, with two models each.
@@ -47,6 +47,7 @@
         kept_sessions: Vec::new(),
         relayed_sessions: Vec::new(),
         can_complete: false,
+        has_expired: false,
         share: Share::NONE,
         sum: Tally::default(),
     }
@@ -90,6 +91,7 @@
             releases.assign(&ordered, query(SESSION_COUNT + 1), second_half);
             let version = "advice/v2".parse().unwrap();
             let outcome = AnswerOutcome {
+                measure: Measure::Start,
                 kind: 1,
                 failed: false,
                 time: Some(Span::from_millis(20)),
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -6,7 +6,7 @@
 use crate::decider::Closed;
 use crate::forward::key_validity::boot_time;
 use crate::forward::prompts::LostAnswer;
-use crate::forward::run::{Resolved, Run};
+use crate::forward::run::{self, Resolved, Run};
 use crate::tries::{Dispatch, TryLimits};
 use bytes::Bytes;
 use caller::Refusal;
@@ -22,7 +22,8 @@
 use hyper::header::HeaderMap;
 use quality::governor::{Governor, Observation};
 use quality::release;
-use routing::{Choice, hash};
+use quality::trial::Measure;
+use routing::Choice;
 use std::sync::Mutex;
 use timeline::Kind;
 use tokio::time::Instant;
@@ -292,11 +293,11 @@
             };
             decider.observe_first_event(service.clone(), first).await;
         }
-        let model = self.model.map_or(0, |model| hash::text(model.as_str()));
         let outcome = release::AnswerOutcome {
-            kind: hash::part(hash::text(&self.route().name), model),
+            kind: run::request_kind(self.route(), self.model),
             failed,
             time,
+            measure: Measure::Start,
         };
         decider
             .record_answer(service.clone(), version.clone(), outcome)
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -7,7 +7,10 @@
 use bytes::Bytes;
 use caller::forward::Piece;
 use config::forward::Repeat;
-use entity::{Span, name};
+use entity::{Moment, Span, name};
+use quality::pace::Pace;
+use quality::release::AnswerOutcome;
+use quality::trial::Measure;
 use routing::{Choice, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +36,8 @@
     pub last_event: Option<u64>,
     /// Longest time without a whole event from the upstream within its answer.
     pub stall_timeout: Duration,
+    /// Kind of the request, of which a trial compares the answers of two releases.
+    pub kind: u64,
     /// Sends pieces of the body to the caller.
     pub pieces: mpsc::Sender<Piece>,
 }
@@ -52,7 +57,7 @@
     pub async fn run(mut self, stream: OpenStream, choice: Choice) {
         let (mut stream, mut choice) = (stream, choice);
         loop {
-            let ended = self.forward_pieces(&mut stream).await;
+            let ended = self.forward_pieces(&mut stream, &choice).await;
             let core = &self.run.shared.core;
             let outcome = match &ended {
                 StreamEnd::Whole => Outcome::Done { first_token: None },
@@ -111,11 +116,12 @@
         }
     }
 
-    async fn forward_pieces(&mut self, stream: &mut OpenStream) -> StreamEnd {
+    async fn forward_pieces(&mut self, stream: &mut OpenStream, choice: &Choice) -> StreamEnd {
         if let Err(ended) = self.send(std::mem::take(&mut stream.first)).await {
             return ended;
         }
         self.last_event = stream.splitter.last_event_id().or(self.last_event);
+        let mut pace = Pace::start(stream.splitter.count(), self.now());
         // A stalled upstream may still send a byte now and then.
         let mut stalled_at = Instant::now() + self.stall_timeout;
         while !stream.ended {
@@ -136,6 +142,10 @@
             let Some(events) = events else {
                 continue;
             };
+            let count = stream.splitter.count();
+            if let Some(time) = pace.observe(count, self.now()) {
+                self.record_pace(choice, time).await;
+            }
             if let Err(ended) = self.send(events).await {
                 return ended;
             }
@@ -146,6 +156,9 @@
                 self.record_sound();
             }
         }
+        if let Some(time) = pace.finish() {
+            self.record_pace(choice, time).await;
+        }
         if stream.splitter.is_empty() {
             StreamEnd::Whole
         } else {
@@ -153,6 +166,27 @@
         }
     }
 
+    fn now(&self) -> Moment {
+        self.run.shared.core.clock.now()
+    }
+
+    /// Records the time between events for the release that answered.
+    async fn record_pace(&self, choice: &Choice, time: Span) {
+        let (service, Some(version), _) = choice.names() else {
+            return;
+        };
+        let outcome = AnswerOutcome {
+            kind: self.kind,
+            failed: false,
+            time: Some(time),
+            measure: Measure::Pace,
+        };
+        let decider = &self.run.shared.core.decider;
+        decider
+            .record_answer(service.clone(), version.clone(), outcome)
+            .await;
+    }
+
     /// Records that the answer went on, so that its prompt doesn't end upstreams.
     fn record_sound(&self) {
         let shared = &self.run.shared;
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -381,10 +381,11 @@
             run: self.clone(),
             end: self.shared.core.clock.instant(resolved.deadline),
             repeat: resolved.route.repeat,
-            model,
             history: std::mem::take(history),
             last_event: self.arrival.request.head.last_event,
             stall_timeout: stall_timeout(&resolved.route),
+            kind: request_kind(&resolved.route, model.as_ref()),
+            model,
             pieces,
         };
         self.shared.core.streams.spawn(relay.run(stream, choice));
@@ -546,6 +547,12 @@
     TryTimeout::Fixed(route.objective.scaled(WHOLE_ANSWER_TIMEOUT_SHARE))
 }
 
+/// Returns the kind of requests on a route, of which a trial compares the answers of two releases.
+pub fn request_kind(route: &Forward, model: Option<&name::Model>) -> u64 {
+    let model = model.map_or(0, |model| hash::text(model.as_str()));
+    hash::part(hash::text(&route.name), model)
+}
+
 /// Returns the regions that both a route and an organisation allow; `None` where neither names any.
 fn regions(route: &[name::Region], own: &[name::Region]) -> Option<Box<[name::Region]>> {
     if route.is_empty() && own.is_empty() {
