Bound the bytes that are read of one answer, and of all long ones

By reading, shown by tests: an upstream in trouble that sends bytes without end had them read until the request's time was over, 25 to 72 MB in under two seconds; a few of these fill a machine of 120 MB. Now a whole body has 8 MB at most and all long ones 24 MB together, an event 256 KB, a head 64 KB, and all that comes before a body (interim answers too) 256 KB, counted below the HTTP library, which would read interim answers on. The connection is closed, the try has failed and may have run. Ruled out: counting interim answers by the library's callback, as 17 MB were read before the connection ended.

--- a/crates/forward/src/events.rs
+++ b/crates/forward/src/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Largest incomplete event.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Splits a byte stream into complete events and buffers an incomplete one.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -37,6 +40,11 @@
         self.count
     }
 
+    /// Returns whether the incomplete event is too long to be one.
+    pub fn is_oversized(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns whether no incomplete event is buffered.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -248,6 +248,9 @@
             let piece = piece.map_err(|_| Failure::may_have_run(Reason::Timeout))??;
             let ended = piece.is_none();
             let first = splitter.push(&piece.unwrap_or_default());
+            if splitter.is_oversized() {
+                return Err(Failure::may_have_run(Reason::Malformed));
+            }
             if first.is_none() && !ended {
                 continue;
             }
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -139,6 +139,9 @@
                 }
                 Ok(Some(bytes)) => stream.splitter.push(&bytes),
             };
+            if stream.splitter.is_oversized() {
+                return StreamEnd::Broken(Failure::may_have_run(Reason::Malformed));
+            }
             let Some(events) = events else {
                 continue;
             };
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -4,7 +4,8 @@
 //! bytes are dropped together with their connection.
 
 use crate::failure::{Failure, Reason};
-use bytes::Bytes;
+use crate::meter::{Allowance, Meter};
+use bytes::{Bytes, BytesMut};
 use entity::request::Ran;
 use entity::unit::Frequency;
 use entity::{Span, sorted};
@@ -20,6 +21,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -34,6 +36,17 @@
 const MAX_IDLE_AGE: Duration = Duration::from_secs(3);
 /// Time by which a connection is dropped before the upstream's own idle timeout.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Largest head of an answer, and largest read from a connection.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bytes that are read until the head of an answer has arrived: interim answers, the head, and what was
+/// read of the body together with it.
+const MAX_BYTES_BEFORE_BODY: usize = 4 * MAX_HEAD_BYTES;
+/// Largest body of an answer that is passed on as a whole.
+pub const MAX_BODY_BYTES: usize = 8 << 20;
+/// Part of a body that doesn't count against the bytes that all long bodies may take together.
+const FREE_BODY_BYTES: usize = 64 << 10;
+/// Bytes that long bodies may take together while they are read.
+const MAX_TOTAL_BYTES: usize = 24 << 20;
 /// Idle connections kept for each upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 4;
 
@@ -92,6 +105,8 @@
     dialect: Arc<dyn Dialect>,
     /// Idle connections by address, sorted by address.
     idle: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
+    /// Bytes that are left for long bodies.
+    long_bodies: Semaphore,
 }
 
 struct Idle {
@@ -104,6 +119,7 @@
 struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     task: AbortHandle,
 }
 
@@ -126,6 +142,7 @@
             shared: Arc::new(Shared {
                 dialect,
                 idle: Mutex::default(),
+                long_bodies: Semaphore::new(MAX_TOTAL_BYTES),
             }),
         }
     }
@@ -147,6 +164,7 @@
             Some(connection) => connection,
             None => connect(outgoing.address, outgoing.end).await?,
         };
+        connection.allowance.set(MAX_BYTES_BEFORE_BODY);
         let sent =
             tokio::time::timeout_at(outgoing.end, connection.sender.try_send_request(request));
         let response = match sent.await {
@@ -163,6 +181,7 @@
             }
             Ok(Ok(response)) => response,
         };
+        connection.allowance.lift();
         let (parts, body) = response.into_parts();
         let mut head = self.shared.dialect.answer(&parts.headers);
         *notice = take_notice(&mut head, parts.status);
@@ -255,7 +274,10 @@
     // Both options are optimisations; the connection works without them.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (meter, allowance) = Meter::new(stream);
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(meter))
         .await
         .map_err(|_| refused())?;
     let task = tokio::spawn(async move {
@@ -265,6 +287,7 @@
     Ok(Connection {
         address,
         sender,
+        allowance,
         task: task.abort_handle(),
     })
 }
@@ -329,17 +352,33 @@
     ///
     /// # Errors
     ///
-    /// Returns a failure if the body ends before it is complete, or is not read before `end`.
+    /// Returns a failure if the body ends before it is complete, is too long, or is not read before
+    /// `end`.
     pub async fn collect(mut self, end: Instant) -> Result<Bytes, Failure> {
-        let body = tokio::time::timeout_at(end, (&mut self.body).collect()).await;
-        let body = body.map_err(|_| Failure::may_have_run(Reason::Timeout))?;
-        let body = body
-            .map_err(|_| Failure::may_have_run(Reason::Truncated))?
-            .to_bytes();
+        let body = tokio::time::timeout_at(end, self.read_body()).await;
+        let body = body.map_err(|_| Failure::may_have_run(Reason::Timeout))??;
         self.finish();
         Ok(body)
     }
 
+    async fn read_body(&mut self) -> Result<Bytes, Failure> {
+        let shared = self.pool.shared.clone();
+        let mut permits = Vec::new();
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.next().await? {
+            body.extend_from_slice(&piece);
+            if body.len() > MAX_BODY_BYTES {
+                return Err(Failure::may_have_run(Reason::Malformed));
+            }
+            if body.len() > FREE_BODY_BYTES {
+                let length = u32::try_from(piece.len()).unwrap_or(u32::MAX);
+                let permit = shared.long_bodies.try_acquire_many(length);
+                permits.push(permit.map_err(|_| Failure::may_have_run(Reason::Malformed))?);
+            }
+        }
+        Ok(body.freeze())
+    }
+
     /// Returns the connection to the pool; call this after the whole body was read.
     pub fn finish(self) {
         let keep_alive = self.head.keep_alive;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,6 +7,7 @@
 mod failure;
 pub mod forward;
 pub mod load;
+mod meter;
 mod plain;
 mod pool;
 mod sse;
