--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use peer::beacon::{Datagram, Error, decode, encode};
-use peer::message::{Beacon, Clock};
+use peer::message::{Beacon, Clock, Crash, Limit, Rebuttal, Suspect};
 
 fn beacon() -> Beacon {
     Beacon {
@@ -18,9 +18,9 @@
         sent_us: Some(5),
         run: Some(-7),
         departures: None,
-        suspects: None,
-        rebuttals: None,
-        limits: None,
+        suspects: Some(vec![Suspect::new(7, vec![Crash::new(3, 9, true, 60)], 4)]),
+        rebuttals: Some(vec![Rebuttal::new(8, 1)]),
+        limits: Some(vec![Limit::new("i-1".to_owned(), 2, 1900, 5)]),
     }
 }
 
