Send nothing to a new release after the end of a trial that did not prove it

In place of the roll-back at the end: an instance that is cut off from its peers lacks their evidence, is the first of the live ones in its own view, and would have written rolled_back over the completed of the others, by reading. Nothing is written now; the share falls to none, and a ruling of the others still counts. Also logs only the release of parts that were held, and drops an unused count.

--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -49,8 +49,6 @@
     pub relayed_sessions: Vec<u64>,
     /// Whether the trial can be completed, so that the old release may be stopped.
     pub can_complete: bool,
-    /// Whether the time of the order has passed without a ruling.
-    pub has_expired: bool,
     /// Share of the requests without a session that go to the new release.
     pub share: Share,
     /// Sum of the evidence of all instances that this one knows.
@@ -245,7 +243,6 @@
                 kept_sessions: self.sessions_to_report(trial, Origin::Local, now),
                 relayed_sessions: self.sessions_to_report(trial, Origin::Reported, now),
                 can_complete: trial.can_complete(now),
-                has_expired: trial.has_expired(now),
                 share: trial.share(now),
                 sum: trial.sum(),
             });
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -140,7 +140,7 @@
     }
 
     /// Records that an answer to a prompt with these parts went on. Returns the parts that are no
-    /// longer suspected.
+    /// longer held back.
     pub fn record_sound(&mut self, parts: &[Part], now: Moment) -> Vec<Part> {
         let mut cleared = Vec::new();
         for &part in parts {
@@ -165,7 +165,7 @@
         self.add(crash, now)
     }
 
-    /// Records a rebuttal that a peer told. Returns whether the part is no longer suspected.
+    /// Records a rebuttal that a peer told. Returns whether the part is no longer held back by it.
     pub fn receive_rebuttal(&mut self, rebuttal: Rebuttal, now: Moment) -> bool {
         self.rebut(rebuttal, now)
     }
@@ -263,15 +263,6 @@
         news.map(|(rebuttal, _)| *rebuttal).take(MAX_TOLD).collect()
     }
 
-    /// Returns the number of parts that are held back.
-    pub fn held_count(&self) -> usize {
-        let held = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| suspect.evidence.is_enough());
-        held.count()
-    }
-
     fn suspect(&self, part: Part) -> Option<&Suspect> {
         let index = self
             .suspects
@@ -328,6 +319,8 @@
         self.suspects.remove(index);
     }
 
+    /// Records that a part is sound, which voids the crashes up to a while later. Returns whether the
+    /// part is no longer held back by it.
     fn rebut(&mut self, rebuttal: Rebuttal, now: Moment) -> bool {
         let Rebuttal { part, at } = rebuttal;
         if self.sound.len() >= MAX_SOUND {
@@ -342,16 +335,17 @@
             return false;
         };
         let evidence = &mut self.suspects[index].1.evidence;
-        let before = evidence.crashes().len();
+        let (before, was_enough) = (evidence.crashes().len(), evidence.is_enough());
         evidence.clear_until(at + SOUND_TTL);
         let is_news = evidence.crashes().len() < before;
+        let is_released = was_enough && !evidence.is_enough();
         if evidence.crashes().is_empty() {
             self.suspects.remove(index);
         }
         if is_news {
             self.tell_rebuttal(rebuttal, now);
         }
-        is_news
+        is_released
     }
 
     /// Drops the half of the sound parts that was sound longest ago.
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -306,7 +306,6 @@
         kept_sessions: trial.kept.iter().map(|&hash| hash as u64).collect(),
         relayed_sessions: relayed.map(|&hash| hash as u64).collect(),
         can_complete: false,
-        has_expired: false,
         share: Share::NONE,
         sum: Tally::default(),
     })
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -513,7 +513,6 @@
             let due = match report.ruling {
                 Some(_) if report.ruling_era.is_some_and(|written| written >= era) => None,
                 None if report.can_complete => Some(Ruling::Good),
-                None if report.has_expired => Some(Ruling::Bad),
                 ruling => ruling,
             };
             let Some(ruling) = due else {
