Take a stream that ends before its first event for one that was broken off

An upstream that ends after the head of a stream without a length closes its connection like one that has sent all of it, and the caller got an empty success (shown by stream_without_an_event_is_no_success, which failed before). A stream without an event is broken off now, unless it was resumed, as the rest may be empty. Also moves the record of lost answers out of dispatch.

--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -254,7 +254,9 @@
             if first.is_none() && !ended {
                 continue;
             }
-            if ended && !splitter.is_empty() {
+            // A stream that was resumed may have had its last event before.
+            let is_missing = first.is_none() && self.last_event.is_none();
+            if ended && (is_missing || !splitter.is_empty()) {
                 return Err(Failure::may_have_run(Reason::Truncated));
             }
             return Ok(Answer::Stream(Box::new(OpenStream {
@@ -268,6 +270,27 @@
         }
     }
 
+    /// Records a failure by which the upstream may have ended. `begun` is when the head of its answer
+    /// arrived.
+    fn record_lost(
+        &self,
+        choice: &Choice,
+        answer: &Result<Answer, Failure>,
+        begun: Option<Instant>,
+    ) {
+        let Err(failure) = answer else {
+            return;
+        };
+        if !failure.is_lost_answer() {
+            return;
+        }
+        let lost = begun.map(|begun| LostAnswer {
+            begun,
+            delivered: false,
+        });
+        self.run.record_lost_answer(choice, lost);
+    }
+
     /// Records the result for the release that answered. Connection failures are not counted, since
     /// they are no evidence about a release.
     async fn record_result(&self, choice: &Choice, answer: &Result<Answer, Failure>, time: Span) {
@@ -380,15 +403,7 @@
             Ok(response) => self.read_whole(response, try_deadline).await,
             Err(failure) => Err(failure),
         };
-        if let Err(failure) = &answer
-            && failure.is_lost_answer()
-        {
-            let lost = begun.map(|begun| LostAnswer {
-                begun,
-                delivered: false,
-            });
-            self.run.record_lost_answer(choice, lost);
-        }
+        self.record_lost(choice, &answer, begun);
         self.record_result(choice, &answer, Span::from(sent.elapsed()))
             .await;
         if matches!(answer, Ok(Answer::Stream(_))) {
