Keep the share that a new release has reached

A step that was reached is kept now, and doubt keeps the next one back only; a bad release is still ruled bad.

share_does_not_fall_once_it_has_grown failed before.

--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -137,6 +137,9 @@
         self.prune(now);
         let name = &config.services[query.service].name;
         let index = self.service_index(name).ok()?;
+        if let Some(trial) = &mut self.services[index].trial {
+            trial.keep_steps(now);
+        }
         let recently_started = now.since(self.started_at) < self.session_gap;
         let service = &self.services[index];
         let pinned = query.session.and_then(|hash| self.pinned(hash, now));
@@ -228,6 +231,7 @@
             let Some(trial) = &mut self.services[index].trial else {
                 continue;
             };
+            trial.keep_steps(now);
             let evidence = trial.evidence(&self.own, REPORTED_PEER_COUNT);
             let service = &self.services[index];
             let Some(trial) = &service.trial else {
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -169,6 +169,23 @@
     expect_that!(trial.share(after(16_000)), eq(Share::WHOLE));
 }
 
+/// All requests go to the new release by then, whose load grows; a share that fell would move sessions
+/// back to the old one.
+#[gtest]
+fn share_does_not_fall_once_it_has_grown() {
+    let mut trial = trial();
+    record_answers(&mut trial, 900, |_| false);
+    let late = after(16_000);
+    trial.keep_steps(late);
+    expect_that!(trial.share(late), eq(Share::WHOLE));
+    for index in 0..900 {
+        trial.record(answer(Side::New, index % 9 == 0, 80));
+    }
+    expect_false!(trial.is_bad());
+    expect_that!(trial.share(late), eq(Share::WHOLE));
+    expect_true!(trial.can_complete(START + DURATION));
+}
+
 /// A release was completed although a third more of its answers were bad than of the old one's.
 #[gtest]
 fn doubtful_release_does_not_grow_and_gets_nothing_after_the_end() {
