--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -94,7 +94,7 @@
                 known.weight = known.weight.max(crash.weight);
                 stronger
             }
-            Err(_) if self.crashes.len() == MAX_VICTIMS => false,
+            Err(_) if self.crashes.len() == MAX_VICTIMS => self.replace_oldest(crash),
             Err(index) => {
                 self.crashes.insert(index, crash);
                 true
@@ -102,6 +102,17 @@
         }
     }
 
+    /// Replaces the oldest crash by a later one. Returns whether it is later.
+    fn replace_oldest(&mut self, crash: Crash) -> bool {
+        let oldest = self.crashes.iter_mut().min_by_key(|known| known.at);
+        let Some(oldest) = oldest.filter(|oldest| oldest.at < crash.at) else {
+            return false;
+        };
+        *oldest = crash;
+        self.crashes.sort_unstable_by_key(|known| known.victim);
+        true
+    }
+
     /// Drops the crashes up to a time.
     pub fn clear_until(&mut self, end: Moment) {
         self.crashes.retain(|crash| crash.at > end);
--- a/crates/quarantine/tests/evidence.rs
+++ b/crates/quarantine/tests/evidence.rs
@@ -227,3 +227,22 @@
     expect_that!(part.to_string(), eq("a05928d8452a"));
     expect_that!("".parse::<Part>(), err(anything()));
 }
+
+/// A storm of ends fills what is kept of a part. A probe that ends an upstream later was not counted, so
+/// that the part was probed again and again.
+#[gtest]
+fn probe_counts_after_a_storm_of_ends() {
+    let mut quarantine = after(&[BAD], 40);
+    quarantine.set_rank(Some(0));
+    let late = at(39_000) + Span::from_secs(60);
+    expect_that!(quarantine.find(&[BAD], late), none());
+    quarantine.record_dispatch(&[BAD], late);
+    let told = quarantine.crashes(late);
+    quarantine.record_crash(&[BAD], Victim(99), BEGUN, late);
+    // Peers still tell ends that were dropped for it.
+    for crash in told {
+        quarantine.receive_crash(crash, late);
+    }
+    let later = late + Span::from_secs(14);
+    expect_that!(quarantine.find(&[BAD], later), some(anything()));
+}
