Take in what peers tell of crashes at once, and rank the instances once a round

Found in a last reading: each told crash looked at all suspects for those that have ended (up to 256 times a beacon), the time of a part's last sound answer was looked up twice, and all instances were ranked a second time each round for the prober. The end of suspects is looked at once a beacon, one function says when a crash was rebutted, and one order of the instances serves for readers and probers. A refusal no longer restates that the request did not run.

The tests keep their assertions; they pass the crashes as a list. Tests of quarantine pass.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -151,18 +151,22 @@
         cleared
     }
 
-    /// Records a crash that a peer told. Returns whether the part is held back by it and was not
+    /// Records crashes that a peer told. Returns the parts that are held back by them and were not
     /// before.
-    pub fn receive_crash(&mut self, crash: Crash, now: Moment) -> bool {
+    pub fn receive_crashes(&mut self, crashes: &[Crash], now: Moment) -> Vec<Part> {
         self.expire(now);
-        let known = self.sound_until(crash.part);
-        if known.is_some_and(|end| crash.at <= end) {
-            let at = self.sound_at(crash.part).unwrap_or_default();
+        let mut held = Vec::new();
+        for &crash in crashes {
             let part = crash.part;
-            self.tell_rebuttal(Rebuttal { part, at }, now);
-            return false;
+            if let Some(at) = self.rebutted_at(crash) {
+                self.tell_rebuttal(Rebuttal { part, at }, now);
+                continue;
+            }
+            if self.add(crash, now) {
+                held.push(part);
+            }
         }
-        self.add(crash, now)
+        held
     }
 
     /// Records a rebuttal that a peer told. Returns whether the part is no longer held back by it.
@@ -291,10 +295,7 @@
     /// Adds a crash, unless the part is known to be sound. Returns whether the part is held back by
     /// it and was not before.
     fn add(&mut self, crash: Crash, now: Moment) -> bool {
-        if self
-            .sound_until(crash.part)
-            .is_some_and(|end| crash.at <= end)
-        {
+        if self.rebutted_at(crash).is_some() {
             return false;
         }
         self.make_room(crash.part);
@@ -367,14 +368,13 @@
         *told = (rebuttal, now);
     }
 
-    fn sound_at(&self, part: Part) -> Option<Moment> {
-        let index = self.sound.binary_search_by_key(&part, |(known, _)| *known);
-        index.ok().map(|index| self.sound[index].1)
-    }
-
-    /// Returns the time up to which ends of upstreams don't tell against a part.
-    fn sound_until(&self, part: Part) -> Option<Moment> {
-        self.sound_at(part).map(|at| at + SOUND_TTL)
+    /// Returns when an answer went on that voids a crash; none if there was none.
+    fn rebutted_at(&self, crash: Crash) -> Option<Moment> {
+        let found = self
+            .sound
+            .binary_search_by_key(&crash.part, |(known, _)| *known);
+        let at = found.ok().map(|index| self.sound[index].1);
+        at.filter(|at| crash.at <= *at + SOUND_TTL)
     }
 
     fn expire(&mut self, now: Moment) {
--- a/crates/quarantine/tests/evidence.rs
+++ b/crates/quarantine/tests/evidence.rs
@@ -180,17 +180,13 @@
     let mut quarantine = Quarantine::default();
     let mut held = 0;
     for _ in 0..5 {
-        for crash in &told {
-            held += usize::from(quarantine.receive_crash(*crash, at(2100)));
-        }
+        held += quarantine.receive_crashes(&told, at(2100)).len();
     }
     expect_that!(held, eq(1));
     let part = BAD;
     let rebuttal = Rebuttal { part, at: at(2200) };
     expect_true!(quarantine.receive_rebuttal(rebuttal, at(2200)));
-    for crash in &told {
-        quarantine.receive_crash(*crash, at(2300));
-    }
+    quarantine.receive_crashes(&told, at(2300));
     expect_that!(quarantine.find(&[BAD], at(2300)), none());
     // Peers that still have the evidence are told.
     expect_that!(quarantine.rebuttals(at(2301)), len(eq(1)));
@@ -240,9 +236,7 @@
     let told = quarantine.crashes(late);
     quarantine.record_crash(&[BAD], Victim(99), BEGUN, late);
     // Peers still tell ends that were dropped for it.
-    for crash in told {
-        quarantine.receive_crash(crash, late);
-    }
+    quarantine.receive_crashes(&told, late);
     let later = late + Span::from_secs(14);
     expect_that!(quarantine.find(&[BAD], later), some(anything()));
 }
--- a/crates/quarantine/tests/exploration/world.rs
+++ b/crates/quarantine/tests/exploration/world.rs
@@ -465,13 +465,12 @@
                 let told = Rebuttal { at, ..rebuttal };
                 instance.quarantine.receive_rebuttal(told, now);
             }
-            for (crash, age) in message.crashes {
-                let told = Crash {
-                    at: now - age,
-                    ..crash
-                };
-                instance.quarantine.receive_crash(told, now);
-            }
+            let told = message.crashes.into_iter().map(|(crash, age)| Crash {
+                at: now - age,
+                ..crash
+            });
+            let told: Vec<Crash> = told.collect();
+            instance.quarantine.receive_crashes(&told, now);
             for (probe, age) in message.probes {
                 let told = Probe {
                     at: now - age,
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -49,11 +49,10 @@
 /// Time that each instance in the rendezvous order waits for the one before it to write a ruling.
 const RANK_DELAY: Span = Span::from_millis(500);
 /// Number of instances that read the store for all.
-const READER_COUNT: u64 = 2;
-/// Rendezvous key by which readers are ranked.
-const READERS_KEY: &str = "readers of the store";
-/// Rendezvous key by which instances are ranked that try held parts of prompts again.
-const PROBERS_KEY: &str = "probers of prompts";
+const READER_COUNT: usize = 2;
+/// Rendezvous key by which the readers of the store, and the instances that try held prompts again,
+/// are ranked.
+const DUTIES_KEY: &str = "readers of the store";
 /// Time over which the instances spread the renewal of their entries.
 const ENTRY_RENEWAL_SPREAD: Duration = Duration::from_secs(2);
 /// Number of tries to renew an entry. A missing one delays only instances that start anew.
@@ -359,14 +358,14 @@
         self.update_members().await;
         self.record_trials(reports);
         self.renew_entry();
-        let is_reader = self.rank(READERS_KEY, self.now()) < READER_COUNT;
+        let rank = self.own_rank(DUTIES_KEY, self.now());
+        let is_reader = rank.unwrap_or_default() < READER_COUNT;
         self.parts.shared.freshness.set_reader(is_reader);
+        self.parts.shared.prompts.set_rank(rank);
         let leaving = self.parts.shared.core.is_draining();
         let loads = self.loads().await;
         let shared = &self.parts.shared;
         let departures = shared.notices.recent_departures(&shared.core);
-        let rank = self.own_rank(PROBERS_KEY, self.now());
-        shared.prompts.set_rank(rank);
         let news = shared.prompts.news(&shared.core);
         let rebuttals = news.rebuttals.iter();
         let rebuttals = rebuttals.map(|rebuttal| encode_rebuttal(rebuttal, self.now()));
--- a/crates/server/src/forward/prompts.rs
+++ b/crates/server/src/forward/prompts.rs
@@ -3,7 +3,6 @@
 use crate::core::Core;
 use caller::Refusal;
 use entity::Span;
-use entity::request::Ran;
 use hyper::StatusCode;
 use quarantine::{Crash, Hold, Part, Probe, Quarantine, Rebuttal, SOUND_TIME, Victim};
 use routing::hash;
@@ -121,11 +120,9 @@
                 record_release(core, rebuttal.part, "peer");
             }
         }
-        for crash in &news.crashes {
-            let is_held = self.quarantine().receive_crash(*crash, now);
-            if is_held {
-                self.record_hold(core, crash.part, "peer");
-            }
+        let held = self.quarantine().receive_crashes(&news.crashes, now);
+        for part in held {
+            self.record_hold(core, part, "peer");
         }
         for probe in &news.probes {
             self.quarantine().receive_probe(*probe);
@@ -180,8 +177,5 @@
         hold.part, hold.victims
     );
     let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "prompt-held", message);
-    Refusal {
-        ran: Ran::No,
-        ..refusal.with_retry_after(wait)
-    }
+    refusal.with_retry_after(wait)
 }
