Divide named limits only where the instances change

The parts depend on the list of instances alone and are divided where it changes, and where a limit does. An answer without a limit looks for its upstream's incarnation only while some limit is known.

work_of_named_limits_does_not_grow_with_the_instances failed before.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -144,6 +144,7 @@
     /// Records the instance list of a read that started at `begun` and ended at `now`.
     pub fn set_members(&mut self, members: Members, begun: Moment, now: Moment) {
         if self.views.update(members, begun, now) {
+            self.limits.divide(live_instances(&self.views));
             self.rebuild(now);
         }
     }
@@ -731,7 +732,6 @@
         let used = self.pools.used();
         self.states.sync(&config, &used, now);
         self.divide_cold_rates(&used, now);
-        self.limits.divide(live_instances(&self.views));
         for state in self.states.iter_mut() {
             state.slots.claims.clear();
         }
--- a/crates/routing/tests/work.rs
+++ b/crates/routing/tests/work.rs
@@ -5,9 +5,12 @@
 
 use common::{START, config, query};
 use config::{Config, Registration};
+use entity::unit::Frequency;
 use entity::{Moment, Span, name, work};
 use googletest::prelude::*;
 use routing::demand::{Demand, Work};
+use routing::limit::Limit;
+use routing::restriction::Incarnation;
 use routing::{Balancer, Members, Outcome, Query};
 use std::sync::Arc;
 
@@ -117,6 +120,51 @@
     expect_that!(changed[2], le(bound as u64), "{changed:?}");
 }
 
+/// Limits are divided among all instances, which must not be done again for each request or for each
+/// change of the configuration.
+#[gtest]
+fn work_of_named_limits_does_not_grow_with_the_instances() {
+    let limit = |config: &Config, balancer: &mut Balancer| {
+        for upstream in config.upstreams.values() {
+            let incarnation = Incarnation {
+                upstream: upstream.name.clone(),
+                number: 1,
+            };
+            let limit = Limit {
+                frequency: Some(Frequency(2000)),
+                as_of: START,
+            };
+            balancer.record_limit(&incarnation, limit, START);
+        }
+    };
+    let choices = steps(|balancer, config, _| {
+        limit(config, balancer);
+        let ((), taken) = work::measure(|| {
+            for _ in 0..8 {
+                if let Ok(choice) = balancer.choose(&chat(), START) {
+                    balancer.finish(choice, Outcome::Cancelled, START);
+                }
+            }
+        });
+        expect_that!(taken, lt(100));
+    });
+    // Naming the limits costs one step for each instance and limit, once.
+    let bound = SIZES[2] * UPSTREAM_COUNT;
+    expect_that!(choices[2], le(bound as u64 + 100), "{choices:?}");
+    // The configuration is taken again with its cold rates, as without limits.
+    let plain = steps(configure);
+    let limited = steps(|balancer, config, instances| {
+        limit(config, balancer);
+        let ((), taken) = work::measure(|| configure(balancer, config, instances));
+        expect_that!(taken, le(plain.iter().copied().max().unwrap()));
+    });
+    expect_that!(limited, len(eq(SIZES.len())));
+}
+
+fn configure(balancer: &mut Balancer, config: &Config, _instances: usize) {
+    balancer.configure(&Arc::new(config.clone()), entity::Generation(9), START);
+}
+
 /// The sums must be those of the announcements that count, whatever was replaced, expired or
 /// renumbered by a configuration.
 #[gtest]
--- a/crates/server/src/forward/notices.rs
+++ b/crates/server/src/forward/notices.rs
@@ -90,6 +90,11 @@
         Some(is_change)
     }
 
+    /// Returns whether no limit is known.
+    fn has_no_limits(&self) -> bool {
+        self.limits().is_empty()
+    }
+
     /// Returns whether an answer without a limit to a request that was sent at `sent` ends a limit.
     fn ends_limit(&self, incarnation: &Incarnation, sent: Moment) -> bool {
         let limits = self.limits();
@@ -169,6 +174,9 @@
 
     /// Follows an answer of the upstream of a choice, without a limit, to a request sent at `sent`.
     pub async fn record_no_limit(&self, choice: &Choice, sent: Moment) {
+        if self.notices.has_no_limits() {
+            return;
+        }
         let Some(incarnation) = choice.incarnation() else {
             return;
         };
