--- a/crates/forward/src/head.rs
+++ b/crates/forward/src/head.rs
@@ -75,8 +75,7 @@
     /// Returns the last part of the prompt that other requests can share, which is the one before
     /// the request's own part. Prefix affinity is keyed by it.
     pub fn last_shared_part(&self) -> Option<Part> {
-        let shared = self.parts.len().checked_sub(2)?;
-        self.parts.get(shared).copied()
+        self.shared_parts().last().copied()
     }
 }
 
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -42,7 +42,7 @@
 /// read of the body together with it.
 const MAX_BYTES_BEFORE_BODY: usize = 4 * MAX_HEAD_BYTES;
 /// Largest body of an answer that is passed on as a whole.
-pub const MAX_BODY_BYTES: usize = 8 << 20;
+const MAX_BODY_BYTES: usize = 8 << 20;
 /// Part of a body that doesn't count against the bytes that all long bodies may take together.
 const FREE_BODY_BYTES: usize = 64 << 10;
 /// Bytes that long bodies may take together while they are read.
