--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -16,6 +16,7 @@
 mod prompts;
 mod relay;
 mod run;
+mod trial_log;
 
 pub use instance::{Addresses, Instance};
 pub use run::timeline_id;
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -17,8 +17,8 @@
     topic_number,
 };
 use crate::forward::prompts::News;
+use crate::forward::trial_log;
 use crate::rendezvous;
-use entity::unit::Share;
 use entity::{Era, Moment, Span, name};
 use forward::Source;
 use forward::catalog::{Entry, Instance};
@@ -28,7 +28,7 @@
 use peer::beacon::{self, Datagram, Socket};
 use peer::message::{self, Beacon};
 use quality::release::Report;
-use quality::trial::{Ruling, Tally};
+use quality::trial::Ruling;
 use routing::Members;
 use routing::membership::{Membership, Peer};
 use std::net::SocketAddr;
@@ -90,8 +90,7 @@
     socket: Socket,
     peers: Membership,
     pending: Vec<PendingRuling>,
-    /// Target, share and ruling of the trials that were logged last.
-    trials: Vec<(name::Version, Share, Option<Ruling>)>,
+    trials: trial_log::Log,
     version: u64,
     /// This run of the process, as its messages name it.
     run: Run,
@@ -118,7 +117,7 @@
         source,
         socket,
         pending: Vec::new(),
-        trials: Vec::new(),
+        trials: trial_log::Log::default(),
         version: 0,
         run: Run(rand::random()),
         clocks: Clocks::default(),
@@ -356,7 +355,8 @@
     async fn run_round(&mut self, reports: &[Report]) {
         self.peers.begin_round(self.now());
         self.update_members().await;
-        self.record_trials(reports);
+        let recorder = &self.parts.shared.core.recorder;
+        self.trials.record(recorder, reports);
         self.renew_entry();
         let rank = self.own_rank(DUTIES_KEY, self.now());
         let is_reader = rank.unwrap_or_default() < READER_COUNT;
@@ -526,33 +526,6 @@
         }
     }
 
-    /// Records the trials whose share or ruling has changed, with the evidence that is known here.
-    fn record_trials(&mut self, reports: &[Report]) {
-        let states: Vec<_> = reports
-            .iter()
-            .map(|report| (report.target.clone(), report.share, report.ruling))
-            .collect();
-        for (report, state) in reports.iter().zip(&states) {
-            if self.trials.contains(state) {
-                continue;
-            }
-            let ruling = report.ruling.map_or("open", |ruling| match ruling {
-                Ruling::Good => "good",
-                Ruling::Bad => "bad",
-            });
-            let draft = self.parts.shared.core.recorder.event(Kind::Tried);
-            draft
-                .text("service", &report.service)
-                .text("target", &report.target)
-                .text("ruling", ruling)
-                .text("share", report.share)
-                .text("age", report.age)
-                .text("evidence", evidence_text(report.sum))
-                .record();
-        }
-        self.trials = states;
-    }
-
     async fn write_ruling(&mut self, report: &Report, ruling: Ruling, era: Era) {
         let progress = match ruling {
             Ruling::Good => config::Progress::Completed,
@@ -573,7 +546,7 @@
             .text("target", &report.target)
             .text("ruling", format!("{ruling:?}"))
             .text("age", report.age)
-            .text("evidence", evidence_text(report.sum))
+            .text("evidence", trial_log::evidence(report.sum))
             .record();
         core.decider
             .record_written_ruling(report.service.clone(), report.target.clone(), ruling, era)
@@ -610,14 +583,3 @@
         ranked.iter().position(|name| **name == self.parts.own)
     }
 }
-
-/// Returns the answers of both releases and how many of them were bad, as text.
-fn evidence_text(sum: Tally) -> String {
-    let Tally {
-        old,
-        old_bad,
-        new,
-        new_bad,
-    } = sum;
-    format!("old {old_bad} bad of {old}, new {new_bad} bad of {new}")
-}
