Log the fingerprint of a request whose upstream ended

The lines `lost` couldn't tell whether two ends of upstreams share a request: ids are new with each attempt, and plain requests have no parts. The fingerprint is a digest of payer, method, host, path and body. No logic is changed.

--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -11,7 +11,7 @@
 use caller::forward::{Arrival, Handler, Reply};
 use forward::source::Topic;
 use quarantine::Part;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use timeline::{Counter, Kind};
 use upstream::forward::Pool;
 
@@ -80,6 +80,7 @@
         let run = Arc::new(Run {
             shared: self.shared.clone(),
             parts: parts.iter().map(|part| Part(part.id)).collect(),
+            fingerprint: OnceLock::new(),
             id: timeline_id(&arrival.request.head.id),
             arrival,
         });
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -5,6 +5,7 @@
 
 mod dispatcher;
 mod feed;
+mod fingerprint;
 mod freshness;
 mod front;
 mod instance;
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -3,6 +3,7 @@
 use crate::forward::dispatcher::{
     Answer, Dispatcher, Escalation, OpenStream, TryTimeout, end_to_end_headers, promises_not_run,
 };
+use crate::forward::fingerprint;
 use crate::forward::front::{Cascade, Shared};
 use crate::forward::key_validity::boot_time;
 use crate::forward::prompts::LostAnswer;
@@ -24,7 +25,7 @@
 use quarantine::Part;
 use routing::demand::Demand;
 use routing::{Choice, Outcome, Priority, hash};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use timeline::{Counter, Kind, Timer};
 use tokio::sync::mpsc;
@@ -65,6 +66,8 @@
     pub arrival: Arrival,
     /// Parts of the prompt that other requests can share.
     pub parts: Box<[Part]>,
+    /// What all repeats of the request share; unset until its payer is known.
+    pub fingerprint: OnceLock<Part>,
     /// Id of the request in the event log.
     pub id: request::Id,
 }
@@ -108,6 +111,9 @@
             let mut resolved = resolved.map_err(|refusal| align_status(refusal, history.ran()))?;
             if !counted {
                 counted = true;
+                let payer = resolved.payer.as_ref();
+                let fingerprint = fingerprint::of(&self.arrival.request, payer);
+                self.fingerprint.get_or_init(|| fingerprint);
                 let service = resolved.service_name().clone();
                 self.shared.core.decider.record_request(service).await;
             }
@@ -479,10 +485,15 @@
     pub fn record_lost_answer(&self, choice: &Choice, lost: Option<LostAnswer>) {
         let core = &self.shared.core;
         let parts: Vec<String> = self.parts.iter().map(Part::to_string).collect();
+        let fingerprint = self
+            .fingerprint
+            .get()
+            .map_or(String::new(), Part::to_string);
         let draft = core.recorder.event(Kind::Lost);
         let draft = draft
             .request(self.id)
             .text("upstream", &choice.upstream)
+            .text("fingerprint", fingerprint)
             .text("parts", parts.join(","));
         let Some(lost) = lost else {
             draft.record();
