--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -209,7 +209,7 @@
   4: required i64 age_us,
 }
 
-/** The end of an upstream soon after it began an answer. */
+/** The end of an upstream soon after it began an answer, or while it had a request. */
 struct Crash {
   /** Hash of the incarnation that ended. */
   1: required i64 victim,
@@ -217,11 +217,11 @@
   2: required i64 age_us,
   /** Whether nothing of the answer had arrived but its head. */
   3: required bool strong,
-  /** Time from the head of the answer to the end, in microseconds. */
+  /** Time from the head of the answer to the end, in microseconds; from the dispatch where no head had arrived. */
   4: required i64 since_head_us,
 }
 
-/** A part of prompts that may end upstreams. */
+/** A part of prompts, or a request by its fingerprint, that may end upstreams. */
 struct Suspect {
   1: required i64 part,
   2: required list<Crash> crashes,
@@ -229,7 +229,7 @@
   3: optional i64 probe_age_us,
 }
 
-/** A part of prompts with which an answer went on. */
+/** A part of prompts, or a request by its fingerprint, with which an answer went on. */
 struct Rebuttal {
   1: required i64 part,
   /** How long ago, in microseconds. */
@@ -263,6 +263,10 @@
   14: optional list<Rebuttal> rebuttals,
   /** Limits that upstreams named, to the sender or to a peer. */
   15: optional list<Limit> limits,
+  /** Fingerprints of requests that may end upstreams, as the sender or a peer found. */
+  16: optional list<Suspect> requests,
+  /** Fingerprints that were told to it as suspects, and are sound. */
+  17: optional list<Rebuttal> request_rebuttals,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2235,7 +2235,7 @@
 // Crash
 //
 
-/// The end of an upstream soon after it began an answer.
+/// The end of an upstream soon after it began an answer, or while it had a request.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Crash {
   /// Hash of the incarnation that ended.
@@ -2244,7 +2244,7 @@
   pub age_us: i64,
   /// Whether nothing of the answer had arrived but its head.
   pub strong: bool,
-  /// Time from the head of the answer to the end, in microseconds.
+  /// Time from the head of the answer to the end, in microseconds; from the dispatch where no head had arrived.
   pub since_head_us: i64,
 }
 
@@ -2332,7 +2332,7 @@
 // Suspect
 //
 
-/// A part of prompts that may end upstreams.
+/// A part of prompts, or a request by its fingerprint, that may end upstreams.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Suspect {
   pub part: i64,
@@ -2425,7 +2425,7 @@
 // Rebuttal
 //
 
-/// A part of prompts with which an answer went on.
+/// A part of prompts, or a request by its fingerprint, with which an answer went on.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Rebuttal {
   pub part: i64,
@@ -2523,10 +2523,14 @@
   pub rebuttals: Option<Vec<Rebuttal>>,
   /// Limits that upstreams named, to the sender or to a peer.
   pub limits: Option<Vec<Limit>>,
+  /// Fingerprints of requests that may end upstreams, as the sender or a peer found.
+  pub requests: Option<Vec<Suspect>>,
+  /// Fingerprints that were told to it as suspects, and are sound.
+  pub request_rebuttals: Option<Vec<Rebuttal>>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>> {
     Beacon {
       instance,
       address,
@@ -2543,6 +2547,8 @@
       suspects: suspects.into(),
       rebuttals: rebuttals.into(),
       limits: limits.into(),
+      requests: requests.into(),
+      request_rebuttals: request_rebuttals.into(),
     }
   }
 }
@@ -2565,6 +2571,8 @@
     let mut f_13: Option<Vec<Suspect>> = None;
     let mut f_14: Option<Vec<Rebuttal>> = None;
     let mut f_15: Option<Vec<Limit>> = None;
+    let mut f_16: Option<Vec<Suspect>> = None;
+    let mut f_17: Option<Vec<Rebuttal>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2686,6 +2694,26 @@
           i_prot.read_list_end()?;
           f_15 = Some(val);
         },
+        16 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Suspect> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_21 = Suspect::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_21);
+          }
+          i_prot.read_list_end()?;
+          f_16 = Some(val);
+        },
+        17 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Rebuttal> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_22 = Rebuttal::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_22);
+          }
+          i_prot.read_list_end()?;
+          f_17 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2716,6 +2744,8 @@
       suspects: f_13,
       rebuttals: f_14,
       limits: f_15,
+      requests: f_16,
+      request_rebuttals: f_17,
     };
     Ok(ret)
   }
@@ -2819,6 +2849,24 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.requests {
+      o_prot.write_field_begin(&TFieldIdentifier::new("requests", TType::List, 16))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.request_rebuttals {
+      o_prot.write_field_begin(&TFieldIdentifier::new("request_rebuttals", TType::List, 17))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -21,6 +21,12 @@
         suspects: Some(vec![Suspect::new(7, vec![Crash::new(3, 9, true, 60)], 4)]),
         rebuttals: Some(vec![Rebuttal::new(8, 1)]),
         limits: Some(vec![Limit::new("i-1".to_owned(), 2, 1900, 5)]),
+        requests: Some(vec![Suspect::new(
+            9,
+            vec![Crash::new(4, 9, true, 60)],
+            None,
+        )]),
+        request_rebuttals: Some(vec![Rebuttal::new(10, 1)]),
     }
 }
 
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -18,14 +18,43 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Victim(pub u64);
 
-/// How much the end of an upstream tells against the prompt whose answer had begun.
+/// How far an upstream had come with a request when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// No head of an answer had arrived.
+    Waiting {
+        /// Time since the request was sent.
+        since_sent: Span,
+        /// Whether the answer is a stream, whose upstream may keep many requests waiting.
+        is_stream: bool,
+    },
+    /// The head of the answer had arrived.
+    Begun {
+        /// Time since the head.
+        since_head: Span,
+        /// Whether anything of the body had arrived.
+        delivered: bool,
+    },
+}
+
+impl Progress {
+    /// Returns the time for which the upstream had certainly had the request.
+    pub fn elapsed(self) -> Span {
+        match self {
+            Self::Waiting { since_sent, .. } => since_sent,
+            Self::Begun { since_head, .. } => since_head,
+        }
+    }
+}
+
+/// How much the end of an upstream tells against a request that it had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Weight(u32);
 
 impl Weight {
     /// The answer had delivered something.
     pub const WEAK: Self = Self(1);
-    /// The answer had only just begun, and nothing of its body had arrived.
+    /// Nothing of the answer had arrived, or only its head.
     pub const STRONG: Self = Self(2);
     /// Sum from which a part is held back.
     pub(crate) const ENOUGH: Self = Self(4);
@@ -38,9 +67,23 @@
         }
         (since_head < BEGINNING_TIME).then_some(Self::WEAK)
     }
+
+    /// Returns the weight of an upstream's end against a request as a whole. A plain request is run and
+    /// answered at once, so that it has no head before the end; one with a streamed answer may have
+    /// waited all the while.
+    pub fn of_request(progress: Progress) -> Option<Self> {
+        match progress {
+            Progress::Waiting { is_stream, .. } if is_stream => Some(Self::WEAK),
+            Progress::Waiting { .. } => Some(Self::STRONG),
+            Progress::Begun {
+                since_head,
+                delivered,
+            } => Self::of(since_head, delivered),
+        }
+    }
 }
 
-/// The end of an upstream while it began an answer to a prompt with the part.
+/// The end of an upstream that had a request with the part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// The part.
@@ -51,11 +94,11 @@
     pub weight: Weight,
     /// Time of the end, on the clock of this instance.
     pub at: Moment,
-    /// Time from the head of the answer to the end.
-    pub since_head: Span,
+    /// Time from the head of the answer to the end; from the dispatch where no head had arrived.
+    pub since_begun: Span,
 }
 
-/// A prompt with a held part that was sent nevertheless, to find out whether it still ends upstreams.
+/// A request with a held part that was sent nevertheless, to find out whether it still ends upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Probe {
     /// The part.
@@ -64,7 +107,7 @@
     pub at: Moment,
 }
 
-/// An answer to a prompt with the part that went on.
+/// An answer to a request with the part that went on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rebuttal {
     /// The part.
@@ -155,7 +198,7 @@
         let (mut sum, mut heaviest, mut since) = (0, 0, None);
         for crash in crashes {
             let is_apart = |since: Moment| {
-                let begun = crash.at - crash.since_head;
+                let begun = crash.at - crash.since_begun;
                 begun > since || crash.at.since(since) >= COMMON_CAUSE_TIME
             };
             if since.is_none_or(is_apart) {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts that end the upstreams which run them.
+//! Parts of prompts, and whole requests, that end the upstreams which run them.
 //!
 //! The crate is pure: time is an argument, and messages between instances are plain values. Each
 //! instance owns a [`Quarantine`], records what happens to its own requests, and exchanges
@@ -6,8 +6,10 @@
 
 mod evidence;
 mod part;
+mod policy;
 mod quarantine;
 
-pub use evidence::{Crash, Probe, Rebuttal, SOUND_TIME, Victim, Weight};
+pub use evidence::{Crash, Probe, Progress, Rebuttal, SOUND_TIME, Victim, Weight};
 pub use part::{Error, Part};
+pub use policy::Policy;
 pub use quarantine::{Hold, Quarantine};
--- a/crates/quarantine/src/part.rs
+++ b/crates/quarantine/src/part.rs
@@ -1,9 +1,10 @@
-//! Ids of parts of prompts.
+//! Ids of what requests have in common.
 
 use std::fmt;
 use std::str::FromStr;
 
-/// Id of a part of a prompt, which is written in hexadecimal.
+/// Id of a part of a prompt, or the fingerprint of a whole request, which all repeats of it share. It
+/// is written in hexadecimal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Part(pub u64);
 
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,16 +1,16 @@
 //! What one instance knows of parts that end upstreams.
+//!
+//! A part is a part of a prompt or a whole request, by the policy.
 
-use crate::evidence::{Crash, Evidence, Probe, Rebuttal, Victim, Weight};
+use crate::evidence::{Crash, Evidence, Probe, Progress, Rebuttal, Victim, Weight};
 use crate::part::Part;
+use crate::policy::Policy;
 use entity::{Moment, Span, sorted, work};
 
 /// Time after an answer that went on for which ends of upstreams don't tell against its parts.
 const SOUND_TTL: Span = Span::from_secs(10);
 /// Time after the last crash for which evidence that is not enough is kept.
 const SUSPICION_TTL: Span = Span::from_secs(600);
-/// Time after the last crash for which a part is first held back everywhere. It is short, as the
-/// evidence may fit another part as well.
-const HOLD_TIME: Span = Span::from_secs(5);
 /// Factor by which each probe that ends an upstream lengthens the hold time.
 const HOLD_FACTOR: u32 = 3;
 /// Largest number of times that the hold time is lengthened.
@@ -23,20 +23,22 @@
 const PROBE_PERIOD: Span = Span::from_secs(600);
 /// Time for which news are told to peers.
 const TELL_TIME: Span = Span::from_millis(2500);
-/// Largest number of suspects that are kept.
-const MAX_SUSPECTS: usize = 64;
+/// Largest number of rebuttals that are kept to be told.
+const MAX_REBUTTALS: usize = 64;
 /// Largest number of sound parts that are kept.
 const MAX_SOUND: usize = 2048;
 /// Largest number of suspects, and of rebuttals, in one message to a peer.
 const MAX_TOLD: usize = 16;
 
-/// Why a prompt must not be sent.
+/// Why a request must not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hold {
     /// The part that ends upstreams.
     pub part: Part,
     /// Number of upstreams that it ended.
     pub victims: usize,
+    /// Time of the last end.
+    pub last: Moment,
     /// Time before which it is certainly not sent.
     pub until: Moment,
 }
@@ -47,24 +49,28 @@
     evidence: Evidence,
     /// When something new was learned.
     changed_at: Moment,
-    /// When an instance last sent a prompt with the part although it was held.
+    /// When an instance last sent a request with the part although it was held.
     probed_at: Option<Moment>,
+    /// Time after the last crash for which the part is first held back.
+    hold_time: Span,
 }
 
 impl Suspect {
-    fn new(now: Moment) -> Self {
+    fn new(hold_time: Span, now: Moment) -> Self {
         Self {
             evidence: Evidence::default(),
             changed_at: now,
             probed_at: None,
+            hold_time,
         }
     }
 
     /// Returns the end of the time for which the part is held back everywhere.
     fn hold_end(&self) -> Moment {
         let last = self.evidence.last().unwrap_or_default();
-        let count = self.evidence.pause_count(HOLD_TIME).min(MAX_LENGTHENINGS);
-        last + HOLD_TIME.scaled(f64::from(HOLD_FACTOR.pow(count)))
+        let count = self.evidence.pause_count(self.hold_time);
+        let factor = HOLD_FACTOR.pow(count.min(MAX_LENGTHENINGS));
+        last + self.hold_time.scaled(f64::from(factor))
     }
 
     /// Returns when the part is forgotten.
@@ -96,8 +102,9 @@
 }
 
 /// Suspects, and parts that are known to be sound.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Quarantine {
+    policy: Policy,
     /// Sorted by part.
     suspects: Vec<(Part, Suspect)>,
     /// When an answer to a prompt with the part last went on, sorted by part.
@@ -109,6 +116,40 @@
 }
 
 impl Quarantine {
+    /// Creates a quarantine that knows nothing.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            suspects: Vec::new(),
+            sound: Vec::new(),
+            rebuttals: Vec::new(),
+            rank: None,
+        }
+    }
+
+    /// Records that an upstream ended which had a request with a fingerprint. Returns whether the
+    /// request is held back by it and was not before.
+    pub fn record_end(
+        &mut self,
+        request: Part,
+        victim: Victim,
+        progress: Progress,
+        now: Moment,
+    ) -> bool {
+        let Some(weight) = Weight::of_request(progress) else {
+            return false;
+        };
+        self.expire(now);
+        let crash = Crash {
+            part: request,
+            victim,
+            weight,
+            at: now,
+            since_begun: progress.elapsed(),
+        };
+        self.add(crash, now)
+    }
+
     /// Records that an upstream ended a time after the head of its answer to a prompt with the shared
     /// `parts`; `delivered` says whether anything of the body had arrived. Returns the parts that are
     /// held back by it and were not before.
@@ -130,7 +171,7 @@
                 victim,
                 weight,
                 at: now,
-                since_head,
+                since_begun: since_head,
             };
             if self.add(crash, now) {
                 held.push(part);
@@ -174,7 +215,7 @@
         self.rebut(rebuttal, now)
     }
 
-    /// Returns why a prompt with the shared `parts` must not be sent; none if it may be.
+    /// Returns why a request with the shared `parts` must not be sent; none if it may be.
     pub fn find(&self, parts: &[Part], now: Moment) -> Option<Hold> {
         if self.suspects.is_empty() {
             return None;
@@ -192,13 +233,14 @@
             return Some(Hold {
                 part,
                 victims: suspect.evidence.crashes().len(),
+                last: suspect.evidence.last().unwrap_or_default(),
                 until,
             });
         }
         None
     }
 
-    /// Records that a prompt with the shared `parts` is sent, which is a probe of those that were held
+    /// Records that a request with the shared `parts` is sent, which is a probe of those that were held
     /// back. Returns whether one of them is suspected, so that the answer is evidence and must be read.
     pub fn record_dispatch(&mut self, parts: &[Part], now: Moment) -> bool {
         let mut is_suspected = false;
@@ -254,7 +296,9 @@
             .map(|(_, suspect)| suspect)
             .filter(|suspect| is_told(suspect))
             .collect();
-        told.sort_by_key(|suspect| std::cmp::Reverse(suspect.evidence.weight()));
+        told.sort_by_cached_key(|suspect| {
+            std::cmp::Reverse((suspect.evidence.weight(), suspect.changed_at))
+        });
         told.truncate(MAX_TOLD);
         let crashes = told.iter().flat_map(|suspect| suspect.evidence.crashes());
         crashes.copied().collect()
@@ -281,11 +325,13 @@
             return false;
         };
         work::count(self.suspects.len());
+        let weight = suspect.evidence.weight();
         let others: Vec<&Evidence> = self
             .suspects
             .iter()
             .filter(|(other, known)| !parts.contains(other) && known.evidence.is_enough())
             .map(|(_, known)| &known.evidence)
+            .filter(|known| self.policy.can_explain(known.weight(), weight))
             .collect();
         let is_explained = |crash: &Crash| others.iter().any(|one| one.has_victim(crash.victim));
         let unexplained = suspect.evidence.weight_of(|crash| !is_explained(crash));
@@ -299,7 +345,9 @@
             return false;
         }
         self.make_room(crash.part);
-        let suspect = sorted::entry(&mut self.suspects, &crash.part, || Suspect::new(now));
+        let hold_time = self.policy.hold_time;
+        let new = || Suspect::new(hold_time, now);
+        let suspect = sorted::entry(&mut self.suspects, &crash.part, new);
         let was_enough = suspect.evidence.is_enough();
         if suspect.evidence.add(crash) {
             suspect.changed_at = now;
@@ -309,7 +357,7 @@
 
     /// Drops the suspect with the least evidence if there is no room for another one.
     fn make_room(&mut self, part: Part) {
-        if self.suspects.len() < MAX_SUSPECTS || self.suspect(part).is_some() {
+        if self.suspects.len() < self.policy.max_suspects || self.suspect(part).is_some() {
             return;
         }
         let order = |(_, suspect): &(usize, &(Part, Suspect))| {
@@ -361,7 +409,7 @@
     fn tell_rebuttal(&mut self, rebuttal: Rebuttal, now: Moment) {
         self.rebuttals
             .retain(|(_, (_, since))| now.since(*since) < TELL_TIME);
-        if self.rebuttals.len() >= MAX_SUSPECTS {
+        if self.rebuttals.len() >= MAX_REBUTTALS {
             return;
         }
         let told = sorted::entry(&mut self.rebuttals, &rebuttal.part, || (rebuttal, now));
--- a/crates/quarantine/tests/evidence.rs
+++ b/crates/quarantine/tests/evidence.rs
@@ -2,7 +2,7 @@
 
 use entity::{Moment, Span};
 use googletest::prelude::*;
-use quarantine::{Part, Quarantine, Rebuttal, Victim, Weight};
+use quarantine::{Part, Policy, Progress, Quarantine, Rebuttal, Victim, Weight};
 
 const SHARED: Part = Part(1);
 const BAD: Part = Part(2);
@@ -16,7 +16,7 @@
 
 /// Returns a quarantine that has seen the parts in the ends of so many upstreams, a second apart.
 fn after(parts: &[Part], count: u64) -> Quarantine {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = Quarantine::new(Policy::PARTS);
     for victim in 0..count {
         let now = at(victim * 1000);
         quarantine.record_crash(parts, Victim(victim), BEGUN, now);
@@ -78,7 +78,7 @@
 /// A zone that loses power ends many upstreams at once, with whatever prompts they had begun.
 #[gtest]
 fn ends_at_the_same_moment_count_once() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = Quarantine::new(Policy::PARTS);
     for victim in 0..6 {
         quarantine.record_crash(&[SHARED], Victim(victim), BEGUN, at(victim * 10));
     }
@@ -88,7 +88,7 @@
 /// A retry of a request can end the next upstream soon after the first.
 #[gtest]
 fn ends_one_after_the_other_count_each() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = Quarantine::new(Policy::PARTS);
     for victim in 0..2 {
         let now = at(victim * 70);
         quarantine.record_crash(&[BAD], Victim(victim), BEGUN, now);
@@ -98,7 +98,7 @@
 
 #[gtest]
 fn one_upstream_counts_once() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = Quarantine::new(Policy::PARTS);
     for second in 0..6 {
         quarantine.record_crash(&[SHARED], Victim(1), BEGUN, at(second * 1000));
     }
@@ -108,7 +108,7 @@
 /// Upstreams also end for other reasons, while sound prompts begin there.
 #[gtest]
 fn part_of_an_answer_that_went_on_is_not_held() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = Quarantine::new(Policy::PARTS);
     quarantine.record_sound(&[SHARED], at(0));
     for second in 1..9 {
         let victim = Victim(second);
@@ -130,7 +130,7 @@
 /// A part that was sound may end upstreams of a new release.
 #[gtest]
 fn sound_part_can_become_bad() {
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = Quarantine::new(Policy::PARTS);
     quarantine.record_sound(&[BAD], at(0));
     for second in [11, 12] {
         let victim = Victim(second);
@@ -177,7 +177,7 @@
 #[gtest]
 fn told_evidence_counts_once_and_not_after_a_rebuttal() {
     let told = after(&[BAD], 3).crashes(at(2001));
-    let mut quarantine = Quarantine::default();
+    let mut quarantine = Quarantine::new(Policy::PARTS);
     let mut held = 0;
     for _ in 0..5 {
         held += quarantine.receive_crashes(&told, at(2100)).len();
@@ -240,3 +240,68 @@
     let later = late + Span::from_secs(14);
     expect_that!(quarantine.find(&[BAD], later), some(anything()));
 }
+
+/// A plain request has no head of an answer before it ends its upstream.
+const RUNNING: Progress = Progress::Waiting {
+    since_sent: Span::from_millis(20),
+    is_stream: false,
+};
+
+/// Returns a quarantine in which a request has ended upstreams, a second apart.
+fn after_ends(request: Part, victims: std::ops::Range<u64>) -> Quarantine {
+    let mut quarantine = Quarantine::new(Policy::REQUESTS);
+    for victim in victims {
+        let now = at(victim * 1000);
+        quarantine.record_end(request, Victim(victim), RUNNING, now);
+    }
+    quarantine
+}
+
+#[gtest]
+fn plain_request_that_ends_two_upstreams_is_held() {
+    expect_that!(after_ends(BAD, 0..1).find(&[BAD], at(1)), none());
+    let quarantine = after_ends(BAD, 0..2);
+    expect_that!(quarantine.find(&[BAD], at(1001)), some(anything()));
+    expect_that!(quarantine.find(&[RARE], at(1001)), none());
+}
+
+/// Sound requests were in the same ends by chance, some of them in two in a row.
+#[gtest]
+fn company_of_a_deadly_request_is_released() {
+    let mut quarantine = after_ends(BAD, 0..3);
+    for victim in 0..2 {
+        let now = at(victim * 1000);
+        quarantine.record_end(RARE, Victim(victim), RUNNING, now);
+    }
+    expect_that!(quarantine.find(&[BAD], at(2001)), some(anything()));
+    expect_that!(quarantine.find(&[RARE], at(2001)), none());
+}
+
+/// Streams wait at an engine without a head for long, so that an end tells little against each of them.
+#[gtest]
+fn streams_that_wait_are_weak_suspects() {
+    let waiting = Progress::Waiting {
+        since_sent: Span::from_millis(900),
+        is_stream: true,
+    };
+    expect_that!(Weight::of_request(waiting), some(eq(Weight::WEAK)));
+    expect_that!(Weight::of_request(RUNNING), some(eq(Weight::STRONG)));
+    let going_on = Progress::Begun {
+        since_head: Span::from_secs(1),
+        delivered: true,
+    };
+    expect_that!(Weight::of_request(going_on), none());
+}
+
+/// A caller who sends new bodies that end with their upstreams must not push out what is known.
+#[gtest]
+fn new_bodies_do_not_push_out_a_held_request() {
+    let mut quarantine = after_ends(BAD, 0..2);
+    for number in 0..20_000 {
+        let now = at(2000 + number / 10);
+        quarantine.record_end(Part(1000 + number), Victim(2 + number), RUNNING, now);
+        quarantine.record_sound(&[Part(1_000_000 + number)], now);
+    }
+    expect_that!(quarantine.find(&[BAD], at(4000)), some(anything()));
+    expect_that!(quarantine.crashes(at(4000)).len(), le(256));
+}
--- a/crates/quarantine/tests/exploration/world.rs
+++ b/crates/quarantine/tests/exploration/world.rs
@@ -2,7 +2,7 @@
 //! prompts end.
 
 use entity::{Moment, Span};
-use quarantine::{Crash, Part, Probe, Quarantine, Rebuttal, SOUND_TIME, Victim};
+use quarantine::{Crash, Part, Policy, Probe, Quarantine, Rebuttal, SOUND_TIME, Victim};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -120,7 +120,7 @@
             let joins = if number == 0 { 8000 } else { 0 };
             instances.push(Instance {
                 life: 0,
-                quarantine: Quarantine::default(),
+                quarantine: Quarantine::new(Policy::PARTS),
                 offset: Span::from_secs(random.random_range(0..100)),
                 up_at: now + Span::from_millis(joins),
                 asleep_until: now,
@@ -214,7 +214,7 @@
             let index = self.random.random_range(0..INSTANCE_COUNT);
             let instance = &mut self.instances[index];
             instance.life += 1;
-            instance.quarantine = Quarantine::default();
+            instance.quarantine = Quarantine::new(Policy::PARTS);
             instance.lost.clear();
             instance.up_at = instance.up_at.max(self.now + Span::from_millis(500));
             instance.disturbed_at = instance.up_at;
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -5,7 +5,6 @@
 use crate::core::Core;
 use crate::decider::Closed;
 use crate::forward::key_validity::boot_time;
-use crate::forward::prompts::LostAnswer;
 use crate::forward::run::{self, Resolved, Run};
 use crate::tries::{Dispatch, TryLimits};
 use bytes::Bytes;
@@ -23,6 +22,7 @@
 use quality::governor::{Governor, Observation};
 use quality::release;
 use quality::trial::Measure;
+use quarantine::Progress;
 use routing::Choice;
 use std::sync::Mutex;
 use timeline::Kind;
@@ -270,13 +270,13 @@
         }
     }
 
-    /// Records a failure by which the upstream may have ended. `begun` is when the head of its answer
-    /// arrived.
+    /// Records a failure by which the upstream may have ended. `sent` is when the request was, and `begun`
+    /// when the head of the answer arrived.
     fn record_lost(
         &self,
         choice: &Choice,
         answer: &Result<Answer, Failure>,
-        begun: Option<Instant>,
+        (sent, begun): (Instant, Option<Instant>),
     ) {
         let Err(failure) = answer else {
             return;
@@ -284,11 +284,17 @@
         if !failure.is_lost_answer() {
             return;
         }
-        let lost = begun.map(|begun| LostAnswer {
-            begun,
-            delivered: false,
-        });
-        self.run.record_lost_answer(choice, lost);
+        let progress = match begun {
+            Some(begun) => Progress::Begun {
+                since_head: Span::from(begun.elapsed()),
+                delivered: false,
+            },
+            None => Progress::Waiting {
+                since_sent: Span::from(sent.elapsed()),
+                is_stream: self.route().repeat.streams(),
+            },
+        };
+        self.run.record_lost_answer(choice, progress);
     }
 
     /// Records the result for the release that answered. Connection failures are not counted, since
@@ -354,13 +360,13 @@
 
     fn check(&self) -> Result<(), Refusal> {
         let shared = &self.run.shared;
-        shared.prompts.check(&shared.core, &self.run.parts)
+        shared.holds.check(&shared.core, self.run.subject())
     }
 
     async fn wait_for_hold(&self) -> Refusal {
         let shared = &self.run.shared;
-        let prompts = &shared.prompts;
-        prompts.wait_for_hold(&shared.core, &self.run.parts).await
+        let subject = self.run.subject();
+        shared.holds.wait_for_hold(&shared.core, subject).await
     }
 
     fn is_wanted(&self, choice: &Choice) -> bool {
@@ -381,9 +387,8 @@
             ..sending
         };
         let shared = &self.run.shared;
-        let is_suspected = shared
-            .prompts
-            .record_dispatch(&shared.core, &self.run.parts);
+        let subject = self.run.subject();
+        let is_suspected = shared.holds.record_dispatch(&shared.core, subject);
         let mut notice = Notice::default();
         let sent_to = self.run.shared.pool.send(&sending, &mut notice).await;
         let names_limit = notice.limit.is_some();
@@ -403,7 +408,7 @@
             Ok(response) => self.read_whole(response, try_deadline).await,
             Err(failure) => Err(failure),
         };
-        self.record_lost(choice, &answer, begun);
+        self.record_lost(choice, &answer, (sent, begun));
         self.record_result(choice, &answer, Span::from(sent.elapsed()))
             .await;
         if matches!(answer, Ok(Answer::Stream(_))) {
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -3,9 +3,9 @@
 use crate::auth::Authenticator;
 use crate::core::Core;
 use crate::forward::freshness::Freshness;
+use crate::forward::holds::Holds;
 use crate::forward::key_validity::boot_time;
 use crate::forward::notices::Notices;
-use crate::forward::prompts::Prompts;
 use crate::forward::run::{Run, timeline_id};
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
@@ -35,8 +35,8 @@
     pub freshness: Freshness,
     /// What upstreams said about themselves.
     pub notices: Notices,
-    /// Which prompts must not be sent.
-    pub prompts: Prompts,
+    /// Which requests must not be sent.
+    pub holds: Holds,
     /// Connections to upstreams.
     pub pool: Pool,
     /// How a model is chosen for requests that leave the choice to the router.
--- a/crates/server/src/forward/holds.rs
+++ b/crates/server/src/forward/holds.rs
@@ -1,10 +1,13 @@
-//! Prompts that must not be sent, because a part of theirs ends the upstreams which run them.
+//! Requests that must not be sent, because they, or a part of their prompts, end the upstreams which
+//! run them.
 
 use crate::core::Core;
 use caller::Refusal;
-use entity::Span;
+use entity::{Moment, Span};
 use hyper::StatusCode;
-use quarantine::{Crash, Hold, Part, Probe, Quarantine, Rebuttal, SOUND_TIME, Victim};
+use quarantine::{
+    Crash, Hold, Part, Policy, Probe, Progress, Quarantine, Rebuttal, SOUND_TIME, Victim,
+};
 use routing::hash;
 use routing::restriction::Incarnation;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -12,24 +15,53 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// What is known of the parts of prompts, by own requests and by peers.
-#[derive(Debug, Default)]
-pub struct Prompts {
-    quarantine: Mutex<Quarantine>,
-    /// Number of times that a part was held back.
-    holds: watch::Sender<u64>,
+/// What is known of parts of prompts and of whole requests, by own requests and by peers.
+#[derive(Debug)]
+pub struct Holds {
+    known: Mutex<Known>,
+    /// Number of times that something was held back.
+    count: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct Known {
+    parts: Quarantine,
+    requests: Quarantine,
 }
 
-/// How an upstream ended an answer that had begun.
+/// By what a request may be held back.
 #[derive(Clone, Copy, Debug)]
-pub struct LostAnswer {
-    /// Time at which the head of the answer arrived.
-    pub begun: Instant,
-    /// Whether anything of its body had arrived.
-    pub delivered: bool,
+pub struct Subject<'a> {
+    /// Parts of its prompt that other requests can share.
+    pub parts: &'a [Part],
+    /// What all repeats of it share; none while its payer is not known.
+    pub fingerprint: Option<Part>,
+}
+
+impl Subject<'_> {
+    fn request(&self) -> &[Part] {
+        self.fingerprint.as_slice()
+    }
 }
 
-/// News for peers.
+/// What is held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Held {
+    Part,
+    Request,
+}
+
+impl Held {
+    /// Returns the key of a part in the log.
+    fn key(self) -> &'static str {
+        match self {
+            Self::Part => "part",
+            Self::Request => "fingerprint",
+        }
+    }
+}
+
+/// News for peers about parts of prompts, or about requests.
 #[derive(Debug, Default)]
 pub struct News {
     /// Ends of upstreams, of the same part one after the other.
@@ -40,32 +72,57 @@
     pub rebuttals: Vec<Rebuttal>,
 }
 
-impl Prompts {
-    fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+impl News {
+    fn of(quarantine: &Quarantine, now: Moment) -> Self {
+        Self {
+            crashes: quarantine.crashes(now),
+            probes: quarantine.probes(now),
+            rebuttals: quarantine.rebuttals(now),
+        }
+    }
+}
+
+impl Default for Holds {
+    fn default() -> Self {
+        let known = Known {
+            parts: Quarantine::new(Policy::PARTS),
+            requests: Quarantine::new(Policy::REQUESTS),
+        };
+        Self {
+            known: Mutex::new(known),
+            count: watch::Sender::default(),
+        }
+    }
+}
+
+impl Holds {
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether a prompt with the shared `parts` may be sent now.
+    /// Returns whether a request may be sent now.
     ///
     /// # Errors
     ///
     /// Returns the refusal for its caller if it may not.
-    pub fn check(&self, core: &Core, parts: &[Part]) -> Result<(), Refusal> {
+    pub fn check(&self, core: &Core, subject: Subject<'_>) -> Result<(), Refusal> {
         let now = core.clock.now();
-        match self.quarantine().find(parts, now) {
+        let known = self.known();
+        if let Some(hold) = known.requests.find(subject.request(), now) {
+            return Err(refusal(Held::Request, hold, now));
+        }
+        match known.parts.find(subject.parts, now) {
             None => Ok(()),
-            Some(hold) => Err(refusal(hold, hold.until.since(now))),
+            Some(hold) => Err(refusal(Held::Part, hold, now)),
         }
     }
 
-    /// Waits until a prompt with the shared `parts` is held back for the first time or again, and
-    /// returns the refusal for its caller. A probe of a held part is not refused.
-    pub async fn wait_for_hold(&self, core: &Core, parts: &[Part]) -> Refusal {
-        let mut holds = self.holds.subscribe();
-        while holds.changed().await.is_ok() {
-            if let Err(refusal) = self.check(core, parts) {
+    /// Waits until a request is held back for the first time or again, and returns the refusal for its
+    /// caller. A probe is not refused.
+    pub async fn wait_for_hold(&self, core: &Core, subject: Subject<'_>) -> Refusal {
+        let mut count = self.count.subscribe();
+        while count.changed().await.is_ok() {
+            if let Err(refusal) = self.check(core, subject) {
                 return refusal;
             }
         }
@@ -73,109 +130,150 @@
         std::future::pending().await
     }
 
-    /// Records that a prompt with the shared `parts` is sent to an upstream. Returns whether one of
-    /// them is suspected, so that the answer must be read.
-    pub fn record_dispatch(&self, core: &Core, parts: &[Part]) -> bool {
-        self.quarantine().record_dispatch(parts, core.clock.now())
+    /// Records that a request is sent to an upstream. Returns whether it is suspected, so that the
+    /// answer must be read.
+    pub fn record_dispatch(&self, core: &Core, subject: Subject<'_>) -> bool {
+        let now = core.clock.now();
+        let mut known = self.known();
+        let is_suspected = known.requests.record_dispatch(subject.request(), now);
+        known.parts.record_dispatch(subject.parts, now) || is_suspected
     }
 
-    /// Records that an upstream closed its connection before an answer that had begun was complete.
+    /// Records that an upstream closed its connection before its answer was complete.
     pub fn record_lost(
         &self,
         core: &Core,
-        parts: &[Part],
+        subject: Subject<'_>,
         incarnation: &Incarnation,
-        lost: LostAnswer,
+        progress: Progress,
     ) {
-        let since_head = Span::from(lost.begun.elapsed());
         let name = hash::text(incarnation.upstream.as_str());
         let victim = Victim(hash::part(name, incarnation.number));
         let now = core.clock.now();
-        let beginning = (since_head, lost.delivered);
-        let held = self
-            .quarantine()
-            .record_crash(parts, victim, beginning, now);
-        for part in held {
-            self.record_hold(core, part, "answer");
+        let mut known = self.known();
+        let fingerprint = subject.fingerprint;
+        let held = fingerprint.filter(|&one| known.requests.record_end(one, victim, progress, now));
+        let mut parts = Vec::new();
+        if let Progress::Begun {
+            since_head,
+            delivered,
+        } = progress
+        {
+            let beginning = (since_head, delivered);
+            let shared = subject.parts;
+            parts = known.parts.record_crash(shared, victim, beginning, now);
+        }
+        drop(known);
+        if let Some(request) = held {
+            self.record_hold(core, Held::Request, request, "answer");
+        }
+        for part in parts {
+            self.record_hold(core, Held::Part, part, "answer");
         }
     }
 
-    /// Records that an answer to a prompt with the shared `parts` went on.
-    pub fn record_sound(&self, core: &Core, parts: &[Part]) {
-        if parts.is_empty() {
-            return;
+    /// Records that the answer to a request went on.
+    pub fn record_sound(&self, core: &Core, subject: Subject<'_>) {
+        let now = core.clock.now();
+        let mut known = self.known();
+        let requests = known.requests.record_sound(subject.request(), now);
+        let parts = known.parts.record_sound(subject.parts, now);
+        drop(known);
+        for request in requests {
+            record_release(core, Held::Request, request, "answer");
         }
-        let cleared = self.quarantine().record_sound(parts, core.clock.now());
-        for part in cleared {
-            record_release(core, part, "answer");
+        for part in parts {
+            record_release(core, Held::Part, part, "answer");
         }
     }
 
-    /// Records what a peer told.
-    pub fn receive(&self, core: &Core, news: &News) {
+    /// Records what a peer told of parts of prompts, and of requests.
+    pub fn receive(&self, core: &Core, parts: &News, requests: &News) {
+        self.receive_news(core, Held::Part, parts);
+        self.receive_news(core, Held::Request, requests);
+    }
+
+    fn receive_news(&self, core: &Core, kind: Held, news: &News) {
         let now = core.clock.now();
+        let mut known = self.known();
+        let quarantine = match kind {
+            Held::Part => &mut known.parts,
+            Held::Request => &mut known.requests,
+        };
+        let mut cleared = Vec::new();
         for rebuttal in &news.rebuttals {
-            let is_cleared = self.quarantine().receive_rebuttal(*rebuttal, now);
-            if is_cleared {
-                record_release(core, rebuttal.part, "peer");
+            if quarantine.receive_rebuttal(*rebuttal, now) {
+                cleared.push(rebuttal.part);
             }
         }
-        let held = self.quarantine().receive_crashes(&news.crashes, now);
-        for part in held {
-            self.record_hold(core, part, "peer");
-        }
+        let held = quarantine.receive_crashes(&news.crashes, now);
         for probe in &news.probes {
-            self.quarantine().receive_probe(*probe);
+            quarantine.receive_probe(*probe);
+        }
+        drop(known);
+        for part in cleared {
+            record_release(core, kind, part, "peer");
+        }
+        for part in held {
+            self.record_hold(core, kind, part, "peer");
         }
     }
 
-    /// Returns what is to be told to peers.
-    pub fn news(&self, core: &Core) -> News {
+    /// Returns what is to be told to peers of parts of prompts, and of requests.
+    pub fn news(&self, core: &Core) -> (News, News) {
         let now = core.clock.now();
-        let quarantine = self.quarantine();
-        News {
-            crashes: quarantine.crashes(now),
-            probes: quarantine.probes(now),
-            rebuttals: quarantine.rebuttals(now),
-        }
+        let known = self.known();
+        (News::of(&known.parts, now), News::of(&known.requests, now))
     }
 
-    /// Sets the rank of this instance among those that try held parts again.
+    /// Sets the rank of this instance among those that try again what is held.
     pub fn set_rank(&self, rank: Option<usize>) {
-        self.quarantine().set_rank(rank);
+        let mut known = self.known();
+        known.parts.set_rank(rank);
+        known.requests.set_rank(rank);
     }
 
-    fn record_hold(&self, core: &Core, part: Part, by: &'static str) {
-        core.metric.count(Counter::HeldParts);
+    fn record_hold(&self, core: &Core, kind: Held, part: Part, by: &'static str) {
+        core.metric.count(match kind {
+            Held::Part => Counter::HeldParts,
+            Held::Request => Counter::HeldRequests,
+        });
         let draft = core.recorder.event(Kind::Quarantined);
         draft
-            .text("part", part)
+            .text(kind.key(), part)
             .text("why", "ends upstreams")
             .text("by", by)
             .record();
-        self.holds.send_modify(|count| *count += 1);
+        self.count.send_modify(|count| *count += 1);
     }
 }
 
-fn record_release(core: &Core, part: Part, by: &'static str) {
+fn record_release(core: &Core, kind: Held, part: Part, by: &'static str) {
     let draft = core.recorder.event(Kind::Quarantined);
     draft
-        .text("part", part)
+        .text(kind.key(), part)
         .text("why", "an answer went on")
         .text("by", by)
         .record();
 }
 
-/// Returns whether an answer has gone on for long enough to show that its prompt is sound.
+/// Returns whether an answer has gone on for long enough to show that its request is sound.
 pub fn is_sound(begun: Instant) -> bool {
     begun.elapsed() >= SOUND_TIME.duration()
 }
 
-fn refusal(hold: Hold, wait: Span) -> Refusal {
+fn refusal(kind: Held, hold: Hold, now: Moment) -> Refusal {
+    let wait: Span = hold.until.since(now);
+    let (code, what) = match kind {
+        Held::Part => ("prompt-held", "part"),
+        Held::Request => ("request-held", "request"),
+    };
     let message = format!(
-        "part {} of the prompt ended {} upstreams",
-        hold.part, hold.victims
+        "{what} {} ended {} upstreams, last {} ago",
+        hold.part,
+        hold.victims,
+        now.since(hold.last)
     );
-    let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "prompt-held", message);
+    let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message);
     refusal.with_retry_after(wait)
 }
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -7,8 +7,8 @@
 use crate::forward::feed;
 use crate::forward::freshness::Freshness;
 use crate::forward::front::{Cascade, Front, Shared};
+use crate::forward::holds::Holds;
 use crate::forward::notices::Notices;
-use crate::forward::prompts::Prompts;
 use crate::forward::{peers, probe};
 use anyhow::{Context as _, Result};
 use arc_swap::ArcSwap;
@@ -94,7 +94,7 @@
                 settings.bounds.drain,
             ),
             notices: Notices::default(),
-            prompts: Prompts::default(),
+            holds: Holds::default(),
             pool: upstream::forward::Pool::new(dialect.clone()),
             cascade: match settings.cascade {
                 None => Cascade::Largest,
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -1,7 +1,7 @@
 //! Conversions between the messages in beacons and the router's own types.
 
 use crate::forward::freshness::FOLLOWED_TOPICS;
-use crate::forward::prompts::News;
+use crate::forward::holds::News;
 use entity::unit::{Frequency, Share};
 use entity::{Era, Moment, Offset, Span, name};
 use forward::delta::Delta;
@@ -130,7 +130,7 @@
             victim: crash.victim.0 as i64,
             age_us: now.since(crash.at).as_micros() as i64,
             strong: crash.weight == Weight::STRONG,
-            since_head_us: crash.since_head.as_micros() as i64,
+            since_head_us: crash.since_begun.as_micros() as i64,
         };
         match suspects.last_mut() {
             Some(suspect) if suspect.part == part => suspect.crashes.push(told),
@@ -144,8 +144,25 @@
     suspects
 }
 
+/// Decodes what a peer tells of parts of prompts, or of requests.
+pub fn decode_news(
+    suspects: Option<&[message::Suspect]>,
+    rebuttals: Option<&[message::Rebuttal]>,
+    now: Moment,
+) -> News {
+    let suspects = suspects.unwrap_or_default();
+    let rebuttals = rebuttals.unwrap_or_default().iter();
+    News {
+        crashes: decode_crashes(suspects, now),
+        probes: decode_probes(suspects, now),
+        rebuttals: rebuttals
+            .map(|rebuttal| decode_rebuttal(rebuttal, now))
+            .collect(),
+    }
+}
+
 /// Decodes ends of upstreams.
-pub fn decode_crashes(suspects: &[message::Suspect], now: Moment) -> Vec<Crash> {
+fn decode_crashes(suspects: &[message::Suspect], now: Moment) -> Vec<Crash> {
     let mut crashes = Vec::new();
     for suspect in suspects {
         for crash in &suspect.crashes {
@@ -155,7 +172,7 @@
                 victim: Victim(crash.victim as u64),
                 weight: if strong { Weight::STRONG } else { Weight::WEAK },
                 at: now - decode_age(crash.age_us),
-                since_head: decode_age(crash.since_head_us),
+                since_begun: decode_age(crash.since_head_us),
             });
         }
     }
@@ -163,7 +180,7 @@
 }
 
 /// Decodes probes of parts.
-pub fn decode_probes(suspects: &[message::Suspect], now: Moment) -> Vec<Probe> {
+fn decode_probes(suspects: &[message::Suspect], now: Moment) -> Vec<Probe> {
     let mut probes = Vec::new();
     for suspect in suspects {
         if let Some(age) = suspect.probe_age_us {
@@ -175,16 +192,17 @@
     probes
 }
 
-/// Encodes a part that is sound.
-pub fn encode_rebuttal(rebuttal: &Rebuttal, now: Moment) -> message::Rebuttal {
-    message::Rebuttal {
+/// Encodes parts that are sound.
+pub fn encode_rebuttals(rebuttals: &[Rebuttal], now: Moment) -> Vec<message::Rebuttal> {
+    let encode = |rebuttal: &Rebuttal| message::Rebuttal {
         part: rebuttal.part.0 as i64,
         age_us: now.since(rebuttal.at).as_micros() as i64,
-    }
+    };
+    rebuttals.iter().map(encode).collect()
 }
 
 /// Decodes a part that is sound.
-pub fn decode_rebuttal(rebuttal: &message::Rebuttal, now: Moment) -> Rebuttal {
+fn decode_rebuttal(rebuttal: &message::Rebuttal, now: Moment) -> Rebuttal {
     Rebuttal {
         part: Part(rebuttal.part as u64),
         at: now - decode_age(rebuttal.age_us),
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -11,12 +11,10 @@
 use crate::forward::front::Shared;
 use crate::forward::key_validity::boot_time;
 use crate::forward::payload::{
-    decode_crashes, decode_departure, decode_era, decode_limit, decode_load, decode_peer,
-    decode_probes, decode_rebuttal, decode_trial, decode_update, encode_departure, encode_limit,
-    encode_load, encode_peer, encode_rebuttal, encode_suspects, encode_trial, encode_update,
-    topic_number,
+    decode_departure, decode_era, decode_limit, decode_load, decode_news, decode_peer,
+    decode_trial, decode_update, encode_departure, encode_limit, encode_load, encode_peer,
+    encode_rebuttals, encode_suspects, encode_trial, encode_update, topic_number,
 };
-use crate::forward::prompts::News;
 use crate::forward::trial_log;
 use crate::rendezvous;
 use entity::{Era, Moment, Span, name};
@@ -50,7 +48,7 @@
 const RANK_DELAY: Span = Span::from_millis(500);
 /// Number of instances that read the store for all.
 const READER_COUNT: usize = 2;
-/// Rendezvous key by which the readers of the store, and the instances that try held prompts again,
+/// Rendezvous key by which the readers of the store, and the instances that try held requests again,
 /// are ranked.
 const DUTIES_KEY: &str = "readers of the store";
 /// Time over which the instances spread the renewal of their entries.
@@ -271,16 +269,11 @@
             let (core, notices) = (&shared.core, &shared.notices);
             notices.record_limit(core, incarnation, limit, "peer").await;
         }
-        let rebuttals = beacon.rebuttals.iter().flatten();
-        let suspects = beacon.suspects.as_deref().unwrap_or_default();
-        let news = News {
-            crashes: decode_crashes(suspects, now),
-            probes: decode_probes(suspects, now),
-            rebuttals: rebuttals
-                .map(|rebuttal| decode_rebuttal(rebuttal, now))
-                .collect(),
-        };
-        shared.prompts.receive(&shared.core, &news);
+        let (suspects, rebuttals) = (beacon.suspects.as_deref(), beacon.rebuttals.as_deref());
+        let parts = decode_news(suspects, rebuttals, now);
+        let rebuttals = beacon.request_rebuttals.as_deref();
+        let requests = decode_news(beacon.requests.as_deref(), rebuttals, now);
+        shared.holds.receive(&shared.core, &parts, &requests);
         let decider = &self.parts.shared.core.decider;
         let loads = beacon.loads.iter().filter_map(decode_load).collect();
         decider
@@ -361,15 +354,13 @@
         let rank = self.own_rank(DUTIES_KEY, self.now());
         let is_reader = rank.unwrap_or_default() < READER_COUNT;
         self.parts.shared.freshness.set_reader(is_reader);
-        self.parts.shared.prompts.set_rank(rank);
+        self.parts.shared.holds.set_rank(rank);
         let leaving = self.parts.shared.core.is_draining();
         let loads = self.loads().await;
         let shared = &self.parts.shared;
         let departures = shared.notices.recent_departures(&shared.core);
-        let news = shared.prompts.news(&shared.core);
-        let rebuttals = news.rebuttals.iter();
-        let rebuttals = rebuttals.map(|rebuttal| encode_rebuttal(rebuttal, self.now()));
-        let now = boot_time();
+        let (parts, requests) = shared.holds.news(&shared.core);
+        let (own_now, now) = (self.now(), boot_time());
         let beacon = Beacon {
             instance: self.parts.own.to_string(),
             address: self.parts.address.to_string(),
@@ -383,9 +374,11 @@
             sent_us: Some(now.0 as i64),
             run: Some(self.run.0 as i64),
             departures: Some(departures.iter().map(encode_departure).collect()),
-            suspects: Some(encode_suspects(&news, self.now())),
-            rebuttals: Some(rebuttals.collect()),
+            suspects: Some(encode_suspects(&parts, own_now)),
+            rebuttals: Some(encode_rebuttals(&parts.rebuttals, own_now)),
             limits: Some(self.limits().await),
+            requests: Some(encode_suspects(&requests, own_now)),
+            request_rebuttals: Some(encode_rebuttals(&requests.rebuttals, own_now)),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -1,7 +1,7 @@
 //! Relays a stream from an upstream to the caller.
 
 use crate::forward::dispatcher::{Answer, OpenStream};
-use crate::forward::prompts::{self, LostAnswer};
+use crate::forward::holds;
 use crate::forward::run::Run;
 use crate::tries::{self, Accepted, History};
 use bytes::Bytes;
@@ -11,6 +11,7 @@
 use quality::pace::Pace;
 use quality::release::AnswerOutcome;
 use quality::trial::Measure;
+use quarantine::Progress;
 use routing::{Choice, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,11 +69,11 @@
             if let StreamEnd::Broken(failure) = &ended
                 && failure.is_lost_answer()
             {
-                let lost = LostAnswer {
-                    begun: stream.begun,
+                let progress = Progress::Begun {
+                    since_head: Span::from(stream.begun.elapsed()),
                     delivered: true,
                 };
-                self.run.record_lost_answer(&choice, Some(lost));
+                self.run.record_lost_answer(&choice, progress);
             }
             core.decider.finish(choice, outcome).await;
             let failure = match ended {
@@ -154,7 +155,7 @@
             }
             self.last_event = stream.splitter.last_event_id().or(self.last_event);
             stalled_at = Instant::now() + self.stall_timeout;
-            if !stream.is_sound && prompts::is_sound(stream.begun) {
+            if !stream.is_sound && holds::is_sound(stream.begun) {
                 stream.is_sound = true;
                 self.record_sound();
             }
@@ -190,10 +191,10 @@
             .await;
     }
 
-    /// Records that the answer went on, so that its prompt doesn't end upstreams.
+    /// Records that the answer went on, so that its request doesn't end upstreams.
     fn record_sound(&self) {
         let shared = &self.run.shared;
-        shared.prompts.record_sound(&shared.core, &self.run.parts);
+        shared.holds.record_sound(&shared.core, self.run.subject());
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamEnd> {
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -5,8 +5,8 @@
 };
 use crate::forward::fingerprint;
 use crate::forward::front::{Cascade, Shared};
+use crate::forward::holds::Subject;
 use crate::forward::key_validity::boot_time;
-use crate::forward::prompts::LostAnswer;
 use crate::forward::relay::Relay;
 use crate::tries::{self, Abort, Accepted, History, Job};
 use adoption::Snapshot;
@@ -22,7 +22,7 @@
 use hyper::StatusCode;
 use quality::governor::Governor;
 use quality::release;
-use quarantine::Part;
+use quarantine::{Part, Progress};
 use routing::demand::Demand;
 use routing::{Choice, Outcome, Priority, hash};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -342,7 +342,7 @@
         let first_token = Some(Span::from(sent.elapsed()));
         match value {
             Answer::Whole(answer) => {
-                self.shared.prompts.record_sound(core, &self.parts);
+                self.shared.holds.record_sound(core, self.subject());
                 core.decider
                     .finish(choice, Outcome::Done { first_token })
                     .await;
@@ -480,9 +480,16 @@
             .record();
     }
 
-    /// Records that the upstream of a choice closed its connection before the answer was complete;
-    /// `lost` is none if its head had not arrived.
-    pub fn record_lost_answer(&self, choice: &Choice, lost: Option<LostAnswer>) {
+    /// Returns by what the request may be held back.
+    pub fn subject(&self) -> Subject<'_> {
+        Subject {
+            parts: &self.parts,
+            fingerprint: self.fingerprint.get().copied(),
+        }
+    }
+
+    /// Records that the upstream of a choice closed its connection before the answer was complete.
+    pub fn record_lost_answer(&self, choice: &Choice, progress: Progress) {
         let core = &self.shared.core;
         let parts: Vec<String> = self.parts.iter().map(Part::to_string).collect();
         let fingerprint = self
@@ -495,17 +502,17 @@
             .text("upstream", &choice.upstream)
             .text("fingerprint", fingerprint)
             .text("parts", parts.join(","));
-        let Some(lost) = lost else {
-            draft.record();
-            return;
+        let draft = match progress {
+            Progress::Waiting { since_sent, .. } => draft.text("sent", since_sent),
+            Progress::Begun {
+                since_head,
+                delivered,
+            } => draft.text("begun", since_head).text("delivered", delivered),
         };
-        draft
-            .text("begun", Span::from(lost.begun.elapsed()))
-            .text("delivered", lost.delivered)
-            .record();
+        draft.record();
         if let Some(incarnation) = choice.incarnation() {
-            let prompts = &self.shared.prompts;
-            prompts.record_lost(core, &self.parts, &incarnation, lost);
+            let holds = &self.shared.holds;
+            holds.record_lost(core, self.subject(), &incarnation, progress);
         }
     }
 
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -59,6 +59,8 @@
     LimitedUpstreams = "limited_upstreams",
     /// Parts of prompts that were held back because they end upstreams.
     HeldParts = "held_parts",
+    /// Requests that were held back with all their repeats because they end upstreams.
+    HeldRequests = "held_requests",
     /// Answers that were discarded.
     Discards = "discards",
     /// Claims on idempotency keys.
