Keep the time of a probe that is told on

The exploration of requests (seeds 80 and 177 of 200) found a request that was never tried again after its upstreams had been mended: each instance took the latest time of a probe that it was told, the time seems later by the transit each time that it is told on, and so a probe lasted for ever between instances that told it back and forth. A probe soon after a known one is the same now.

--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -256,12 +256,18 @@
         is_suspected
     }
 
-    /// Records a probe that a peer told.
+    /// Records a probe that a peer told. Each time that it is told on, its time seems a little later, so
+    /// that one soon after a known probe is the same.
     pub fn receive_probe(&mut self, probe: Probe) {
-        for (part, suspect) in &mut self.suspects {
-            if *part == probe.part {
-                suspect.probed_at = suspect.probed_at.max(Some(probe.at));
-            }
+        let found = self
+            .suspects
+            .binary_search_by_key(&probe.part, |(known, _)| *known);
+        let Ok(index) = found else {
+            return;
+        };
+        let known = &mut self.suspects[index].1.probed_at;
+        if known.is_none_or(|known| probe.at >= known + PROBE_TIME) {
+            *known = Some(probe.at);
         }
     }
 
--- a/crates/quarantine/tests/evidence.rs
+++ b/crates/quarantine/tests/evidence.rs
@@ -2,7 +2,7 @@
 
 use entity::{Moment, Span};
 use googletest::prelude::*;
-use quarantine::{Part, Policy, Progress, Quarantine, Rebuttal, Victim, Weight};
+use quarantine::{Part, Policy, Probe, Progress, Quarantine, Rebuttal, Victim, Weight};
 
 const SHARED: Part = Part(1);
 const BAD: Part = Part(2);
@@ -305,3 +305,31 @@
     expect_that!(quarantine.find(&[BAD], at(4000)), some(anything()));
     expect_that!(quarantine.crashes(at(4000)).len(), le(256));
 }
+
+/// A probe was told back and forth, each time a little later, so that the part was held for ever.
+#[gtest]
+fn probe_that_is_told_on_does_not_last() {
+    let mut both = [after(&[BAD], 2), after(&[BAD], 2)];
+    both[0].set_rank(Some(0));
+    let probed = at(1000) + Span::from_secs(6);
+    both[0].record_dispatch(&[BAD], probed);
+    let transit = Span::from_millis(200);
+    for round in 1..120 {
+        let now = probed + Span::from_millis(100 * round);
+        for teller in 0..2 {
+            for probe in both[teller].probes(now) {
+                let at = probe.at + transit;
+                both[1 - teller].receive_probe(Probe { at, ..probe });
+            }
+        }
+    }
+    let [mut quarantine, _] = both;
+    let later = probed + Span::from_secs(12);
+    expect_that!(quarantine.find(&[BAD], later), none());
+    // A probe of another instance after that counts.
+    quarantine.receive_probe(Probe {
+        part: BAD,
+        at: later,
+    });
+    expect_that!(quarantine.find(&[BAD], later), some(anything()));
+}
