--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -171,9 +171,10 @@
         self.crashes.iter().map(|crash| crash.at).max()
     }
 
-    /// Returns how often no crash was known for a time that long.
-    pub fn pause_count(&self, pause: Span) -> u32 {
-        let mut times: Vec<Moment> = self.crashes.iter().map(|crash| crash.at).collect();
+    /// Returns how often neither a crash nor a probe was known for a time that long.
+    pub fn pause_count(&self, pause: Span, probed_at: Option<Moment>) -> u32 {
+        let crashes = self.crashes.iter().map(|crash| crash.at);
+        let mut times: Vec<Moment> = crashes.chain(probed_at).collect();
         times.sort_unstable();
         let pairs = times.windows(2);
         let pauses = pairs.filter(|pair| pair[1].since(pair[0]) >= pause);
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -17,7 +17,7 @@
 const MAX_LENGTHENINGS: u32 = 5;
 /// Time after which twice as many instances may probe a part as before.
 const PROBE_STAGGER: Span = Span::from_secs(5);
-/// Time that an instance gives a probe to end its upstream or to be answered.
+/// Time for which a probe is told, and within which a probe that is told is the one that is known.
 const PROBE_TIME: Span = Span::from_secs(10);
 /// Time after the end of the hold for which a part is remembered that nobody probes.
 const PROBE_PERIOD: Span = Span::from_secs(600);
@@ -65,10 +65,11 @@
         }
     }
 
-    /// Returns the end of the time for which the part is held back everywhere.
+    /// Returns the end of the time for which the part is held back everywhere. A probe counts as a crash
+    /// until it is answered, as the instance that sent it may have ended before it told of the crash.
     fn hold_end(&self) -> Moment {
-        let last = self.evidence.last().unwrap_or_default();
-        let count = self.evidence.pause_count(self.hold_time);
+        let last = self.evidence.last().max(self.probed_at).unwrap_or_default();
+        let count = self.evidence.pause_count(self.hold_time, self.probed_at);
         let factor = HOLD_FACTOR.pow(count.min(MAX_LENGTHENINGS));
         last + self.hold_time.scaled(f64::from(factor))
     }
@@ -92,11 +93,7 @@
             Some(rank) => PROBE_STAGGER.scaled(((rank + 1) as f64).log2()),
             None => PROBE_PERIOD,
         };
-        let turn = self.hold_end() + stagger;
-        let until = match self.probed_at {
-            Some(probed) => turn.max(probed + PROBE_TIME),
-            None => turn,
-        };
+        let until = self.hold_end() + stagger;
         (now < until).then_some(until)
     }
 }
