--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -5,9 +5,6 @@
 
 /// Largest number of victims that are kept for one part.
 const MAX_VICTIMS: usize = 16;
-/// Time within which ends of upstreams count as one, as a common cause ends several at once. An answer
-/// that began after the first end has no cause in common with it.
-const COMMON_CAUSE_TIME: Span = Span::from_millis(100);
 /// Time after the head of an answer in which it only begins.
 const BEGINNING_TIME: Span = Span::from_millis(250);
 
@@ -117,13 +114,24 @@
 }
 
 /// The crashes of one part.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Evidence {
+    /// Time within which ends of upstreams count as one, as a common cause ends several at once. A
+    /// request that began after the first end has no cause in common with it.
+    common_cause_time: Span,
     /// Sorted by victim.
     crashes: Vec<Crash>,
 }
 
 impl Evidence {
+    /// Creates evidence without crashes.
+    pub fn new(common_cause_time: Span) -> Self {
+        Self {
+            common_cause_time,
+            crashes: Vec::new(),
+        }
+    }
+
     /// Adds a crash. Returns whether it tells something new.
     pub fn add(&mut self, crash: Crash) -> bool {
         let found = self
@@ -200,7 +208,7 @@
         for crash in crashes {
             let is_apart = |since: Moment| {
                 let begun = crash.at - crash.since_begun;
-                begun > since || crash.at.since(since) >= COMMON_CAUSE_TIME
+                begun > since || crash.at.since(since) >= self.common_cause_time
             };
             if since.is_none_or(is_apart) {
                 sum += heaviest;
--- a/crates/quarantine/src/policy.rs
+++ b/crates/quarantine/src/policy.rs
@@ -10,6 +10,8 @@
     pub(crate) max_suspects: usize,
     /// Time after the last crash for which a part is first held back everywhere.
     pub(crate) hold_time: Span,
+    /// Time within which ends of upstreams count as one.
+    pub(crate) common_cause_time: Span,
     /// Which held parts explain the end of an upstream.
     explanation: Explanation,
 }
@@ -27,13 +29,16 @@
     pub const PARTS: Self = Self {
         max_suspects: 64,
         hold_time: Span::from_secs(5),
+        common_cause_time: Span::from_millis(100),
         explanation: Explanation::Any,
     };
     /// Whole requests. The end of an upstream makes each request that it had a suspect, most of which
-    /// never come again. A hold concerns the repeats of one request only.
+    /// never come again. A hold concerns the repeats of one request only. A request is at one upstream at
+    /// a time, unless it comes so often that an answer to it clears it.
     pub const REQUESTS: Self = Self {
         max_suspects: 512,
-        hold_time: Span::from_secs(10),
+        hold_time: Span::from_secs(15),
+        common_cause_time: Span::ZERO,
         explanation: Explanation::Heavier,
     };
 
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -51,27 +51,27 @@
     changed_at: Moment,
     /// When an instance last sent a request with the part although it was held.
     probed_at: Option<Moment>,
-    /// Time after the last crash for which the part is first held back.
-    hold_time: Span,
+    policy: Policy,
 }
 
 impl Suspect {
-    fn new(hold_time: Span, now: Moment) -> Self {
+    fn new(policy: Policy, now: Moment) -> Self {
         Self {
-            evidence: Evidence::default(),
+            evidence: Evidence::new(policy.common_cause_time),
             changed_at: now,
             probed_at: None,
-            hold_time,
+            policy,
         }
     }
 
     /// Returns the end of the time for which the part is held back everywhere. A probe counts as a crash
     /// until it is answered, as the instance that sent it may have ended before it told of the crash.
     fn hold_end(&self) -> Moment {
+        let hold_time = self.policy.hold_time;
         let last = self.evidence.last().max(self.probed_at).unwrap_or_default();
-        let count = self.evidence.pause_count(self.hold_time, self.probed_at);
+        let count = self.evidence.pause_count(hold_time, self.probed_at);
         let factor = HOLD_FACTOR.pow(count.min(MAX_LENGTHENINGS));
-        last + self.hold_time.scaled(f64::from(factor))
+        last + hold_time.scaled(f64::from(factor))
     }
 
     /// Returns when the part is forgotten.
@@ -348,8 +348,8 @@
             return false;
         }
         self.make_room(crash.part);
-        let hold_time = self.policy.hold_time;
-        let new = || Suspect::new(hold_time, now);
+        let policy = self.policy;
+        let new = || Suspect::new(policy, now);
         let suspect = sorted::entry(&mut self.suspects, &crash.part, new);
         let was_enough = suspect.evidence.is_enough();
         if suspect.evidence.add(crash) {
--- a/crates/quarantine/tests/repeats/world.rs
+++ b/crates/quarantine/tests/repeats/world.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 const STEP: Span = Span::from_millis(20);
-const STEP_COUNT: u64 = 3500;
+const STEP_COUNT: u64 = 5000;
 const INSTANCE_COUNT: usize = 6;
 const UPSTREAM_COUNT: usize = 3;
 /// Time that an upstream needs to start again.
@@ -20,7 +20,7 @@
 /// Deadly requests that may still be sent then.
 const MAX_LATE: usize = 3;
 /// Steps at which the deadly requests come.
-const DEADLY_STEPS: std::ops::Range<u64> = 200..3500;
+const DEADLY_STEPS: std::ops::Range<u64> = 200..STEP_COUNT;
 /// Step from which the second deadly request is sound, as its upstreams were mended.
 const MENDED_STEP: u64 = 600;
 /// Steps in which a request that is sound again must be served at last.
