Count resumed streams as repeats

A stream whose service has no repeat left is broken off now, as a request is that can't be tried again.

--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -15,7 +15,7 @@
 use routing::{Choice, Outcome};
 use std::sync::Arc;
 use std::time::Duration;
-use timeline::{Counter, Kind};
+use timeline::Kind;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -216,6 +216,9 @@
         let run = self.run.clone();
         let pieces = self.pieces.clone();
         let resolved = run.resolve_again().await?;
+        if !run.try_repeat(&resolved).await {
+            return None;
+        }
         let mut dispatcher = run.dispatcher(&resolved, self.model.as_ref());
         dispatcher.last_event = self.last_event;
         let cancellation = CancellationToken::new();
@@ -238,7 +241,6 @@
             core.decider.finish(choice, Outcome::Cancelled).await;
             return None;
         };
-        core.metric.count(Counter::Retries);
         Some((*stream, choice))
     }
 }
