Leave an upstream whose address a later one has registered

Addresses of ended upstreams stay in use until their entries lapse, and each request that reaches the upstream which has the address by now costs a repeat of the service. An answer that the request was misdirected is no proof by itself, as a caller can bring it about by a model that is not served; together with the registration of a later upstream at the same address it is. Peers are told of it as of an upstream that leaves.

--- a/crates/server/src/forward/notices.rs
+++ b/crates/server/src/forward/notices.rs
@@ -107,8 +107,13 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an upstream is leaving, as it or a peer says.
-    pub async fn record_leaving(&self, core: &Core, incarnation: Incarnation, by: &'static str) {
+    /// Records that an upstream is leaving or has ended, as `why` and `by` say.
+    pub async fn record_leaving(
+        &self,
+        core: &Core,
+        incarnation: Incarnation,
+        (why, by): (&'static str, &'static str),
+    ) {
         let now = core.clock.now();
         let is_new = self.restrictions().record_leaving(incarnation.clone(), now);
         if !is_new {
@@ -118,7 +123,7 @@
         let draft = core.recorder.event(Kind::Cold);
         draft
             .text("upstream", &incarnation.upstream)
-            .text("why", "says that it is leaving")
+            .text("why", why)
             .text("by", by)
             .record();
         core.decider.record_leaving(incarnation).await;
@@ -165,11 +170,30 @@
                 .record();
             core.decider.record_rest(incarnation.clone(), until).await;
         }
-        if notice.leaving {
-            self.notices
-                .record_leaving(core, incarnation, "answer")
-                .await;
-        }
+        let why = if notice.leaving {
+            "says that it is leaving"
+        } else if notice.misdirected && self.has_successor(choice) {
+            "its address belongs to another upstream"
+        } else {
+            return;
+        };
+        let notices = &self.notices;
+        notices
+            .record_leaving(core, incarnation, (why, "answer"))
+            .await;
+    }
+
+    /// Returns whether an upstream that started later has registered itself with the address of the
+    /// upstream of a choice, which has ended then.
+    fn has_successor(&self, choice: &Choice) -> bool {
+        let Some(snapshot) = self.core.snapshot() else {
+            return false;
+        };
+        let own = choice.incarnation_number();
+        snapshot.config.upstreams.values().iter().any(|other| {
+            let later = other.registration.as_ref().map(|one| one.incarnation);
+            other.address == choice.address && other.name != choice.upstream && later > own
+        })
     }
 
     /// Follows an answer of the upstream of a choice, without a limit, to a request sent at `sent`.
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -262,7 +262,8 @@
             .filter_map(decode_departure)
         {
             let core = &shared.core;
-            shared.notices.record_leaving(core, departure, "peer").await;
+            let why = ("leaves or has ended", "peer");
+            shared.notices.record_leaving(core, departure, why).await;
         }
         let limits = beacon.limits.iter().flatten();
         for (incarnation, limit) in limits.filter_map(|limit| decode_limit(limit, now)) {
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -77,6 +77,9 @@
     pub rest: Option<Span>,
     /// Number of requests per second that it takes of all instances together.
     pub limit: Option<Frequency>,
+    /// Whether the request was misdirected: another upstream may have the address by now. Nothing else
+    /// in the head is about the upstream that was addressed.
+    pub misdirected: bool,
     /// Names of headers whose values can't be used as they are.
     pub malformed: Vec<&'static str>,
 }
@@ -296,13 +299,17 @@
 /// another upstream, that one answers that the request was misdirected.
 fn take_notice(head: &mut Answer, status: StatusCode) -> Notice {
     if status == StatusCode::MISDIRECTED_REQUEST {
-        return Notice::default();
+        return Notice {
+            misdirected: true,
+            ..Notice::default()
+        };
     }
     let overloaded = status == StatusCode::SERVICE_UNAVAILABLE;
     Notice {
         leaving: head.leaving,
         rest: head.retry_after.filter(|_| overloaded),
         limit: head.limit,
+        misdirected: false,
         malformed: std::mem::take(&mut head.malformed),
     }
 }
