--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -30,6 +30,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use upstream::dial::{Dialer, Direct};
 
 /// Largest number of requests that wait for one pool of upstreams.
 const QUEUE_CAPACITY: usize = 256;
@@ -77,6 +78,20 @@
         settings: Settings,
         dialect: Arc<dyn Dialect>,
         source: impl Source,
+    ) -> Result<Self> {
+        Self::open_with_dialer(settings, dialect, source, Arc::new(Direct)).await
+    }
+
+    /// Starts an instance whose own links to upstreams are those of a dialer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address can't be bound or the event log can't be opened.
+    pub async fn open_with_dialer(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        source: impl Source,
+        dialer: Arc<dyn Dialer>,
     ) -> Result<Self> {
         let stopping = CancellationToken::new();
         let recorder = Recorder::open(&settings.name, Sink::Stdout).context("event log")?;
@@ -95,7 +110,7 @@
             ),
             notices: Notices::default(),
             holds: Holds::default(),
-            pool: upstream::forward::Pool::new(dialect.clone()),
+            pool: upstream::forward::Pool::new(dialect.clone(), dialer),
             cascade: match settings.cascade {
                 None => Cascade::Largest,
                 Some(0) => Cascade::Smallest,
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -3,6 +3,7 @@
 //! A connection carries one request at a time. It is reused only after a complete answer, so that stray
 //! bytes are dropped together with their connection.
 
+use crate::dial::Dialer;
 use crate::failure::{Failure, Reason};
 use crate::meter::{Allowance, Meter};
 use bytes::{Bytes, BytesMut};
@@ -20,17 +21,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Longest time to establish a connection. Zones are a few milliseconds apart, and a lost packet is
-/// retransmitted after a second; by then another upstream is the better choice.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// TCP user timeout: longest time for which sent bytes may stay unacknowledged. A dead connection is
-/// detected within this time.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest idle time of a connection that is reused. Upstreams close idle connections after a few
 /// seconds, some without notice.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(3);
@@ -106,6 +100,7 @@
 
 struct Shared {
     dialect: Arc<dyn Dialect>,
+    dialer: Arc<dyn Dialer>,
     /// Idle connections by address, sorted by address.
     idle: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
     /// Bytes that are left for long bodies.
@@ -140,10 +135,11 @@
 
 impl Pool {
     /// Creates a pool without connections.
-    pub fn new(dialect: Arc<dyn Dialect>) -> Self {
+    pub fn new(dialect: Arc<dyn Dialect>, dialer: Arc<dyn Dialer>) -> Self {
         Self {
             shared: Arc::new(Shared {
                 dialect,
+                dialer,
                 idle: Mutex::default(),
                 long_bodies: Semaphore::new(MAX_TOTAL_BYTES),
             }),
@@ -165,7 +161,7 @@
         let request = self.build_request(outgoing)?;
         let mut connection = match self.take_idle(outgoing) {
             Some(connection) => connection,
-            None => connect(outgoing.address, outgoing.end).await?,
+            None => self.connect(outgoing.address, outgoing.end).await?,
         };
         connection.allowance.set(MAX_BYTES_BEFORE_BODY);
         let sent =
@@ -205,6 +201,29 @@
         idle.retain(|(address, _)| keep(*address));
     }
 
+    async fn connect(&self, address: SocketAddr, end: Instant) -> Result<Connection, Failure> {
+        let refused = || Failure::not_run(Reason::Connect);
+        let dialing = self.shared.dialer.dial(address);
+        let stream = tokio::time::timeout_at(end, dialing).await;
+        let stream = stream.map_err(|_| refused())?.map_err(|_| refused())?;
+        let (meter, allowance) = Meter::new(stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(meter))
+            .await
+            .map_err(|_| refused())?;
+        let task = tokio::spawn(async move {
+            // The task that waits for the answer gets the error as well.
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            address,
+            sender,
+            allowance,
+            task: task.abort_handle(),
+        })
+    }
+
     fn build_request(
         &self,
         outgoing: &UpstreamRequest<'_>,
@@ -269,32 +288,6 @@
     }
 }
 
-async fn connect(address: SocketAddr, end: Instant) -> Result<Connection, Failure> {
-    let refused = || Failure::not_run(Reason::Connect);
-    let end = end.min(Instant::now() + CONNECT_TIMEOUT);
-    let stream = tokio::time::timeout_at(end, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| refused())?.map_err(|_| refused())?;
-    // Both options are optimisations; the connection works without them.
-    let _ = stream.set_nodelay(true);
-    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-    let (meter, allowance) = Meter::new(stream);
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(meter))
-        .await
-        .map_err(|_| refused())?;
-    let task = tokio::spawn(async move {
-        // The task that waits for the answer gets the error as well.
-        let _ = connection.await;
-    });
-    Ok(Connection {
-        address,
-        sender,
-        allowance,
-        task: task.abort_handle(),
-    })
-}
-
 /// Returns what the head of an answer says about the upstream. Behind an address that was given to
 /// another upstream, that one answers that the request was misdirected.
 fn take_notice(head: &mut Answer, status: StatusCode) -> Notice {
