Connect to upstreams by a peer where the own links are cut

Change: where the own link to an upstream fails, a peer in the region that says it isn't cut off is asked for a connection to the upstream and carries its bytes. Everything about the request stays at one instance: deadline, caller, key, version, repeats, holds, resumed streams. A peer uses its own links only, so that there is one peer in between at most; it takes questions from hosts of live peers, for addresses of registered upstreams, 256 connections at once, none while it shuts down. A reset is passed on as a reset, so that an answer without a length can't look complete. Way and evidence are decided in routing::path, without sockets, explored over cuts that begin and heal, upstreams that go down and peers that can't try. Messages of peers are written into the generated code by hand.

--- a/crates/forward/src/resolve.rs
+++ b/crates/forward/src/resolve.rs
@@ -22,6 +22,14 @@
     pub zones: Vec<(name::Zone, name::Region)>,
 }
 
+impl ZoneRegions {
+    /// Returns the region of a zone; none if the zone is unknown.
+    pub fn region(&self, zone: &name::Zone) -> Option<&name::Region> {
+        let found = self.zones.binary_search_by(|(known, _)| known.cmp(zone));
+        found.ok().map(|index| &self.zones[index].1)
+    }
+}
+
 /// Returns the version name of a service's release, or `None` if the release is no valid name.
 pub fn version_name(service: &name::Service, release: &str) -> Option<name::Version> {
     format!("{service}/{release}").parse().ok()
--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -267,6 +267,8 @@
   16: optional list<Suspect> requests,
   /** Fingerprints that were told to it as suspects, and are sound. */
   17: optional list<Rebuttal> request_rebuttals,
+  /** Whether the sender's links to upstreams are cut, so that it carries no connections for others. */
+  18: optional bool cut_off,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
@@ -283,6 +285,22 @@
   24: optional i64 asked_us,
 }
 
+/** Asks the receiver for a connection to an upstream over its own links. If it is open, its bytes follow the
+    answer, both ways. */
+struct Tunnel {
+  1: required string instance,
+  /** Address of the upstream. */
+  2: required string upstream,
+}
+
+/** The answer to it. */
+struct Opened {
+  1: required string instance,
+  /** Why the connection is not open: `refused` if the upstream refused it, else why the receiver did not try; empty if
+      it is open. */
+  2: required string failure,
+}
+
 struct Done {
   1: required i32 count,
 }
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2527,10 +2527,12 @@
   pub requests: Option<Vec<Suspect>>,
   /// Fingerprints that were told to it as suspects, and are sound.
   pub request_rebuttals: Option<Vec<Rebuttal>>,
+  /// Whether the sender's links to upstreams are cut, so that it carries no connections for others.
+  pub cut_off: Option<bool>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>> {
     Beacon {
       instance,
       address,
@@ -2549,6 +2551,7 @@
       limits: limits.into(),
       requests: requests.into(),
       request_rebuttals: request_rebuttals.into(),
+      cut_off: cut_off.into(),
     }
   }
 }
@@ -2573,6 +2576,7 @@
     let mut f_15: Option<Vec<Limit>> = None;
     let mut f_16: Option<Vec<Suspect>> = None;
     let mut f_17: Option<Vec<Rebuttal>> = None;
+    let mut f_18: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2714,6 +2718,10 @@
           i_prot.read_list_end()?;
           f_17 = Some(val);
         },
+        18 => {
+          let val = i_prot.read_bool()?;
+          f_18 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2746,6 +2754,7 @@
       limits: f_15,
       requests: f_16,
       request_rebuttals: f_17,
+      cut_off: f_18,
     };
     Ok(ret)
   }
@@ -2867,6 +2876,11 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.cut_off {
+      o_prot.write_field_begin(&TFieldIdentifier::new("cut_off", TType::Bool, 18))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2983,6 +2997,148 @@
   }
 }
 
+//
+// Tunnel
+//
+
+/// Asks the receiver for a connection to an upstream over its own links. If it is open, its bytes follow the
+/// answer, both ways.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Tunnel {
+  pub instance: String,
+  /// Address of the upstream.
+  pub upstream: String,
+}
+
+impl Tunnel {
+  pub fn new(instance: String, upstream: String) -> Tunnel {
+    Tunnel {
+      instance,
+      upstream,
+    }
+  }
+}
+
+impl TSerializable for Tunnel {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Tunnel> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Tunnel.instance", &f_1)?;
+    verify_required_field_exists("Tunnel.upstream", &f_2)?;
+    let ret = Tunnel {
+      instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      upstream: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Tunnel");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("instance", TType::String, 1))?;
+    o_prot.write_string(&self.instance)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 2))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Opened
+//
+
+/// The answer to it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Opened {
+  pub instance: String,
+  /// Why the connection is not open: `refused` if the upstream refused it, else why the receiver did not try; empty if
+  /// it is open.
+  pub failure: String,
+}
+
+impl Opened {
+  pub fn new(instance: String, failure: String) -> Opened {
+    Opened {
+      instance,
+      failure,
+    }
+  }
+}
+
+impl TSerializable for Opened {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Opened> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Opened.instance", &f_1)?;
+    verify_required_field_exists("Opened.failure", &f_2)?;
+    let ret = Opened {
+      instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      failure: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Opened");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("instance", TType::String, 1))?;
+    o_prot.write_string(&self.instance)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("failure", TType::String, 2))?;
+    o_prot.write_string(&self.failure)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Done
 //
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod message;
 mod secret;
 mod server;
+pub mod tunnel;
 
 pub use link::{Error, Link};
 pub use secret::Secret;
--- /dev/null
+++ b/crates/peer/src/tunnel.rs
@@ -0,0 +1,119 @@
+//! Connections to upstreams that a peer carries over its own links.
+//!
+//! The question and its answer are each a length of two bytes and a Thrift struct in the compact protocol.
+//! After an answer that the connection is open, its bytes follow.
+
+use crate::message::{Opened, Tunnel};
+use std::io;
+use std::time::Duration;
+use thrift::TConfiguration;
+use thrift::protocol::{TCompactInputProtocol, TCompactOutputProtocol, TSerializable};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Largest length of a message.
+const MAX_BYTES: usize = 1024;
+/// Size of the buffer for one direction of a connection.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// The failure of an upstream that refused the connection.
+pub const REFUSED: &str = "refused";
+
+/// Error of a message.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection failed.
+    #[error("connection: {0}")]
+    Connection(#[from] io::Error),
+    /// The bytes are not a message.
+    #[error("thrift: {0}")]
+    Payload(#[from] thrift::Error),
+    /// The message is longer than allowed.
+    #[error("{0} bytes are too long for a message")]
+    Length(usize),
+}
+
+/// Asks a peer for a connection to an upstream, and returns its answer.
+///
+/// # Errors
+///
+/// The peer can't be reached, or its answer can't be read.
+pub async fn open(stream: &mut TcpStream, tunnel: &Tunnel) -> Result<Opened, Error> {
+    write(stream, tunnel).await?;
+    read(stream).await
+}
+
+/// Reads a message.
+///
+/// # Errors
+///
+/// The connection fails, or the bytes are not a message.
+pub async fn read<M: TSerializable>(stream: &mut TcpStream) -> Result<M, Error> {
+    let length = usize::from(stream.read_u16().await?);
+    if length > MAX_BYTES {
+        return Err(Error::Length(length));
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).await?;
+    let limits = TConfiguration::builder()
+        .max_string_size(Some(length))
+        .build()?;
+    let mut protocol = TCompactInputProtocol::with_config(&bytes[..], limits);
+    Ok(M::read_from_in_protocol(&mut protocol)?)
+}
+
+/// Writes a message.
+///
+/// # Errors
+///
+/// The connection fails, or the message is too long.
+pub async fn write(stream: &mut TcpStream, message: &impl TSerializable) -> Result<(), Error> {
+    let mut bytes = vec![0; 2];
+    let mut protocol = TCompactOutputProtocol::new(&mut bytes);
+    message.write_to_out_protocol(&mut protocol)?;
+    let length = bytes.len() - 2;
+    let prefix = u16::try_from(length).ok();
+    let prefix = prefix.filter(|_| length <= MAX_BYTES);
+    let prefix = prefix.ok_or(Error::Length(length))?;
+    bytes[..2].copy_from_slice(&prefix.to_be_bytes());
+    stream.write_all(&bytes).await?;
+    Ok(())
+}
+
+/// Carries the bytes of a connection between a peer and an upstream until one of them closes it.
+///
+/// If the peer closes its side, so is the upstream's at once, as the caller has left. If the upstream's side
+/// is reset, the peer's is reset too: an answer whose end is the end of its connection must not look
+/// complete.
+pub async fn carry(mut peer: TcpStream, mut upstream: TcpStream) {
+    let is_whole = {
+        let (mut from_peer, mut to_peer) = peer.split();
+        let (mut from_upstream, mut to_upstream) = upstream.split();
+        tokio::select! {
+            _ = copy(&mut from_peer, &mut to_upstream) => false,
+            copied = copy(&mut from_upstream, &mut to_peer) => copied.is_ok(),
+        }
+    };
+    if !is_whole {
+        let _ = peer.set_zero_linger();
+        return;
+    }
+    let _ = peer.shutdown().await;
+}
+
+async fn copy(
+    from: &mut (impl AsyncReadExt + Unpin),
+    to: &mut (impl AsyncWriteExt + Unpin),
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let length = from.read(&mut buffer).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        to.write_all(&buffer[..length]).await?;
+    }
+}
+
+/// Time that a peer gets to send its question.
+pub const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -27,6 +27,7 @@
             None,
         )]),
         request_rebuttals: Some(vec![Rebuttal::new(10, 1)]),
+        cut_off: Some(true),
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod load;
 pub mod membership;
+pub mod path;
 mod peer_loads;
 pub mod pool;
 pub mod query;
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -160,6 +160,12 @@
             .chain(std::iter::once(&self.own))
     }
 
+    /// Returns the live peers.
+    pub fn live_peers(&self, now: Moment) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.iter();
+        peers.filter(move |peer| now.since(peer.last_seen) < LIVENESS_TIMEOUT)
+    }
+
     /// Returns a random sample of at most `count` live peers, to be mentioned to other peers.
     pub fn sample(&self, count: usize, now: Moment, random: &mut impl Rng) -> Vec<&Peer> {
         let live = self.peers.iter();
--- a/crates/server/src/assembly.rs
+++ b/crates/server/src/assembly.rs
@@ -128,7 +128,7 @@
         verdicts: Vec::new(),
         braked: Vec::new(),
     });
-    let observed = (clock, recorder, metric);
+    let observed = (clock, recorder, Arc::new(metric));
     let in_force = configuration.in_force.clone();
     let core = Core::new(observed, in_force, decider, bounds(&settings).slack);
     let context = Arc::new(Context {
--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -29,7 +29,7 @@
     /// Recorder of the event log.
     pub recorder: Recorder,
     /// Counters and timers.
-    pub metric: Metrics,
+    pub metric: Arc<Metrics>,
     /// Set when the instance is shutting down.
     pub draining: AtomicBool,
     /// Set when no new request is accepted any more.
@@ -39,7 +39,7 @@
 impl Core {
     /// Creates the state, with the clock, the recorder and the metrics in `observed`.
     pub fn new(
-        observed: (Clock, Recorder, Metrics),
+        observed: (Clock, Recorder, Arc<Metrics>),
         in_force: watch::Receiver<Option<Arc<Snapshot>>>,
         decider: decider::Handle,
         slack: Span,
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -6,6 +6,7 @@
 use crate::forward::holds::Holds;
 use crate::forward::key_validity::boot_time;
 use crate::forward::notices::Notices;
+use crate::forward::paths::Paths;
 use crate::forward::run::{Run, timeline_id};
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
@@ -37,6 +38,8 @@
     pub notices: Notices,
     /// Which requests must not be sent.
     pub holds: Holds,
+    /// Ways to upstreams.
+    pub paths: Arc<Paths>,
     /// Connections to upstreams.
     pub pool: Pool,
     /// How a model is chosen for requests that leave the choice to the router.
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -9,7 +9,8 @@
 use crate::forward::front::{Cascade, Front, Shared};
 use crate::forward::holds::Holds;
 use crate::forward::notices::Notices;
-use crate::forward::{peers, probe};
+use crate::forward::paths::{PathDialer, Paths};
+use crate::forward::{peers, probe, tunnels};
 use anyhow::{Context as _, Result};
 use arc_swap::ArcSwap;
 use caller::forward::{Server, Shutdown};
@@ -96,10 +97,14 @@
         let stopping = CancellationToken::new();
         let recorder = Recorder::open(&settings.name, Sink::Stdout).context("event log")?;
         let metric = Metrics::open(&settings.name, None).context("metrics")?;
+        let metric = Arc::new(metric);
         let clock = Clock::start();
         let (in_force, watched) = watch::channel(None);
         let decider = spawn_decider(&settings, clock, &stopping);
         let observed = (clock, recorder, metric);
+        let own = settings.name.clone();
+        let paths = Arc::new(Paths::new(own, dialer, observed.clone()));
+        let dialer = Arc::new(PathDialer(paths.clone()));
         let core = Core::new(observed, watched, decider, Bounds::default().slack);
         let shared = Arc::new(Shared {
             core,
@@ -110,6 +115,7 @@
             ),
             notices: Notices::default(),
             holds: Holds::default(),
+            paths,
             pool: upstream::forward::Pool::new(dialect.clone(), dialer),
             cascade: match settings.cascade {
                 None => Cascade::Largest,
@@ -134,12 +140,19 @@
             shared: shared.clone(),
             own: settings.name.clone(),
             zone: settings.zone.clone(),
+            regions: ZoneRegions {
+                zones: settings.zones.clone(),
+            },
             address: settings.peer_address,
             feed,
         };
         peers::bind(parts, source, stopping.clone())
             .await
             .with_context(|| format!("fellow address {}", settings.peer_address))?;
+        let address = settings.peer_address;
+        tunnels::bind(address, shared.clone(), stopping.clone())
+            .await
+            .with_context(|| format!("fellow address {address}"))?;
         let shutdown = Shutdown {
             leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -12,12 +12,14 @@
 mod instance;
 mod key_validity;
 mod notices;
+mod paths;
 mod payload;
 mod peers;
 mod probe;
 mod relay;
 mod run;
 mod trial_log;
+mod tunnels;
 
 pub use instance::{Addresses, Instance};
 pub use run::timeline_id;
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -10,6 +10,7 @@
 use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::front::Shared;
 use crate::forward::key_validity::boot_time;
+use crate::forward::paths::Carrier;
 use crate::forward::payload::{
     decode_departure, decode_era, decode_limit, decode_load, decode_news, decode_peer,
     decode_trial, decode_update, encode_departure, encode_limit, encode_load, encode_peer,
@@ -18,11 +19,11 @@
 use crate::forward::trial_log;
 use crate::rendezvous;
 use entity::{Era, Moment, Span, name};
-use forward::Source;
 use forward::catalog::{Entry, Instance};
 use forward::clocks::{Clocks, Run, Stamp};
 use forward::source::Topic;
 use forward::updates::AnnouncedRecord;
+use forward::{Source, ZoneRegions};
 use peer::beacon::{self, Datagram, Socket};
 use peer::message::{self, Beacon};
 use quality::release::Report;
@@ -66,6 +67,8 @@
     pub own: name::Instance,
     /// Availability zone of this instance.
     pub zone: name::Zone,
+    /// All availability zones with their regions.
+    pub regions: ZoneRegions,
     /// Address on which it receives beacons.
     pub address: SocketAddr,
     /// Applies records that peers relay.
@@ -92,6 +95,8 @@
     version: u64,
     /// This run of the process, as its messages name it.
     run: Run,
+    /// Peers that say that their links to upstreams are cut, sorted.
+    cut_off: Vec<name::Instance>,
     /// Clocks of the peers, in relation to the boot time here.
     clocks: Clocks,
     /// Era of the store in which this instance wrote its entry.
@@ -118,6 +123,7 @@
         trials: trial_log::Log::default(),
         version: 0,
         run: Run(rand::random()),
+        cut_off: Vec::new(),
         clocks: Clocks::default(),
         entry_era: Era::default(),
     };
@@ -248,6 +254,7 @@
                 last_seen: now,
             });
         }
+        self.record_cut_off(&name, beacon.cut_off.unwrap_or_default());
         for mentioned in beacon.acquaintances.iter().flatten() {
             if let Some(peer) = decode_peer(mentioned, now) {
                 self.peers.record_mention(peer);
@@ -349,6 +356,7 @@
     async fn run_round(&mut self, reports: &[Report]) {
         self.peers.begin_round(self.now());
         self.update_members().await;
+        self.update_carriers();
         let recorder = &self.parts.shared.core.recorder;
         self.trials.record(recorder, reports);
         self.renew_entry();
@@ -380,6 +388,7 @@
             limits: Some(self.limits().await),
             requests: Some(encode_suspects(&requests, own_now)),
             request_rebuttals: Some(encode_rebuttals(&requests.rebuttals, own_now)),
+            cut_off: Some(shared.paths.is_cut_off()),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
@@ -488,6 +497,37 @@
         }
     }
 
+    /// Informs the paths of the live peers in this region, which may carry connections.
+    fn update_carriers(&self) {
+        let regions = &self.parts.regions;
+        let own = regions.region(&self.parts.zone);
+        let mut carriers = Vec::new();
+        for peer in self.peers.live_peers(self.now()) {
+            let Some(zone) = &peer.zone else {
+                continue;
+            };
+            if regions.region(zone) != own {
+                continue;
+            }
+            carriers.push(Carrier {
+                name: peer.name.clone(),
+                address: peer.address,
+                is_near: *zone == self.parts.zone,
+                is_cut_off: self.cut_off.binary_search(&peer.name).is_ok(),
+            });
+        }
+        self.parts.shared.paths.set_carriers(carriers);
+    }
+
+    /// Records whether a peer says that its links to upstreams are cut.
+    fn record_cut_off(&mut self, peer: &name::Instance, is_cut_off: bool) {
+        match (self.cut_off.binary_search(peer), is_cut_off) {
+            (Err(index), true) => self.cut_off.insert(index, peer.clone()),
+            (Ok(index), false) => drop(self.cut_off.remove(index)),
+            _ => {}
+        }
+    }
+
     /// Informs the decider of the live instances, which share cold upstreams.
     async fn update_members(&mut self) {
         let now = self.now();
--- /dev/null
+++ b/crates/server/src/forward/tunnels.rs
@@ -0,0 +1,99 @@
+//! Carries connections to upstreams for peers whose own links are cut.
+
+use crate::forward::front::Shared;
+use peer::message::{Opened, Tunnel};
+use peer::tunnel;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use upstream::dial::set_options;
+
+/// Largest number of connections that are carried at once.
+const MAX_CARRIED: usize = 256;
+/// Delay after a failed accept, for instance when the process is out of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Binds the address and starts to take questions of peers.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub async fn bind(
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    cancel: CancellationToken,
+) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(async move {
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = accept(listener, shared) => {}
+        }
+    });
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let is_full = shared.paths.carried().load(Ordering::Relaxed) >= MAX_CARRIED;
+        if is_full || !shared.paths.is_peer(from) {
+            continue;
+        }
+        let task = serve(stream, shared.clone());
+        // A shutdown waits for what is carried as for own streams.
+        shared.core.streams.spawn(task);
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
+    let carried = shared.paths.carried();
+    carried.fetch_add(1, Ordering::Relaxed);
+    set_options(&stream);
+    if let Some(upstream) = answer(&mut stream, &shared).await {
+        tunnel::carry(stream, upstream).await;
+    }
+    carried.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// Answers the question of a peer. Returns the connection to the upstream if it is open.
+async fn answer(stream: &mut TcpStream, shared: &Shared) -> Option<TcpStream> {
+    let question = tunnel::read::<Tunnel>(stream);
+    let question = tokio::time::timeout(tunnel::QUESTION_TIMEOUT, question).await;
+    let question = question.ok()?.ok()?;
+    let opened = open(&question, shared).await;
+    let failure = match &opened {
+        Ok(_) => String::new(),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            tunnel::REFUSED.to_owned()
+        }
+        Err(error) => error.to_string(),
+    };
+    let own = shared.paths.own().to_string();
+    let answer = Opened::new(own, failure);
+    tunnel::write(stream, &answer).await.ok()?;
+    opened.ok()
+}
+
+/// Connects to an upstream in force for a peer.
+async fn open(question: &Tunnel, shared: &Shared) -> io::Result<TcpStream> {
+    if shared.core.is_draining() {
+        return Err(io::Error::other("this instance is being shut down"));
+    }
+    let address: SocketAddr = question.upstream.parse().map_err(io::Error::other)?;
+    let snapshot = shared.core.snapshot();
+    let upstreams = snapshot
+        .iter()
+        .flat_map(|snapshot| snapshot.config.upstreams.values());
+    if !upstreams.into_iter().any(|known| known.address == address) {
+        return Err(io::Error::other("no upstream has this address"));
+    }
+    shared.paths.dial_for_peer(address).await
+}
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -121,6 +121,8 @@
     Tried = "tried",
     /// A part of prompts is held back, or isn't any more.
     Quarantined = "quarantined",
+    /// The own link to an upstream is cut, or is back.
+    Path = "path",
     /// Events were dropped because the queue was full.
     Dropped = "dropped",
 }
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -61,6 +61,10 @@
     HeldParts = "held_parts",
     /// Requests that were held back with all their repeats because they end upstreams.
     HeldRequests = "held_requests",
+    /// Connections to upstreams that a peer carries.
+    PeerConnections = "peer_connections",
+    /// Connections to upstreams that peers asked for.
+    CarriedConnections = "carried_connections",
     /// Answers that were discarded.
     Discards = "discards",
     /// Claims on idempotency keys.
