--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -13,6 +13,8 @@
 
 /// Largest length of a message.
 const MAX_BYTES: usize = 1024;
+/// Time that a peer gets to send its question.
+pub const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of the buffer for one direction of a connection.
 const BUFFER_BYTES: usize = 8 << 10;
 
@@ -116,6 +118,3 @@
         to.write_all(&buffer[..length]).await?;
     }
 }
-
-/// Time that a peer gets to send its question.
-pub const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/server/src/forward/paths.rs
+++ b/crates/server/src/forward/paths.rs
@@ -129,7 +129,7 @@
         &self.carried
     }
 
-    /// Connects to an upstream over the own link, for a request of this instance or of a peer.
+    /// Connects to an upstream over the own link, for a peer.
     ///
     /// # Errors
     ///
@@ -196,7 +196,8 @@
         }
     }
 
-    /// Asks a peer for a connection. The outer error is that of the peer.
+    /// Asks a peer for a connection. The inner error is that of the upstream, as the peer saw it; the outer
+    /// one says that the peer couldn't try.
     async fn ask(
         &self,
         carrier: &Carrier,
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -498,7 +498,7 @@
     }
 
     /// Informs the paths of the live peers in this region, which may carry connections.
-    fn update_carriers(&self) {
+    fn update_carriers(&mut self) {
         let regions = &self.parts.regions;
         let own = regions.region(&self.parts.zone);
         let mut carriers = Vec::new();
@@ -516,6 +516,8 @@
                 is_cut_off: self.cut_off.binary_search(&peer.name).is_ok(),
             });
         }
+        let is_live = |name: &name::Instance| carriers.iter().any(|one| one.name == *name);
+        self.cut_off.retain(is_live);
         self.parts.shared.paths.set_carriers(carriers);
     }
 
