--- a/tests/forward_soak/system.rs
+++ b/tests/forward_soak/system.rs
@@ -11,6 +11,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 const INSTANCES: usize = 3;
@@ -47,9 +48,21 @@
     tcp.local_addr().unwrap().port()
 }
 
-fn free_udp_port() -> u16 {
-    let udp = UdpSocket::bind("127.0.0.1:0").unwrap();
-    udp.local_addr().unwrap().port()
+/// Returns a port that is free for datagrams and for connections. It is below the ports that the system gives to
+/// outgoing connections, so that it is still free when an instance starts again.
+fn free_internal_port() -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(64);
+    for _ in 0..1000 {
+        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = 28_000 + (number % 4_000) as u16;
+        let datagrams = UdpSocket::bind(("127.0.0.1", port));
+        let connections = TcpListener::bind(("127.0.0.1", port));
+        if datagrams.is_ok() && connections.is_ok() {
+            return port;
+        }
+    }
+    panic!("no port is free");
 }
 
 /// Returns a configuration, with or without the key `passing`.
@@ -112,7 +125,7 @@
 
     fn start_instance(&mut self, index: usize, store: SocketAddr) {
         let caller: SocketAddr = ([127, 0, 0, 1], free_port()).into();
-        let internal = free_udp_port();
+        let internal = free_internal_port();
         let text = format!(
             "nodeName = \"front-{index}\"\nzone = \"a\"\nip = \"127.0.0.1\"\n\
              internalPorts = [{internal},{internal}]\nheartbeatMs = 1200\n[zones]\na = \"r\"\n\
