--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -241,11 +241,13 @@
     /// back. Returns whether one of them is suspected, so that the answer is evidence and must be read.
     pub fn record_dispatch(&mut self, parts: &[Part], now: Moment) -> bool {
         let mut is_suspected = false;
-        for (part, suspect) in &mut self.suspects {
-            if !parts.contains(part) {
+        work::count(parts.len());
+        for &part in parts {
+            let Some(index) = self.position(part) else {
                 continue;
-            }
+            };
             is_suspected = true;
+            let suspect = &mut self.suspects[index].1;
             if suspect.evidence.is_enough() {
                 suspect.probed_at = Some(now);
             }
@@ -256,10 +258,7 @@
     /// Records a probe that a peer told. Each time that it is told on, its time seems a little later, so
     /// that one soon after a known probe is the same.
     pub fn receive_probe(&mut self, probe: Probe) {
-        let found = self
-            .suspects
-            .binary_search_by_key(&probe.part, |(known, _)| *known);
-        let Ok(index) = found else {
+        let Some(index) = self.position(probe.part) else {
             return;
         };
         let known = &mut self.suspects[index].1.probed_at;
@@ -314,11 +313,15 @@
         news.map(|(rebuttal, _)| *rebuttal).take(MAX_TOLD).collect()
     }
 
-    fn suspect(&self, part: Part) -> Option<&Suspect> {
-        let index = self
+    fn position(&self, part: Part) -> Option<usize> {
+        let found = self
             .suspects
             .binary_search_by_key(&part, |(known, _)| *known);
-        index.ok().map(|index| &self.suspects[index].1)
+        found.ok()
+    }
+
+    fn suspect(&self, part: Part) -> Option<&Suspect> {
+        self.position(part).map(|index| &self.suspects[index].1)
     }
 
     /// Returns whether there is enough evidence against a part of a prompt, some of which no held part
@@ -380,10 +383,7 @@
         }
         let known = sorted::entry(&mut self.sound, &part, || at);
         *known = (*known).max(at);
-        let found = self
-            .suspects
-            .binary_search_by_key(&part, |(known, _)| *known);
-        let Ok(index) = found else {
+        let Some(index) = self.position(part) else {
             return false;
         };
         let evidence = &mut self.suspects[index].1.evidence;
--- a/crates/quarantine/tests/evidence.rs
+++ b/crates/quarantine/tests/evidence.rs
@@ -349,3 +349,16 @@
     peer.receive_rebuttal(Rebuttal { part, at: late }, late);
     expect_that!(peer.find(&[BAD], late), none());
 }
+
+/// Each dispatch looked at all suspects, of which there are many after the end of an upstream.
+#[gtest]
+fn steps_of_a_dispatch_do_not_grow_with_the_suspects() {
+    let mut quarantine = Quarantine::new(Policy::REQUESTS);
+    for number in 0..500 {
+        quarantine.record_end(Part(number), Victim(1), RUNNING, at(0));
+    }
+    let dispatch = || quarantine.record_dispatch(&[Part(77)], at(1));
+    let (is_suspected, steps) = entity::work::measure(dispatch);
+    expect_true!(is_suspected);
+    expect_that!(steps, eq(1));
+}
