Keep the policy of a suspect in one place

Each suspect had a copy of the policy, and its evidence one of a field of it. The evidence has the policy and gives the end of the hold, which is all that the suspect needed it for.

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,10 +1,15 @@
 //! Evidence against one part.
 
 use crate::part::Part;
+use crate::policy::Policy;
 use entity::{Moment, Span};
 
 /// Largest number of victims that are kept for one part.
 const MAX_VICTIMS: usize = 16;
+/// Factor by which each probe that ends an upstream lengthens the hold time.
+const HOLD_FACTOR: u32 = 3;
+/// Largest number of times that the hold time is lengthened.
+const MAX_LENGTHENINGS: u32 = 5;
 /// Time after the head of an answer in which it only begins.
 const BEGINNING_TIME: Span = Span::from_millis(250);
 
@@ -116,18 +121,16 @@
 /// The crashes of one part.
 #[derive(Clone, Debug)]
 pub(crate) struct Evidence {
-    /// Time within which ends of upstreams count as one, as a common cause ends several at once. A
-    /// request that began after the first end has no cause in common with it.
-    common_cause_time: Span,
+    policy: Policy,
     /// Sorted by victim.
     crashes: Vec<Crash>,
 }
 
 impl Evidence {
     /// Creates evidence without crashes.
-    pub fn new(common_cause_time: Span) -> Self {
+    pub fn new(policy: Policy) -> Self {
         Self {
-            common_cause_time,
+            policy,
             crashes: Vec::new(),
         }
     }
@@ -179,8 +182,19 @@
         self.crashes.iter().map(|crash| crash.at).max()
     }
 
+    /// Returns the end of the time for which a part with this evidence, which was probed last at
+    /// `probed_at`, is held back everywhere. A probe counts as a crash until it is answered, as the instance
+    /// that sent it may have ended before it told of the crash.
+    pub fn hold_end(&self, probed_at: Option<Moment>) -> Moment {
+        let hold_time = self.policy.hold_time;
+        let last = self.last().max(probed_at).unwrap_or_default();
+        let count = self.pause_count(hold_time, probed_at);
+        let factor = HOLD_FACTOR.pow(count.min(MAX_LENGTHENINGS));
+        last + hold_time.scaled(f64::from(factor))
+    }
+
     /// Returns how often neither a crash nor a probe was known for a time that long.
-    pub fn pause_count(&self, pause: Span, probed_at: Option<Moment>) -> u32 {
+    fn pause_count(&self, pause: Span, probed_at: Option<Moment>) -> u32 {
         let crashes = self.crashes.iter().map(|crash| crash.at);
         let mut times: Vec<Moment> = crashes.chain(probed_at).collect();
         times.sort_unstable();
@@ -208,7 +222,7 @@
         for crash in crashes {
             let is_apart = |since: Moment| {
                 let begun = crash.at - crash.since_begun;
-                begun > since || crash.at.since(since) >= self.common_cause_time
+                begun > since || crash.at.since(since) >= self.policy.common_cause_time
             };
             if since.is_none_or(is_apart) {
                 sum += heaviest;
--- a/crates/quarantine/src/policy.rs
+++ b/crates/quarantine/src/policy.rs
@@ -10,7 +10,8 @@
     pub(crate) max_suspects: usize,
     /// Time after the last crash for which a part is first held back everywhere.
     pub(crate) hold_time: Span,
-    /// Time within which ends of upstreams count as one.
+    /// Time within which ends of upstreams count as one, as a common cause ends several at once. A request
+    /// that began after the first end has no cause in common with it.
     pub(crate) common_cause_time: Span,
     /// Which held parts explain the end of an upstream.
     explanation: Explanation,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -11,10 +11,6 @@
 const SOUND_TTL: Span = Span::from_secs(10);
 /// Time after the last crash for which evidence that is not enough is kept.
 const SUSPICION_TTL: Span = Span::from_secs(600);
-/// Factor by which each probe that ends an upstream lengthens the hold time.
-const HOLD_FACTOR: u32 = 3;
-/// Largest number of times that the hold time is lengthened.
-const MAX_LENGTHENINGS: u32 = 5;
 /// Time after which twice as many instances may probe a part as before.
 const PROBE_STAGGER: Span = Span::from_secs(5);
 /// Time for which a probe is told, and within which a probe that is told is the one that is known.
@@ -51,27 +47,20 @@
     changed_at: Moment,
     /// When an instance last sent a request with the part although it was held.
     probed_at: Option<Moment>,
-    policy: Policy,
 }
 
 impl Suspect {
     fn new(policy: Policy, now: Moment) -> Self {
         Self {
-            evidence: Evidence::new(policy.common_cause_time),
+            evidence: Evidence::new(policy),
             changed_at: now,
             probed_at: None,
-            policy,
         }
     }
 
-    /// Returns the end of the time for which the part is held back everywhere. A probe counts as a crash
-    /// until it is answered, as the instance that sent it may have ended before it told of the crash.
+    /// Returns the end of the time for which the part is held back everywhere.
     fn hold_end(&self) -> Moment {
-        let hold_time = self.policy.hold_time;
-        let last = self.evidence.last().max(self.probed_at).unwrap_or_default();
-        let count = self.evidence.pause_count(hold_time, self.probed_at);
-        let factor = HOLD_FACTOR.pow(count.min(MAX_LENGTHENINGS));
-        last + hold_time.scaled(f64::from(factor))
+        self.evidence.hold_end(self.probed_at)
     }
 
     /// Returns when the part is forgotten.
