Share the news of instances between the two explorations of the quarantine

The exploration of requests had copied from that of parts how news are told with ages and delivered, and the number of seeds. Both use one module now.

--- a/crates/quarantine/tests/exploration.rs
+++ b/crates/quarantine/tests/exploration.rs
@@ -3,19 +3,14 @@
 //! Messages are lost, late and repeated; instances restart, freeze and join; upstreams also end for
 //! other reasons. Each guard taken out is caught by a seed. `QUARANTINE_SEEDS=500` explores more.
 
+mod support;
 #[path = "exploration/world.rs"]
 mod world;
 
 use googletest::prelude::*;
+use support::{DEFAULT_SEED_COUNT, seed_count};
 use world::{Mutation, World};
 
-const DEFAULT_SEED_COUNT: u64 = 40;
-
-fn seed_count() -> u64 {
-    let count = std::env::var("QUARANTINE_SEEDS");
-    count.map_or(DEFAULT_SEED_COUNT, |text| text.parse().expect("a number"))
-}
-
 /// Bad parts went from one upstream to the next, and sound prompts were refused along with them.
 #[gtest]
 fn bad_parts_stop_and_sound_prompts_go_on() {
--- a/crates/quarantine/tests/exploration/world.rs
+++ b/crates/quarantine/tests/exploration/world.rs
@@ -1,8 +1,9 @@
 //! Callers with sound and bad prompts, instances that exchange evidence, and upstreams that bad
 //! prompts end.
 
+use crate::support::News;
 use entity::{Moment, Span};
-use quarantine::{Crash, Part, Policy, Probe, Quarantine, Rebuttal, SOUND_TIME, Victim};
+use quarantine::{Part, Policy, Quarantine, SOUND_TIME, Victim};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -86,9 +87,7 @@
 struct Message {
     to: usize,
     at: Moment,
-    crashes: Vec<(Crash, Span)>,
-    rebuttals: Vec<(Rebuttal, Span)>,
-    probes: Vec<(Probe, Span)>,
+    news: News,
 }
 
 #[derive(Default)]
@@ -419,15 +418,7 @@
             let instance = &mut self.instances[index];
             instance.quarantine.set_rank(Some(rank));
             let now = self.now + instance.offset;
-            let crashes = instance.quarantine.crashes(now);
-            let crashes = crashes.into_iter().map(|told| (told, now.since(told.at)));
-            let crashes: Vec<_> = crashes.collect();
-            let rebuttals = instance.quarantine.rebuttals(now);
-            let rebuttals = rebuttals.into_iter().map(|told| (told, now.since(told.at)));
-            let rebuttals: Vec<_> = rebuttals.collect();
-            let probes = instance.quarantine.probes(now);
-            let probes = probes.into_iter().map(|told| (told, now.since(told.at)));
-            let probes: Vec<_> = probes.collect();
+            let news = News::of(&instance.quarantine, now);
             for _ in 0..2 {
                 let to = self.random.random_range(0..INSTANCE_COUNT);
                 let copies = if self.chance(0.1) { 2 } else { 1 };
@@ -436,13 +427,8 @@
                         continue;
                     }
                     let at = self.now + self.millis(1, 400);
-                    self.messages.push(Message {
-                        to,
-                        at,
-                        crashes: crashes.clone(),
-                        rebuttals: rebuttals.clone(),
-                        probes: probes.clone(),
-                    });
+                    let news = news.clone();
+                    self.messages.push(Message { to, at, news });
                 }
             }
         }
@@ -460,24 +446,7 @@
             }
             let instance = &mut self.instances[message.to];
             let now = self.now + instance.offset;
-            for (rebuttal, age) in message.rebuttals {
-                let at = now - age;
-                let told = Rebuttal { at, ..rebuttal };
-                instance.quarantine.receive_rebuttal(told, now);
-            }
-            let told = message.crashes.into_iter().map(|(crash, age)| Crash {
-                at: now - age,
-                ..crash
-            });
-            let told: Vec<Crash> = told.collect();
-            instance.quarantine.receive_crashes(&told, now);
-            for (probe, age) in message.probes {
-                let told = Probe {
-                    at: now - age,
-                    ..probe
-                };
-                instance.quarantine.receive_probe(told);
-            }
+            message.news.deliver(&mut instance.quarantine, now);
         }
     }
 }
--- a/crates/quarantine/tests/repeats.rs
+++ b/crates/quarantine/tests/repeats.rs
@@ -4,19 +4,14 @@
 //! and repeated; instances restart, freeze and join; upstreams also end for other reasons. Each guard taken
 //! out is caught by a seed. `QUARANTINE_SEEDS=500` explores more.
 
+mod support;
 #[path = "repeats/world.rs"]
 mod world;
 
 use googletest::prelude::*;
+use support::{DEFAULT_SEED_COUNT, seed_count};
 use world::{Mutation, World};
 
-const DEFAULT_SEED_COUNT: u64 = 40;
-
-fn seed_count() -> u64 {
-    let count = std::env::var("QUARANTINE_SEEDS");
-    count.map_or(DEFAULT_SEED_COUNT, |text| text.parse().expect("a number"))
-}
-
 /// A plain request ended one upstream after the other whenever it came again.
 #[gtest]
 fn deadly_requests_stop_and_sound_ones_go_on() {
--- a/crates/quarantine/tests/repeats/world.rs
+++ b/crates/quarantine/tests/repeats/world.rs
@@ -1,7 +1,8 @@
 //! Callers whose requests come again, instances that exchange evidence, and upstreams that one request ends.
 
+use crate::support::News;
 use entity::{Moment, Span};
-use quarantine::{Crash, Part, Policy, Probe, Progress, Quarantine, Rebuttal, Victim};
+use quarantine::{Part, Policy, Progress, Quarantine, Victim};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -77,9 +78,7 @@
 struct Message {
     to: usize,
     at: Moment,
-    crashes: Vec<(Crash, Span)>,
-    rebuttals: Vec<(Rebuttal, Span)>,
-    probes: Vec<(Probe, Span)>,
+    news: News,
 }
 
 #[derive(Default)]
@@ -390,13 +389,7 @@
             let instance = &mut self.instances[index];
             instance.quarantine.set_rank(Some(rank));
             let now = self.now + instance.offset;
-            let quarantine = &instance.quarantine;
-            let crashes = quarantine.crashes(now).into_iter();
-            let crashes: Vec<_> = crashes.map(|told| (told, now.since(told.at))).collect();
-            let rebuttals = quarantine.rebuttals(now).into_iter();
-            let rebuttals: Vec<_> = rebuttals.map(|told| (told, now.since(told.at))).collect();
-            let probes = quarantine.probes(now).into_iter();
-            let probes: Vec<_> = probes.map(|told| (told, now.since(told.at))).collect();
+            let news = News::of(&instance.quarantine, now);
             for _ in 0..2 {
                 let to = self.random.random_range(0..INSTANCE_COUNT);
                 let copies = if self.chance(0.1) { 2 } else { 1 };
@@ -405,13 +398,8 @@
                         continue;
                     }
                     let at = self.now + self.millis(1, 400);
-                    self.messages.push(Message {
-                        to,
-                        at,
-                        crashes: crashes.clone(),
-                        rebuttals: rebuttals.clone(),
-                        probes: probes.clone(),
-                    });
+                    let news = news.clone();
+                    self.messages.push(Message { to, at, news });
                 }
             }
         }
@@ -428,22 +416,7 @@
             }
             let instance = &mut self.instances[message.to];
             let now = self.now + instance.offset;
-            let quarantine = &mut instance.quarantine;
-            for (rebuttal, age) in message.rebuttals {
-                let at = now - age;
-                quarantine.receive_rebuttal(Rebuttal { at, ..rebuttal }, now);
-            }
-            let told = message.crashes.into_iter();
-            let told = told.map(|(crash, age)| Crash {
-                at: now - age,
-                ..crash
-            });
-            let told: Vec<Crash> = told.collect();
-            quarantine.receive_crashes(&told, now);
-            for (probe, age) in message.probes {
-                let at = now - age;
-                quarantine.receive_probe(Probe { at, ..probe });
-            }
+            message.news.deliver(&mut instance.quarantine, now);
         }
     }
 }
