--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -216,15 +216,19 @@
         let run = self.run.clone();
         let pieces = self.pieces.clone();
         let resolved = run.resolve_again().await?;
-        if !run.try_repeat(&resolved).await {
-            return None;
-        }
         let mut dispatcher = run.dispatcher(&resolved, self.model.as_ref());
         dispatcher.last_event = self.last_event;
         let cancellation = CancellationToken::new();
         let mut job = run.job(&resolved, self.model.as_ref());
         job.cancellation = cancellation.clone();
         let core = &run.shared.core;
+        let delay = tries::retry_delay(core, &job, &self.history, true).await;
+        if !matches!(delay, Ok(Some(_))) {
+            let draft = core.recorder.event(Kind::Refused).request(run.id);
+            let why = "the stream broke off, and no repeat is left";
+            draft.text("why", why).record();
+            return None;
+        }
         // A caller that leaves cancels the tries instead of dropping them, so that they return
         // their choice to the decider.
         let watch = async {
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -112,8 +112,8 @@
             if !counted {
                 counted = true;
                 let payer = resolved.payer.as_ref();
-                let fingerprint = fingerprint::of(&self.arrival.request, payer);
-                self.fingerprint.get_or_init(|| fingerprint);
+                self.fingerprint
+                    .get_or_init(|| fingerprint::of(&self.arrival.request, payer));
                 let service = resolved.service_name().clone();
                 self.shared.core.decider.record_request(service).await;
             }
@@ -292,28 +292,6 @@
         })
     }
 
-    /// Takes a repeat of the request from the bound of its service. Returns whether there was one.
-    pub async fn try_repeat(&self, resolved: &Resolved) -> bool {
-        let core = &self.shared.core;
-        let service = resolved.service_name().clone();
-        // If the decider has ended, the instance is being shut down.
-        let is_allowed = core.decider.try_repeat(service, 0).await.unwrap_or(false);
-        let kind = if is_allowed {
-            Kind::Retried
-        } else {
-            Kind::Refused
-        };
-        let draft = core.recorder.event(kind).request(self.id);
-        if is_allowed {
-            core.metric.count(Counter::Retries);
-            draft.text("why", "the stream broke off").record();
-        } else {
-            let why = "the stream broke off, and no repeat is left";
-            draft.text("why", why).record();
-        }
-        is_allowed
-    }
-
     /// Returns the dispatcher of the request, without escalation and with no timeout before the
     /// deadline.
     pub fn dispatcher<'a>(
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -382,7 +382,11 @@
 
 /// Returns the delay before another try; none if no other try is allowed. A try that reached no
 /// upstream puts no load on any, and doesn't count against the budget.
-async fn retry_delay(
+///
+/// # Errors
+///
+/// The instance is shutting down.
+pub async fn retry_delay(
     core: &Core,
     job: &Job,
     history: &History,
