Drop what nobody reads of carried connections, and a second constant

Question and answer named their senders, which no one read; they go, before any release has them. The short wait for a link that may be cut stood in two packages and is the one of routing::path. Whether other links are cut is looked up only where it matters, and peers that are gone are found by binary search, as carriers come in the order of their names. No behaviour changes; the tests of peer, routing, tunnels and cut_links pass.

--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -288,17 +288,15 @@
 /** Asks the receiver for a connection to an upstream over its own links. If it is open, its bytes follow the
     answer, both ways. */
 struct Tunnel {
-  1: required string instance,
   /** Address of the upstream. */
-  2: required string upstream,
+  1: required string upstream,
 }
 
 /** The answer to it. */
 struct Opened {
-  1: required string instance,
   /** Why the connection is not open: `refused` if the upstream refused it, `silent` if it didn't answer, else why the receiver did not try; empty if
       it is open. */
-  2: required string failure,
+  1: required string failure,
 }
 
 struct Done {
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -3005,15 +3005,13 @@
 /// answer, both ways.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Tunnel {
-  pub instance: String,
   /// Address of the upstream.
   pub upstream: String,
 }
 
 impl Tunnel {
-  pub fn new(instance: String, upstream: String) -> Tunnel {
+  pub fn new(upstream: String) -> Tunnel {
     Tunnel {
-      instance,
       upstream,
     }
   }
@@ -3023,7 +3021,6 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Tunnel> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
-    let mut f_2: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3035,10 +3032,6 @@
           let val = i_prot.read_string()?;
           f_1 = Some(val);
         },
-        2 => {
-          let val = i_prot.read_string()?;
-          f_2 = Some(val);
-        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3046,21 +3039,16 @@
       i_prot.read_field_end()?;
     }
     i_prot.read_struct_end()?;
-    verify_required_field_exists("Tunnel.instance", &f_1)?;
-    verify_required_field_exists("Tunnel.upstream", &f_2)?;
+    verify_required_field_exists("Tunnel.upstream", &f_1)?;
     let ret = Tunnel {
-      instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
-      upstream: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
     let struct_ident = TStructIdentifier::new("Tunnel");
     o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("instance", TType::String, 1))?;
-    o_prot.write_string(&self.instance)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 2))?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
     o_prot.write_string(&self.upstream)?;
     o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
@@ -3075,16 +3063,14 @@
 /// The answer to it.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Opened {
-  pub instance: String,
   /// Why the connection is not open: `refused` if the upstream refused it, `silent` if it didn't answer, else why the receiver did not try; empty if
   /// it is open.
   pub failure: String,
 }
 
 impl Opened {
-  pub fn new(instance: String, failure: String) -> Opened {
+  pub fn new(failure: String) -> Opened {
     Opened {
-      instance,
       failure,
     }
   }
@@ -3094,7 +3080,6 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Opened> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
-    let mut f_2: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3106,10 +3091,6 @@
           let val = i_prot.read_string()?;
           f_1 = Some(val);
         },
-        2 => {
-          let val = i_prot.read_string()?;
-          f_2 = Some(val);
-        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3117,21 +3098,16 @@
       i_prot.read_field_end()?;
     }
     i_prot.read_struct_end()?;
-    verify_required_field_exists("Opened.instance", &f_1)?;
-    verify_required_field_exists("Opened.failure", &f_2)?;
+    verify_required_field_exists("Opened.failure", &f_1)?;
     let ret = Opened {
-      instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
-      failure: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      failure: f_1.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
     let struct_ident = TStructIdentifier::new("Opened");
     o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("instance", TType::String, 1))?;
-    o_prot.write_string(&self.instance)?;
-    o_prot.write_field_end()?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("failure", TType::String, 2))?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("failure", TType::String, 1))?;
     o_prot.write_string(&self.failure)?;
     o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
--- a/crates/peer/tests/tunnel.rs
+++ b/crates/peer/tests/tunnel.rs
@@ -65,8 +65,8 @@
 #[tokio::test]
 async fn question_and_answer_are_read() {
     let (mut asker, mut peer) = pair().await;
-    let question = Tunnel::new("front-1".to_owned(), "10.0.0.1:80".to_owned());
-    let answer = Opened::new("front-2".to_owned(), tunnel::REFUSED.to_owned());
+    let question = Tunnel::new("10.0.0.1:80".to_owned());
+    let answer = Opened::new(tunnel::REFUSED.to_owned());
     let answering = async {
         let read: Tunnel = tunnel::read(&mut peer).await.unwrap();
         tunnel::write(&mut peer, &answer).await.unwrap();
--- a/crates/routing/src/path.rs
+++ b/crates/routing/src/path.rs
@@ -8,8 +8,9 @@
 use entity::{Moment, Span, sorted, work};
 use std::net::SocketAddr;
 
-/// Longest wait for an own link while others are known to be cut.
-const SHORT_PATIENCE: Span = Span::from_millis(150);
+/// Longest wait for an own link that may be cut: while others are known to be, where no peer can try, and for
+/// a peer that asks.
+pub const SHORT_PATIENCE: Span = Span::from_millis(150);
 /// Interval at which a link that was cut is tried again.
 const PROBE_INTERVAL: Span = Span::from_secs(1);
 /// Time for which peers are not asked again for an upstream that they don't reach either.
@@ -79,12 +80,11 @@
     /// Returns how to connect to an upstream now.
     pub fn choose(&mut self, address: SocketAddr, now: Moment) -> Way {
         let is_cut_off = self.is_cut_off();
-        let has_cuts = self.has_cuts(now);
         let entry = self.entry(address, now);
         let is_down = now < entry.down_until;
         if !entry.is_cut && !is_cut_off {
             return Way::Own {
-                patience: has_cuts.then_some(SHORT_PATIENCE),
+                patience: self.has_cuts(now).then_some(SHORT_PATIENCE),
                 then_peer: !is_down,
             };
         }
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -102,8 +102,7 @@
         let (in_force, watched) = watch::channel(None);
         let decider = spawn_decider(&settings, clock, &stopping);
         let observed = (clock, recorder, metric);
-        let own = settings.name.clone();
-        let paths = Arc::new(Paths::new(own, dialer, observed.clone()));
+        let paths = Arc::new(Paths::new(dialer, observed.clone()));
         let dialer = Arc::new(PathDialer(paths.clone()));
         let core = Core::new(observed, watched, decider, Bounds::default().slack);
         let shared = Arc::new(Shared {
--- a/crates/server/src/forward/paths.rs
+++ b/crates/server/src/forward/paths.rs
@@ -5,7 +5,7 @@
 use peer::message::{Opened, Tunnel};
 use peer::tunnel;
 use rand::seq::IndexedRandom;
-use routing::path::{PeerResult, Way};
+use routing::path::{PeerResult, SHORT_PATIENCE, Way};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -24,10 +24,6 @@
 /// Time for which a peer that couldn't try is not asked again.
 const PEER_REST: Duration = Duration::from_secs(1);
 
-/// Longest wait for an own link that seems to be cut where no peer can try, and for one that a peer asks
-/// for. Upstreams of the region are a few milliseconds away.
-const PATIENCE: Span = Span::from_millis(150);
-
 /// Why no peer has connected to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 enum Failure {
@@ -63,7 +59,6 @@
 
 /// Links of this instance, and peers that carry connections where they are cut.
 pub struct Paths {
-    own: name::Instance,
     dialer: Arc<dyn Dialer>,
     clock: Clock,
     recorder: Recorder,
@@ -80,14 +75,9 @@
 
 impl Paths {
     /// Creates the paths of an instance that knows no peers yet.
-    pub fn new(
-        own: name::Instance,
-        dialer: Arc<dyn Dialer>,
-        observed: (Clock, Recorder, Arc<Metrics>),
-    ) -> Self {
+    pub fn new(dialer: Arc<dyn Dialer>, observed: (Clock, Recorder, Arc<Metrics>)) -> Self {
         let (clock, recorder, metric) = observed;
         Self {
-            own,
             dialer,
             clock,
             recorder,
@@ -115,11 +105,6 @@
         hosts.any(|host| host == address.ip())
     }
 
-    /// Returns the name of this instance.
-    pub fn own(&self) -> &name::Instance {
-        &self.own
-    }
-
     /// Connects to an upstream over the own link, for a peer.
     ///
     /// # Errors
@@ -130,7 +115,7 @@
             return Err(io::Error::other("the own link is cut"));
         }
         self.metric.count(Counter::CarriedConnections);
-        self.dial_own(address, Some(PATIENCE)).await
+        self.dial_own(address, Some(SHORT_PATIENCE)).await
     }
 
     async fn dial_own(&self, address: SocketAddr, patience: Option<Span>) -> io::Result<TcpStream> {
@@ -198,10 +183,10 @@
         let connect = tokio::time::timeout(PEER_CONNECT_TIMEOUT, connect).await;
         let mut stream = connect.map_err(io::Error::from)??;
         set_options(&stream);
-        let question = Tunnel::new(self.own.to_string(), address.to_string());
+        let question = Tunnel::new(address.to_string());
         let answer = tunnel::open(&mut stream, &question);
         let answer = tokio::time::timeout(PEER_ANSWER_TIMEOUT, answer).await;
-        let Opened { failure, .. } = answer.map_err(io::Error::from)??;
+        let Opened { failure } = answer.map_err(io::Error::from)??;
         match failure.as_str() {
             "" => Ok(Ok(stream)),
             tunnel::REFUSED => Ok(Err(Failure::Refused)),
@@ -266,7 +251,7 @@
                         tokio::spawn(async move { paths.dial_own(address, None).await.is_ok() });
                     }
                     match paths.dial_by_peer(address).await {
-                        Err(Failure::NoPeer) => paths.dial_own(address, Some(PATIENCE)).await,
+                        Err(Failure::NoPeer) => paths.dial_own(address, Some(SHORT_PATIENCE)).await,
                         dialed => Ok(dialed?),
                     }
                 }
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -516,8 +516,11 @@
                 is_cut_off: self.cut_off.binary_search(&peer.name).is_ok(),
             });
         }
-        let is_live = |name: &name::Instance| carriers.iter().any(|one| one.name == *name);
-        self.cut_off.retain(is_live);
+        // Peers come in the order of their names.
+        self.cut_off.retain(|name| {
+            let found = carriers.binary_search_by(|one| one.name.cmp(name));
+            found.is_ok()
+        });
         self.parts.shared.paths.set_carriers(carriers);
     }
 
--- a/crates/server/src/forward/tunnels.rs
+++ b/crates/server/src/forward/tunnels.rs
@@ -78,9 +78,7 @@
         Err(error) if error.kind() == io::ErrorKind::TimedOut => tunnel::SILENT.to_owned(),
         Err(error) => error.to_string(),
     };
-    let own = shared.paths.own().to_string();
-    let answer = Opened::new(own, failure);
-    tunnel::write(stream, &answer).await.ok()?;
+    tunnel::write(stream, &Opened::new(failure)).await.ok()?;
     opened.ok()
 }
 
