--- a/crates/peer/src/beacon.rs
+++ b/crates/peer/src/beacon.rs
@@ -5,13 +5,12 @@
 //! Datagrams carry no authentication tag, because the network between instances is private to the
 //! deployment, which provides no secret for one.
 
+use crate::compact;
 use crate::message::{Beacon, Clock};
 use std::io;
 use std::net::SocketAddr;
 use thrift::TConfiguration;
-use thrift::protocol::{
-    TCompactInputProtocol, TCompactOutputProtocol, TInputProtocol, TSerializable,
-};
+use thrift::protocol::{TCompactInputProtocol, TInputProtocol, TSerializable};
 use tokio::net::UdpSocket;
 
 /// Largest number of elements in a list of a message.
@@ -49,10 +48,7 @@
 ///
 /// Returns an error if the message can't be encoded; a well-formed one always can.
 pub fn encode(message: &impl TSerializable) -> Result<Vec<u8>, Error> {
-    let mut payload = Vec::new();
-    let mut protocol = TCompactOutputProtocol::new(&mut payload);
-    message.write_to_out_protocol(&mut protocol)?;
-    Ok(payload)
+    Ok(compact::encode(message)?)
 }
 
 /// Decodes the payload of a datagram.
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -1,12 +1,11 @@
 //! Frame codec. A frame consists of a big-endian length of four bytes, the authentication tag of the
 //! payload, and the payload.
 
+use crate::compact;
 use crate::message::Envelope;
 use crate::secret::{Secret, TAG_BYTES};
 use std::io;
-use thrift::protocol::{
-    TCompactInputProtocol, TCompactOutputProtocol, TInputProtocol, TSerializable, TType,
-};
+use thrift::protocol::{TCompactInputProtocol, TInputProtocol, TSerializable, TType};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// Largest payload: a configuration text of the largest size, with some margin.
@@ -43,10 +42,7 @@
 ///
 /// Returns an error if the envelope can't be encoded; a well-formed envelope always can.
 pub fn encode(envelope: &Envelope) -> Result<Vec<u8>, Error> {
-    let mut payload = Vec::new();
-    let mut protocol = TCompactOutputProtocol::new(&mut payload);
-    envelope.write_to_out_protocol(&mut protocol)?;
-    Ok(payload)
+    Ok(compact::encode(envelope)?)
 }
 
 /// Decodes an envelope from the payload of a frame.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 //! messages are sent over TCP, each in a length-prefixed, authenticated frame.
 
 pub mod beacon;
+mod compact;
 pub mod frame;
 mod link;
 #[allow(missing_docs, clippy::all, clippy::too_many_lines, clippy::uninlined_format_args)]
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -3,11 +3,12 @@
 //! The question and its answer are each a length of two bytes and a Thrift struct in the compact protocol.
 //! After an answer that the connection is open, its bytes follow.
 
+use crate::compact;
 use crate::message::{Opened, Tunnel};
 use std::io;
 use std::time::Duration;
 use thrift::TConfiguration;
-use thrift::protocol::{TCompactInputProtocol, TCompactOutputProtocol, TSerializable};
+use thrift::protocol::{TCompactInputProtocol, TSerializable};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -72,14 +73,13 @@
 ///
 /// The connection fails, or the message is too long.
 pub async fn write(stream: &mut TcpStream, message: &impl TSerializable) -> Result<(), Error> {
-    let mut bytes = vec![0; 2];
-    let mut protocol = TCompactOutputProtocol::new(&mut bytes);
-    message.write_to_out_protocol(&mut protocol)?;
-    let length = bytes.len() - 2;
+    let message = compact::encode(message)?;
+    let length = message.len();
     let prefix = u16::try_from(length).ok();
     let prefix = prefix.filter(|_| length <= MAX_BYTES);
     let prefix = prefix.ok_or(Error::Length(length))?;
-    bytes[..2].copy_from_slice(&prefix.to_be_bytes());
+    // One write, so that the message goes out in one packet.
+    let bytes = [&prefix.to_be_bytes()[..], &message].concat();
     stream.write_all(&bytes).await?;
     Ok(())
 }
