Keep the links in use when there is no room for another address

All that was known of links was forgotten when 1,024 addresses had been used within a minute, so that each cut link cost its wait again. The address that was used longest ago goes instead. The test failed before; routing's tests pass.

--- a/crates/routing/src/path.rs
+++ b/crates/routing/src/path.rs
@@ -152,14 +152,20 @@
         entries.any(|entry| entry.is_cut && now.since(entry.used_at) < RECENT_TIME)
     }
 
-    fn entry(&mut self, address: SocketAddr, now: Moment) -> &mut Entry {
-        if self.entries.len() >= MAX_ENTRIES {
-            self.entries
-                .retain(|(_, entry)| now.since(entry.used_at) < ENTRY_TTL);
-        }
-        if self.entries.len() >= MAX_ENTRIES {
-            self.entries.clear();
+    /// Drops the address that was used longest ago if there is no room for another one.
+    fn make_room(&mut self, address: SocketAddr) {
+        let found = self.entries.binary_search_by_key(&address, |(key, _)| *key);
+        if found.is_ok() || self.entries.len() < MAX_ENTRIES {
+            return;
         }
+        let entries = self.entries.iter().enumerate();
+        let oldest = entries.min_by_key(|(_, (_, entry))| entry.used_at);
+        let index = oldest.map(|(index, _)| index).unwrap_or_default();
+        self.entries.remove(index);
+    }
+
+    fn entry(&mut self, address: SocketAddr, now: Moment) -> &mut Entry {
+        self.make_room(address);
         let new = || Entry {
             used_at: now,
             fails: false,
--- a/crates/routing/tests/path.rs
+++ b/crates/routing/tests/path.rs
@@ -164,6 +164,20 @@
     }
 }
 
+/// When there was no room for another address, all that was known was forgotten, and each cut link cost its
+/// wait again.
+#[gtest]
+fn links_in_use_are_kept_when_others_come() {
+    let mut paths = Paths::default();
+    cut(&mut paths, 1, at(0));
+    for number in 1000..4000_u32 {
+        let (host, now) = (std::net::Ipv4Addr::from(number), at(u64::from(number)));
+        paths.choose(SocketAddr::from((host, 80)), now);
+        let way = paths.choose(upstream(1), now);
+        expect_that!(way, matches_pattern!(Way::Peer { .. }));
+    }
+}
+
 #[gtest]
 fn known_links_are_bounded() {
     let mut paths = Paths::default();
