Repeat a failed read soon where no peer confirms the state

Found by reading while looking for its cause, not shown to be it: an instance that is not a reader reads the store itself once its state is 1.3 to 1.5 s old, and waited 1.2 s after a read that failed, as the readers keep retrying for all. Where these are silent, one connection that the store had closed left the configuration in force for 2.7 s (bound 2 s). The first failure beyond the largest age is repeated after 50 ms now; later ones wait as before, so that an outage costs each instance one more call.

--- a/crates/forward/src/follow.rs
+++ b/crates/forward/src/follow.rs
@@ -13,6 +13,13 @@
 /// Time after an outage of the store during which entries may be missing only because of it.
 const RECOVERY_PERIOD: Span = Span::from_millis(1500);
 
+/// Delay after a failed read of an instance that is not a reader, while the readers keep retrying for
+/// all.
+const NON_READER_RETRY_DELAY: Span = Span::from_millis(1200);
+
+/// Delay after the first failed read of such an instance if its state is too old already.
+const OVERDUE_RETRY_DELAY: Span = Span::from_millis(50);
+
 /// Share of the bound at which a state is read anew that no peer confirms.
 const MAX_AGE_SHARE: f64 = 0.65;
 /// Longest random delay added to that age, so that not all instances read at once, and the largest
@@ -195,6 +202,17 @@
         self.answered = self.answered.max(Some(sent));
     }
 
+    /// Returns the delay after the first failed read, or a later one, of an instance that is not a
+    /// reader. Where no peer confirms the state either, the first failure leaves hardly any of the
+    /// bound, and is repeated soon.
+    pub fn retry_delay(&self, first: bool, now: Moment) -> Span {
+        let age = self.age(now);
+        if first && age.is_none_or(|age| age >= self.timing.max_age) {
+            return OVERDUE_RETRY_DELAY;
+        }
+        NON_READER_RETRY_DELAY
+    }
+
     /// Returns the time until the topic has to be read, after a read that was sent at `sent`.
     /// `jitter`, from 0 to 1, spreads the reads of instances that are not readers.
     pub fn read_delay(&self, reader: bool, sent: Moment, jitter: f64, now: Moment) -> Span {
--- a/crates/forward/tests/follow.rs
+++ b/crates/forward/tests/follow.rs
@@ -104,3 +104,35 @@
         );
     }
 }
+
+/// The readers are silent, so that each instance reads the store itself once its state has reached the
+/// largest age. If that read fails at once, another one has to follow within the bound: a connection
+/// that the store has just closed must not keep a new configuration from being in force in time.
+#[gtest]
+fn a_failed_read_is_repeated_within_the_bound_where_nobody_else_confirms() {
+    const BOUND: Span = Span::from_millis(2000);
+    let mut follow = Follow::new(Timing::for_operators(BOUND));
+    follow.record_read(START, START);
+    follow.confirm(START);
+    let due = follow.read_delay(false, START, 1.0, START);
+    follow.record_failure();
+    let retry = START + due + follow.retry_delay(true, START + due);
+    expect_that!(retry, lt(START + BOUND));
+}
+
+/// All instances share the calls that the store takes: those that the readers serve wait long between
+/// their own tries, and so do all while the store is away.
+#[gtest]
+fn repeated_failures_leave_the_store_to_the_readers() {
+    const BOUND: Span = Span::from_millis(2000);
+    let mut follow = Follow::new(Timing::for_operators(BOUND));
+    follow.confirm(START);
+    expect_that!(
+        follow.retry_delay(true, at(100)),
+        ge(Span::from_millis(1000))
+    );
+    expect_that!(
+        follow.retry_delay(false, at(5000)),
+        ge(Span::from_millis(1000))
+    );
+}
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -26,8 +26,6 @@
 const OPERATOR_LONG_POLL: Span = Span::from_millis(500);
 /// Time without an answer from which a read counts as failed for now. A slow store takes 200 ms.
 const SLOW_READ: Span = Span::from_millis(300);
-/// Delay after a failed read of an instance that is not a reader.
-const NON_READER_RETRY_DELAY: Duration = Duration::from_millis(1200);
 /// Shortest and longest delay after a failed read; it doubles with each failure.
 const RETRY_DELAY_RANGE: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(400));
@@ -204,12 +202,14 @@
                     continue;
                 }
                 Err(error) => {
-                    if !failing {
+                    let first = !failing;
+                    if first {
                         self.record_event(Kind::Outage, &error.to_string());
                     }
                     failing = true;
                     self.shared.freshness.record_failure(self.topic);
-                    self.back_off(delay, cursor.next().is_some()).await;
+                    let started = cursor.next().is_some();
+                    self.back_off(delay, started, first).await;
                     delay = (delay * 2).min(RETRY_DELAY_RANGE.1);
                     continue;
                 }
@@ -247,15 +247,16 @@
         }
     }
 
-    /// Waits after a failed read. An instance that is not a reader waits longer, since the readers
-    /// keep retrying for all.
-    async fn back_off(&self, delay: Duration, started: bool) {
+    /// Waits after a failed read. An instance that is not a reader waits longer while the readers keep
+    /// retrying for all.
+    async fn back_off(&self, delay: Duration, started: bool, first: bool) {
         let freshness = &self.shared.freshness;
         if freshness.is_reader() || !started {
             tokio::time::sleep(delay).await;
             return;
         }
-        tokio::time::sleep(NON_READER_RETRY_DELAY).await;
+        let delay = freshness.retry_delay(self.topic, first);
+        tokio::time::sleep(delay.duration()).await;
         self.wait_until_due(boot_time()).await;
     }
 
--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -145,6 +145,13 @@
         let _ = tokio::time::timeout(MAX_DISPATCH_WAIT, allowed).await;
     }
 
+    /// Returns the delay after the first failed read of a topic, or a later one, by an instance that
+    /// is not a reader.
+    pub fn retry_delay(&self, topic: Topic, first: bool) -> Span {
+        let follow = self.state(topic).follow();
+        follow.retry_delay(first, boot_time())
+    }
+
     /// Returns the time until a topic has to be read, after a read that was sent at `sent`. `jitter`
     /// is a random number from 0 to 1.
     pub fn read_delay(&self, topic: Topic, sent: Moment, jitter: f64, now: Moment) -> Span {
