Let no instance read the store all the time before the readers are known

Each instance took itself for a reader until its first round of beacons, so that 74 that started at once sent 216 reads more than the listings, and one that ceased to be a reader read both topics at once.

--- a/crates/server/src/forward/freshness.rs
+++ b/crates/server/src/forward/freshness.rs
@@ -57,7 +57,8 @@
 }
 
 impl Freshness {
-    /// Creates the state before the first read. Keys are valid for `ttl` after the last confirmed
+    /// Creates the state before the first read. The readers are chosen in the first round of beacons.
+    /// Keys are valid for `ttl` after the last confirmed
     /// read. A new configuration has to be in force within `apply`, and an upstream that leaves may
     /// receive requests for at most `drain`.
     pub fn new(ttl: Option<Span>, apply: Span, drain: Span) -> Self {
@@ -66,7 +67,7 @@
             operator: TopicState::new(Timing::for_operators(apply)),
             upstreams: TopicState::new(Timing::for_upstreams(drain)),
             updates: Mutex::default(),
-            reader: AtomicBool::new(true),
+            reader: AtomicBool::new(false),
         }
     }
 
@@ -172,7 +173,7 @@
     }
 
     /// Waits until the task that follows a topic is woken: peers with later reads report another
-    /// digest, or this instance has become a reader or ceased to be one.
+    /// digest, or this instance has become a reader.
     pub async fn wait_for_wake(&self, topic: Topic) {
         self.state(topic).wake.notified().await;
     }
@@ -188,9 +189,11 @@
         self.reader.load(Ordering::Relaxed)
     }
 
-    /// Sets whether this instance reads the store for its peers.
+    /// Sets whether this instance reads the store for its peers. One that ceases to do so reads when
+    /// its state is due.
     pub fn set_reader(&self, reader: bool) {
-        if self.reader.swap(reader, Ordering::Relaxed) != reader {
+        let was = self.reader.swap(reader, Ordering::Relaxed);
+        if reader && !was {
             self.operator.wake.notify_one();
             self.upstreams.wake.notify_one();
         }
