Send less to other zones where rounds are sampled

Beacons went whole to four peers drawn of all, and one of the three upstreams that are compared was drawn from all zones and taken whenever the scores were equal.

Two peers of other zones now get a beacon with the evidence of six incarnations instead of 24, none after the ruling, and two mentions of peers; records, rulings, leavings, limits, suspects and sessions stay whole. Three upstreams of the own zone are compared with the one drawn from all, and ties go to the own zone. Bytes to near and far peers are counted. Deployments of up to 16 peers send as before.

The mean work ahead is no more than with the draw before, for even and three uneven spreads of work.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -40,6 +40,10 @@
 /// instances share them.
 const RANDOM_PICK_COUNT: usize = 2;
 
+/// The same where the local zone has enough upstreams to pick from. The more of them are compared, the
+/// less often one in another zone has less work.
+const LOCAL_PICK_COUNT: usize = 3;
+
 /// Weight of the newest prompt in the moving average of prompt sizes.
 const PROMPT_SIZE_EWMA_WEIGHT: f64 = 0.01;
 
@@ -586,28 +590,31 @@
     ///
     /// All candidates are compared where few instances share the upstreams. Where many do, hardly
     /// any of an upstream's load comes from this instance, and all instances would choose the same
-    /// upstream. Then the comparison is limited to 3 candidates picked at random, 2 of them in the
-    /// local zone if it has enough, and to those with affinity to the prefix.
+    /// upstream. Then the comparison is limited to candidates picked at random, most of them in the
+    /// local zone if it has enough, and to those with affinity to the prefix. Of equal scores the one
+    /// in the local zone is taken, as traffic between zones is billed.
     fn best<'a>(&mut self, candidates: &'a [Candidate], sharers: usize) -> &'a Candidate {
         let count = candidates.len();
         let first = self.random.random_range(0..count);
         let local: Vec<usize> = (0..count).filter(|&one| candidates[one].is_local).collect();
         let mut picked = vec![first];
-        for _ in 0..RANDOM_PICK_COUNT {
-            picked.push(match local.len() {
-                0..MIN_LOCAL_UPSTREAMS => self.random.random_range(0..count),
-                enough => local[self.random.random_range(0..enough)],
-            });
+        if local.len() < MIN_LOCAL_UPSTREAMS {
+            picked.extend((0..RANDOM_PICK_COUNT).map(|_| self.random.random_range(0..count)));
+        } else {
+            let mut pick = |_| local[self.random.random_range(0..local.len())];
+            picked.extend((0..LOCAL_PICK_COUNT).map(&mut pick));
         }
+        let are_all_compared = sharers <= FULL_COMPARISON_MAX_SHARERS;
         let mut best = &candidates[first];
-        // Ties are resolved in favour of the first candidate after a random offset.
+        // Other ties are resolved in favour of the first candidate after a random offset.
         for offset in 0..count {
             let index = (first + offset) % count;
             let candidate = &candidates[index];
-            let compared = sharers <= FULL_COMPARISON_MAX_SHARERS
-                || candidate.has_affinity
-                || picked.contains(&index);
-            if compared && candidate.score < best.score {
+            let compared = are_all_compared || candidate.has_affinity || picked.contains(&index);
+            let is_nearer = !are_all_compared && candidate.is_local && !best.is_local;
+            let is_better = candidate.score < best.score
+                || is_nearer && candidate.score.total_cmp(&best.score).is_eq();
+            if compared && is_better {
                 best = candidate;
             }
         }
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -1,8 +1,8 @@
 //! Gossip membership: the peers that an instance knows, directly or through other peers.
 
 use entity::{Moment, Span, name};
-use rand::Rng;
 use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
 use std::net::SocketAddr;
 
 /// Time without a heartbeat after which a peer no longer counts as live. The capacity of cold
@@ -21,10 +21,10 @@
 const FULL_FANOUT_COUNT: usize = 16;
 /// Peers of the local zone that are sampled for each round; an update spreads within a zone in two
 /// rounds.
-const ZONE_FANOUT_COUNT: usize = 10;
-/// Peers of any zone that are sampled for each round, so that updates reach other zones; traffic
+const ZONE_FANOUT_COUNT: usize = 11;
+/// Peers of other zones that are sampled for each round, so that updates reach other zones; traffic
 /// between zones is billed.
-const GLOBAL_FANOUT_COUNT: usize = 4;
+const FAR_FANOUT_COUNT: usize = 2;
 
 /// Another instance, as this one sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +39,15 @@
     pub last_seen: Moment,
 }
 
+/// A peer to which a gossip round is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Target {
+    /// Address on which the peer receives beacons.
+    pub address: SocketAddr,
+    /// Whether the peer is known to be in another zone.
+    pub is_far: bool,
+}
+
 /// The peers of one instance, and those that announced their departure.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -175,27 +184,48 @@
         live.sample(random, count).copied().collect()
     }
 
-    /// Returns the addresses for one gossip round: all peers if there are few, otherwise a random
-    /// sample of the local zone and of all zones.
-    pub fn gossip_targets(&self, random: &mut impl Rng) -> Vec<SocketAddr> {
+    /// Returns the peers for one gossip round: all if there are few, otherwise a random sample of the
+    /// local zone and a smaller one of the other zones.
+    pub fn gossip_targets(&self, random: &mut impl Rng) -> Vec<Target> {
+        let target = |peer: &Peer| Target {
+            address: peer.address,
+            is_far: self.is_far(peer),
+        };
         if self.is_small() {
-            return self.peers.iter().map(|peer| peer.address).collect();
+            return self.peers.iter().map(target).collect();
+        }
+        let mut far: Vec<&Peer> = Vec::new();
+        let mut near: Vec<&Peer> = Vec::new();
+        for peer in &self.peers {
+            if self.is_far(peer) {
+                far.push(peer);
+            } else {
+                near.push(peer);
+            }
         }
-        let is_same_zone = |peer: &&Peer| peer.zone.as_ref().is_none_or(|zone| *zone == self.zone);
-        let same_zone: Vec<&Peer> = self.peers.iter().filter(is_same_zone).collect();
-        let mut chosen: Vec<SocketAddr> = Vec::new();
-        chosen.extend(
-            same_zone
-                .sample(random, ZONE_FANOUT_COUNT)
-                .map(|peer| peer.address),
-        );
-        chosen.extend(
-            self.peers
-                .sample(random, GLOBAL_FANOUT_COUNT)
-                .map(|peer| peer.address),
-        );
-        chosen.sort_unstable();
-        chosen.dedup();
+        let mut chosen: Vec<Target> = Vec::new();
+        let sampled = near.sample(random, ZONE_FANOUT_COUNT);
+        chosen.extend(sampled.map(|peer| target(peer)));
+        // The sort is stable, so that peers stay in the order of their names within a zone.
+        far.sort_by(|left, right| left.zone.cmp(&right.zone));
+        let sampled = systematic_sample(&far, FAR_FANOUT_COUNT, random);
+        chosen.extend(sampled.into_iter().map(|peer| target(peer)));
         chosen
     }
+
+    /// Returns whether a peer is known to be in another zone.
+    fn is_far(&self, peer: &Peer) -> bool {
+        peer.zone.as_ref().is_some_and(|zone| *zone != self.zone)
+    }
+}
+
+/// Returns a sample at equal distances from a random start, in which each item is equally likely and
+/// neighbours are not sampled together.
+fn systematic_sample<'a, T>(items: &'a [T], count: usize, random: &mut impl Rng) -> Vec<&'a T> {
+    if items.len() <= count {
+        return items.iter().collect();
+    }
+    let start = random.random_range(0..items.len());
+    let index = |number: usize| (start + number * items.len() / count) % items.len();
+    (0..count).map(|number| &items[index(number)]).collect()
 }
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -6,7 +6,10 @@
 use config::Registration;
 use entity::{Moment, Span, name};
 use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use routing::demand::{Demand, Work};
+use routing::score::Affinity;
 use routing::{Balancer, Choice, Members, Outcome, Query};
 
 /// Returns a balancer with engines that registered themselves, of which some are cold.
@@ -171,14 +174,35 @@
     balancer
 }
 
+/// Returns the number in the name of an engine.
+fn number(engine: &name::Upstream) -> usize {
+    engine.as_str()[7..].parse().unwrap()
+}
+
+/// Returns the numbers of the engines that a balancer chooses from.
+fn used_engines(balancer: &mut Balancer) -> Vec<usize> {
+    let mut excluded = Vec::new();
+    loop {
+        let query = Query {
+            excluded: &excluded,
+            ..query_for(short_prompt(), None)
+        };
+        let Ok(choice) = balancer.choose(&query, START) else {
+            return excluded.iter().map(number).collect();
+        };
+        let engine = choice.upstream.clone();
+        balancer.finish(choice, Outcome::Cancelled, START);
+        excluded.push(engine);
+    }
+}
+
 /// Makes `count` choices one after another and returns how many were in the local zone.
 fn count_local_choices(balancer: &mut Balancer, count: usize) -> usize {
     let mut local_count = 0;
     for _ in 0..count {
         let choice = choose(balancer, short_prompt());
         // Engines alternate between the two zones, starting with the local one.
-        let number: usize = choice.upstream.as_str()[7..].parse().unwrap();
-        local_count += usize::from(number.is_multiple_of(2));
+        local_count += usize::from(number(&choice.upstream).is_multiple_of(2));
         balancer.finish(choice, Outcome::Cancelled, START);
     }
     local_count
@@ -204,11 +228,86 @@
     let local_engines = (0..40).step_by(2).map(common::engine);
     let loads = local_engines.map(|name| (name, work)).collect();
     balancer.record_peer_loads(&"north-2".parse().unwrap(), loads, 1, START);
-    // 2 of the 3 compared engines are local, so half of the choices of the third one are in the
-    // other zone.
+    // One of the compared engines is picked from both zones, so half of the choices are in the other
+    // one.
     expect_that!(count_local_choices(&mut balancer, 400), lt(240));
 }
 
+/// Requests to other zones are billed, but no caller may wait longer for it: the mean work ahead is no
+/// more than with one engine picked of all and two of the local zone, however the work is spread.
+#[gtest]
+fn requests_that_stay_in_the_zone_wait_no_longer() {
+    type Spread = fn(usize) -> f64;
+    let spreads: [(&str, Spread); 4] = [
+        ("even", |_| 0.0),
+        ("every engine differs", |engine| {
+            (engine * 7919 % 40) as f64 * 60.0
+        }),
+        ("local zone busy", |engine| {
+            if engine.is_multiple_of(2) {
+                3000.0
+            } else {
+                0.0
+            }
+        }),
+        ("a few are busy", |engine| {
+            if engine % 5 == 0 { 6000.0 } else { 200.0 }
+        }),
+    ];
+    for (name, pending) in spreads {
+        let mut balancer = balancer_with_many_peers();
+        let used = used_engines(&mut balancer);
+        let local: Vec<usize> = used
+            .iter()
+            .copied()
+            .filter(|one| one.is_multiple_of(2))
+            .collect();
+        let mut loads = Vec::new();
+        for engine in 0..40 {
+            let work = Work {
+                pending: pending(engine),
+                running: 0.0,
+            };
+            loads.push((common::engine(engine), work));
+        }
+        balancer.record_peer_loads(&"north-2".parse().unwrap(), loads, 1, START);
+        let mut ahead = 0.0;
+        for _ in 0..4000 {
+            let choice = choose(&mut balancer, short_prompt());
+            ahead += choice.ahead.unwrap() / 4000.0;
+            balancer.finish(choice, Outcome::Cancelled, START);
+        }
+        let own = short_prompt().work(Affinity::None);
+        let mut random = ChaCha8Rng::seed_from_u64(3);
+        let mut usual = own;
+        for _ in 0..4000 {
+            let mut pick = |engines: &[usize]| engines[random.random_range(0..engines.len())];
+            let picked = [pick(&used), pick(&local), pick(&local)];
+            let score = |engine: &usize| {
+                pending(*engine) + if engine.is_multiple_of(2) { 0.0 } else { 400.0 }
+            };
+            let picked = picked.into_iter();
+            let best = picked.min_by(|left, right| score(left).total_cmp(&score(right)));
+            usual += pending(best.unwrap()) / 4000.0;
+        }
+        // Sampling error of the two means.
+        expect_that!(ahead, le(usual * 1.03), "{name}");
+    }
+}
+
+/// Without a known prompt there is no work to compare by, and idle upstreams are equal.
+#[gtest]
+fn plain_requests_to_idle_upstreams_stay_in_the_zone() {
+    for seed in 0..100 {
+        let mut balancer = common::balancer(&config(40), seed);
+        let members = Members::new(1, (0..100).map(common::instance).collect());
+        balancer.set_members(members, START, START);
+        common::warm_all(&mut balancer, 40, START);
+        let choice = balancer.choose(&query(START), START).unwrap();
+        expect_true!(number(&choice.upstream).is_multiple_of(2));
+    }
+}
+
 #[gtest]
 fn prompt_work_is_pending_until_the_first_event() {
     let mut balancer = balancer(1, &[]);
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -8,6 +8,8 @@
 
 const START: Moment = Moment(1_000_000_000);
 const ZONES: usize = 4;
+/// Peers that a beacon to another zone mentions.
+const FAR_MENTIONS: usize = 2;
 
 fn after(millis: u64) -> Moment {
     START + Span::from_millis(millis)
@@ -98,14 +100,48 @@
         expect_that!(sampled.len(), le(14));
         other_zone_count += sampled
             .iter()
-            .filter(|address| !(address.port() as usize - 9000).is_multiple_of(ZONES))
+            .filter(|target| !(target.address.port() as usize - 9000).is_multiple_of(ZONES))
             .count();
+        for target in &sampled {
+            let number = target.address.port() as usize - 9000;
+            expect_that!(target.is_far, eq(!number.is_multiple_of(ZONES)));
+        }
     }
-    expect_that!(other_zone_count, le(400));
+    expect_that!(other_zone_count, le(200));
     expect_that!(other_zone_count, gt(100));
 }
 
-/// 80 instances in 4 zones, each of which sends its beacon to 14 peers in a round.
+/// A zone of one instance gets no more beacons than any other instance, and with two other zones both
+/// get one each round.
+#[gtest]
+fn rounds_to_other_zones_are_spread_over_them() {
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let mut counts = [0; 81];
+    let mut membership = Membership::new(name(80), "home".parse().unwrap());
+    for number in 0..80 {
+        membership.observe(Peer {
+            zone: Some(if number < 40 { zone(0) } else { zone(1) }),
+            ..peer(number, START)
+        });
+    }
+    for _ in 0..4000 {
+        let targets = membership.gossip_targets(&mut random);
+        let numbers: Vec<usize> = targets
+            .iter()
+            .map(|target| target.address.port() as usize - 9000)
+            .collect();
+        expect_that!(numbers.len(), eq(2));
+        expect_that!(numbers.iter().filter(|number| **number < 40).count(), eq(1));
+        for number in numbers {
+            counts[number] += 1;
+        }
+    }
+    // The mean is 100.
+    expect_that!(counts[..80].iter().min(), some(gt(&60)));
+    expect_that!(counts[..80].iter().max(), some(lt(&150)));
+}
+
+/// 80 instances in 4 zones, each of which sends its beacon to 13 peers in a round.
 #[gtest]
 fn no_live_peer_expires_under_sampled_gossip() {
     let mut random = ChaCha8Rng::seed_from_u64(3);
@@ -128,9 +164,10 @@
         for (own, membership) in all.iter().enumerate() {
             let sample = membership.sample(8, now, &mut random);
             let mentioned: Vec<Peer> = sample.into_iter().cloned().collect();
-            for address in membership.gossip_targets(&mut random) {
-                let to = address.port() as usize - 9000;
-                sent.push((own, to, mentioned.clone()));
+            for target in membership.gossip_targets(&mut random) {
+                let to = target.address.port() as usize - 9000;
+                let limit = if target.is_far { FAR_MENTIONS } else { 8 };
+                sent.push((own, to, mentioned[..limit.min(mentioned.len())].to_vec()));
             }
         }
         for (from, to, mentioned) in sent {
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -16,6 +16,7 @@
 mod payload;
 mod peers;
 mod probe;
+pub mod reach;
 mod relay;
 mod run;
 mod trial_log;
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -16,6 +16,7 @@
     decode_trial, decode_update, encode_departure, encode_limit, encode_load, encode_peer,
     encode_rebuttals, encode_suspects, encode_trial, encode_update, topic_number,
 };
+use crate::forward::reach;
 use crate::forward::trial_log;
 use crate::rendezvous;
 use entity::{Era, Moment, Span, name};
@@ -33,7 +34,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use timeline::Kind;
+use timeline::{Counter, Kind};
 use tokio_util::sync::CancellationToken;
 
 /// Interval between rounds of beacons among a few instances. A prompt that a peer has sent to an
@@ -390,8 +391,8 @@
             request_rebuttals: Some(encode_rebuttals(&requests.rebuttals, own_now)),
             cut_off: Some(shared.paths.is_cut_off()),
         };
-        match beacon::encode(&beacon) {
-            Ok(payload) => self.send(&payload).await,
+        match reach::encode(&beacon, self.peers.is_small()) {
+            Ok(payloads) => self.send(payloads).await,
             Err(error) => self.record_outage("beacon", &error.to_string()),
         }
         if !leaving {
@@ -489,11 +490,18 @@
         sample.into_iter().map(encode).collect()
     }
 
-    async fn send(&self, payload: &[u8]) {
+    async fn send(&self, (near, far): (Vec<u8>, Vec<u8>)) {
+        let metric = &self.parts.shared.core.metric;
         let gossip_targets = self.peers.gossip_targets(&mut rand::rng());
-        for address in gossip_targets {
+        for target in gossip_targets {
+            let (payload, counter) = if target.is_far {
+                (&far, Counter::FarBeaconBytes)
+            } else {
+                (&near, Counter::NearBeaconBytes)
+            };
             // A failure to send is treated as a lost datagram.
-            let _ = self.socket.send(payload, address).await;
+            let _ = self.socket.send(payload, target.address).await;
+            metric.add(counter, payload.len() as u64);
         }
     }
 
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -1,6 +1,8 @@
 //! Counters and timers, sent as statsd datagrams and accumulated for scraping.
 
-use cadence::{CountedExt, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{
+    Counted, CountedExt, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
 use entity::Span;
 use entity::name::Instance;
 use prometheus::{
@@ -65,6 +67,10 @@
     PeerConnections = "peer_connections",
     /// Connections to upstreams that peers asked for.
     CarriedConnections = "carried_connections",
+    /// Bytes of beacons to peers in the own availability zone, or in none that is known.
+    NearBeaconBytes = "near_beacon_bytes",
+    /// Bytes of beacons to peers in other availability zones.
+    FarBeaconBytes = "far_beacon_bytes",
     /// Answers that were discarded.
     Discards = "discards",
     /// Claims on idempotency keys.
@@ -186,6 +192,12 @@
         self.totals.counters[counter as usize].inc();
     }
 
+    /// Adds an amount to a counter.
+    pub fn add(&self, counter: Counter, amount: u64) {
+        let _ = self.client.count(counter.as_str(), amount);
+        self.totals.counters[counter as usize].inc_by(amount);
+    }
+
     /// Increments the counter of the refusals with a code.
     pub fn count_refusal(&self, code: &str) {
         self.totals.refusals.with_label_values(&[code]).inc();
