Name the build in the log, the metrics and beacons

In an upgrade an operator could not tell which instance runs which build. Tests of server, peer, timeline and session pass.

--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -269,6 +269,8 @@
   17: optional list<Rebuttal> request_rebuttals,
   /** Whether the sender's links to upstreams are cut, so that it carries no connections for others. */
   18: optional bool cut_off,
+  /** Version and commit of the sender's program. */
+  26: optional string build,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2529,10 +2529,12 @@
   pub request_rebuttals: Option<Vec<Rebuttal>>,
   /// Whether the sender's links to upstreams are cut, so that it carries no connections for others.
   pub cut_off: Option<bool>,
+  /// Version and commit of the sender's program.
+  pub build: Option<String>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F26>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18, build: F26) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>>, F26: Into<Option<String>> {
     Beacon {
       instance,
       address,
@@ -2552,6 +2554,7 @@
       requests: requests.into(),
       request_rebuttals: request_rebuttals.into(),
       cut_off: cut_off.into(),
+      build: build.into(),
     }
   }
 }
@@ -2577,6 +2580,7 @@
     let mut f_16: Option<Vec<Suspect>> = None;
     let mut f_17: Option<Vec<Rebuttal>> = None;
     let mut f_18: Option<bool> = None;
+    let mut f_26: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2722,6 +2726,10 @@
           let val = i_prot.read_bool()?;
           f_18 = Some(val);
         },
+        26 => {
+          let val = i_prot.read_string()?;
+          f_26 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2755,6 +2763,7 @@
       requests: f_16,
       request_rebuttals: f_17,
       cut_off: f_18,
+      build: f_26,
     };
     Ok(ret)
   }
@@ -2881,6 +2890,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.build {
+      o_prot.write_field_begin(&TFieldIdentifier::new("build", TType::String, 26))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -28,6 +28,7 @@
         )]),
         request_rebuttals: Some(vec![Rebuttal::new(10, 1)]),
         cut_off: Some(true),
+        build: Some("0.1.0 0a1b2c".into()),
     }
 }
 
--- a/crates/peer/tests/recorded/messages.rs
+++ b/crates/peer/tests/recorded/messages.rs
@@ -76,6 +76,7 @@
         requests: None,
         request_rebuttals: None,
         cut_off: None,
+        build: None,
     }
 }
 
--- a/crates/server/src/assembly.rs
+++ b/crates/server/src/assembly.rs
@@ -8,7 +8,7 @@
 use crate::links::Links;
 use crate::replica::Peers;
 use crate::writers::Writers;
-use crate::{configuration, digest, members};
+use crate::{build, configuration, digest, members};
 use adoption::Step;
 use anyhow::{Context as _, Result, ensure};
 use arc_swap::ArcSwap;
@@ -87,6 +87,7 @@
     let own = settings.instance.clone();
     let recorder = open_recorder(&settings)?;
     let metric = Metrics::open(&own.name, settings.statsd).context("metrics")?;
+    metric.set_build(build::VERSION, build::COMMIT);
     let clock = Clock::start();
     let contact = Arc::new(Tracker::new(clock, settings.limits.isolation));
     let log = logs::Client::new(settings.log.address, settings.log.timeout);
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -1,6 +1,7 @@
 //! A running forwarding instance and its graceful shutdown.
 
 use crate::auth::Authenticator;
+use crate::build;
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::decider;
@@ -97,6 +98,7 @@
         let stopping = CancellationToken::new();
         let recorder = Recorder::open(&settings.name, Sink::Stdout).context("event log")?;
         let metric = Metrics::open(&settings.name, None).context("metrics")?;
+        metric.set_build(build::VERSION, build::COMMIT);
         let metric = Arc::new(metric);
         let clock = Clock::start();
         let (in_force, watched) = watch::channel(None);
@@ -152,12 +154,7 @@
             caller: front.address(),
             readiness: readiness.with_context(|| format!("readiness address {address}"))?,
         };
-        shared
-            .core
-            .recorder
-            .event(Kind::Started)
-            .text("caller", addresses.caller)
-            .record();
+        build::record_start(&shared.core.recorder, addresses.caller);
         Ok(Self {
             shared,
             front,
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -6,6 +6,8 @@
 //! ruling from the same evidence. The first in a rendezvous order writes it; the others write it
 //! only if it is not written in time.
 
+use crate::build;
+use crate::forward::builds::Builds;
 use crate::forward::feed;
 use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::front::Shared;
@@ -98,6 +100,8 @@
     run: Run,
     /// Peers that say that their links to upstreams are cut, sorted.
     cut_off: Vec<name::Instance>,
+    /// Other builds that peers run.
+    builds: Builds,
     /// Clocks of the peers, in relation to the boot time here.
     clocks: Clocks,
     /// Era of the store in which this instance wrote its entry.
@@ -125,6 +129,7 @@
         version: 0,
         run: Run(rand::random()),
         cut_off: Vec::new(),
+        builds: Builds::new(build::name()),
         clocks: Clocks::default(),
         entry_era: Era::default(),
     };
@@ -256,6 +261,7 @@
             });
         }
         self.record_cut_off(&name, beacon.cut_off.unwrap_or_default());
+        self.record_build(&name, beacon.build.as_deref());
         for mentioned in beacon.acquaintances.iter().flatten() {
             if let Some(peer) = decode_peer(mentioned, now) {
                 self.peers.record_mention(peer);
@@ -390,6 +396,7 @@
             requests: Some(encode_suspects(&requests, own_now)),
             request_rebuttals: Some(encode_rebuttals(&requests.rebuttals, own_now)),
             cut_off: Some(shared.paths.is_cut_off()),
+            build: Some(build::name().into()),
         };
         match reach::encode(&beacon, self.peers.is_small()) {
             Ok(payloads) => self.send(payloads).await,
@@ -541,10 +548,23 @@
         }
     }
 
+    /// Logs the build that a peer runs, if it is another one.
+    fn record_build(&mut self, peer: &name::Instance, build: Option<&str>) {
+        let Some(build) = build.filter(|build| self.builds.record(peer, build)) else {
+            return;
+        };
+        let recorder = &self.parts.shared.core.recorder;
+        let event = recorder.event(Kind::PeerBuild);
+        event.text("peer", peer).text("build", build).record();
+    }
+
     /// Informs the decider of the live instances, which share cold upstreams.
     async fn update_members(&mut self) {
         let now = self.now();
-        let names = self.peers.live(now).cloned().collect();
+        let names: Vec<name::Instance> = self.peers.live(now).cloned().collect();
+        // Peers come in the order of their names, this instance last.
+        let peers = &names[..names.len() - 1];
+        self.builds.retain(|peer| peers.binary_search(peer).is_ok());
         self.version += 1;
         let members = Members::new(self.version, names);
         let decider = &self.parts.shared.core.decider;
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -5,7 +5,7 @@
 use crate::front::{Front, OperatorFront};
 use crate::peer_handler::PeerHandler;
 use crate::replica::Peers;
-use crate::{couplings, gossip, loads, verdicts};
+use crate::{build, couplings, gossip, loads, verdicts};
 use anyhow::{Context as _, Result};
 use caller::{Handler, Limits, Server};
 use entity::{Generation, Span};
@@ -123,12 +123,7 @@
         };
         loads::spawn(loads, stopping.clone());
         couplings::spawn(&context, committer, scores, &stopping);
-        context
-            .core
-            .recorder
-            .event(Kind::Started)
-            .text("caller", addresses.caller)
-            .record();
+        build::record_start(&context.core.recorder, addresses.caller);
         Ok(Self {
             context,
             peers,
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -7,6 +7,7 @@
 mod assignments;
 mod auth;
 mod bill;
+mod build;
 mod call;
 mod chat;
 mod clock;
--- a/crates/server/tests/spread.rs
+++ b/crates/server/tests/spread.rs
@@ -187,6 +187,7 @@
         requests: None,
         request_rebuttals: None,
         cut_off: None,
+        build: None,
     }
 }
 
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -43,6 +43,8 @@
 kinds! {
     /// The process started to serve requests.
     Started = "started",
+    /// A peer runs another build of the program.
+    PeerBuild = "peer-build",
     /// The process has reloaded its settings.
     Reloaded = "reloaded",
     /// The process drains and accepts no new requests.
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -122,6 +122,7 @@
     timers: Vec<Histogram>,
     refusals: IntCounterVec,
     gauges: GaugeVec,
+    build: GaugeVec,
 }
 
 impl Totals {
@@ -150,12 +151,16 @@
         let options = Opts::new("citrontrack_state", "What holds now, by name.");
         let gauges = GaugeVec::new(options, &["name"])?;
         registry.register(Box::new(gauges.clone()))?;
+        let options = Opts::new("citrontrack_build", "The program that runs, always 1.");
+        let build = GaugeVec::new(options, &["version", "commit"])?;
+        registry.register(Box::new(build.clone()))?;
         Ok(Self {
             registry,
             counters,
             timers,
             refusals,
             gauges,
+            build,
         })
     }
 }
@@ -208,6 +213,14 @@
         self.totals.gauges.with_label_values(&[name]).set(value);
     }
 
+    /// Sets the version and the commit of the program that runs.
+    pub fn set_build(&self, version: &str, commit: &str) {
+        self.totals
+            .build
+            .with_label_values(&[version, commit])
+            .set(1.0);
+    }
+
     /// Returns all totals in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/timeline/tests/metric.rs
+++ b/crates/timeline/tests/metric.rs
@@ -41,6 +41,7 @@
     metric.time(Timer::FirstByte, Span::from_millis(30));
     metric.count_refusal("stale");
     metric.set_gauge("config_age_seconds", 1.5);
+    metric.set_build("0.1.0", "0a1b2c");
     let text = metric.text().unwrap();
     expect_that!(
         text,
@@ -54,6 +55,10 @@
         text,
         contains_substring("citrontrack_refused_total{code=\"stale\"} 1")
     );
+    expect_that!(
+        text,
+        contains_substring("citrontrack_build{commit=\"0a1b2c\",version=\"0.1.0\"} 1")
+    );
     expect_that!(
         text,
         contains_substring("citrontrack_state{name=\"config_age_seconds\"} 1.5")
