Lend idle room of shared upstreams, and choose by expected wait

Where more instances share an upstream than it has slots, each could have one request there at a time, as borrowing needed load reports, which plain servers don't give. Peers already announce what they run; an instance now borrows what they leave free, at most two requests over a pool or its part of twice the spare room. Among upstreams with room, the one with the least expected wait by own and announced requests is taken.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -7,6 +7,7 @@
 use crate::limit::{Limit, Limits, Wait};
 use crate::load::Load;
 use crate::peer_loads::{Others, PeerLoads};
+use crate::placement::Place;
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
 use crate::rate_limit::{self, Sharers};
@@ -25,6 +26,8 @@
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
 
+mod plain;
+
 /// Largest number of instances per upstream at which all eligible upstreams are compared.
 const FULL_COMPARISON_MAX_SHARERS: usize = 32;
 
@@ -87,6 +90,10 @@
     score: f64,
     has_affinity: bool,
     is_local: bool,
+    /// Whether its room is borrowed from other instances.
+    lent: bool,
+    /// What is known of an upstream that reports no load, where the demand is unknown.
+    place: Option<Place>,
 }
 
 /// What a request asks of its upstream, and what is known of it.
@@ -235,7 +242,10 @@
         self.peer_loads.expire(&self.config, now);
         let candidates = self.eligible(query, now)?;
         let sharers = self.sharers(candidates[0].upstream);
-        let best = self.best(&candidates, sharers);
+        let best = match self.least_wait(&candidates) {
+            Some(best) => best,
+            None => self.best(&candidates, sharers),
+        };
         Ok(self.begin(best, query, now))
     }
 
@@ -416,6 +426,7 @@
         let mut most_transient = self.unavailable_reason(request);
         let mut rest_end: Option<Moment> = None;
         let mut limit_end: Option<Moment> = None;
+        let room = self.room(request, (prefix, demand), now);
         for &upstream in &pool.used {
             if let Some(restriction) = self.restriction(upstream, now) {
                 most_transient = most_transient.max(match restriction {
@@ -445,14 +456,21 @@
             }
             let state = self.states.in_use(upstream);
             let sharers = self.sharers(upstream);
-            let grant = match filter.check(request, upstream, state, sharers, None) {
+            let checked = filter.check(request, upstream, state, sharers, None);
+            let lent =
+                checked == Err(Reason::Full) && self.lends(room.as_ref(), upstream, request, now);
+            let grant = match checked {
+                Err(Reason::Full) if lent => Grant::Warm,
                 Ok(grant) => grant,
                 Err(reason) => {
                     most_transient = most_transient.max(reason);
                     continue;
                 }
             };
-            candidates.push(self.candidate(upstream, (grant, sharers), &asked, now));
+            let mut candidate = self.candidate(upstream, (grant, sharers), &asked, now);
+            candidate.lent = lent;
+            candidate.place = self.place(room.as_ref(), &candidate, request, now);
+            candidates.push(candidate);
         }
         // The capacity of cold upstreams is used only if no warm one has room.
         if candidates.iter().any(|one| one.grant != Grant::RateLimited) {
@@ -466,12 +484,7 @@
             Reason::Limited => limit_end,
             _ => None,
         };
-        Err(Refusal {
-            retry_after: end
-                .map(|end| end.since(now))
-                .or(refusal(most_transient).retry_after),
-            reason: most_transient,
-        })
+        Err(refusal_until(most_transient, end, now))
     }
 
     /// Returns an upstream that passed the filter, with its score.
@@ -519,6 +532,8 @@
             score,
             has_affinity: affinity != Affinity::None,
             is_local,
+            lent: false,
+            place: None,
         }
     }
 
@@ -639,6 +654,7 @@
             grant: candidate.grant,
             end: query.deadline,
             ahead: candidate.ahead,
+            lent: candidate.lent,
             ticket,
             config: Arc::clone(&self.config),
             generation: self.generation,
@@ -753,6 +769,16 @@
     }
 }
 
+/// Returns a refusal for a reason that passes at a known time, if there is one.
+fn refusal_until(reason: Reason, end: Option<Moment>, now: Moment) -> Refusal {
+    let known = end.map(|end| end.since(now));
+    let refusal = refusal(reason);
+    Refusal {
+        retry_after: known.or(refusal.retry_after),
+        ..refusal
+    }
+}
+
 fn refusal(reason: Reason) -> Refusal {
     let retry_after = match reason {
         Reason::NoUpstream
--- /dev/null
+++ b/crates/routing/src/balancer/plain.rs
@@ -0,0 +1,107 @@
+//! Choice among registered upstreams, which report no load, for requests whose demand is unknown.
+
+use super::{Balancer, Candidate};
+use crate::demand::Demand;
+use crate::filter::{Grant, Request};
+use crate::placement::{self, Place};
+use crate::room::{Room, Sight};
+use crate::state::Readiness;
+use entity::Moment;
+use entity::id;
+use rand::Rng;
+
+impl Balancer {
+    /// Returns the room that other instances leave in the pool of a request; none if the request
+    /// has a known demand or prefix, by which its upstream is chosen otherwise.
+    pub(super) fn room(
+        &self,
+        request: &Request,
+        (prefix, demand): (Option<u64>, Option<Demand>),
+        now: Moment,
+    ) -> Option<Room> {
+        if prefix.is_some() || demand.is_some() {
+            return None;
+        }
+        let pool = self.pools.pool(request.service, request.version);
+        let sharers = pool.used.first().map_or(1, |&first| self.sharers(first));
+        let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
+        let sights = pool.used.iter();
+        let sights = sights.filter_map(|&upstream| self.sight(upstream, request, now));
+        Some(Room::new(self.peer_loads.coverage(now), sharers, sights))
+    }
+
+    /// Returns what is known of an upstream; none unless it registered itself.
+    pub(super) fn sight(
+        &self,
+        upstream: id::Upstream,
+        request: &Request,
+        now: Moment,
+    ) -> Option<Sight> {
+        self.config.upstreams[upstream].registration.as_ref()?;
+        let state = self.states.in_use(upstream);
+        let sharers = u32::try_from(self.sharers(upstream)).unwrap_or(u32::MAX);
+        let (share, limit) = self
+            .filter(now)
+            .limits(request.priority, upstream, state, sharers);
+        let is_warm = matches!(state.readiness(now), Readiness::Warm { .. });
+        Some(Sight {
+            limit,
+            share,
+            own: state.running,
+            crowd: self.peer_loads.crowd(upstream),
+            usable: is_warm
+                && state.breaker.allows(now)
+                && !state.has_failed_lately(now)
+                && self.restriction(upstream, now).is_none()
+                && self.limit_wait(upstream, now).is_none(),
+        })
+    }
+
+    /// Returns whether one more request may be sent to an upstream in room of other instances.
+    pub(super) fn lends(
+        &self,
+        room: Option<&Room>,
+        upstream: id::Upstream,
+        request: &Request,
+        now: Moment,
+    ) -> bool {
+        let sight = self.sight(upstream, request, now);
+        room.zip(sight)
+            .is_some_and(|(room, sight)| room.lends(&sight))
+    }
+
+    /// Returns what the choice by expected wait needs to know of a candidate; none if it isn't
+    /// chosen by its wait.
+    pub(super) fn place(
+        &self,
+        room: Option<&Room>,
+        candidate: &Candidate,
+        request: &Request,
+        now: Moment,
+    ) -> Option<Place> {
+        let room = room.filter(|_| candidate.grant == Grant::Warm)?;
+        let sight = self.sight(candidate.upstream, request, now)?;
+        let state = self.states.in_use(candidate.upstream);
+        let limit = f64::from(sight.limit);
+        // A full upstream has requests beyond its limit; one that fails looks empty to all.
+        let refused = if state.has_failed_lately(now) {
+            limit
+        } else {
+            0.0
+        };
+        Some(Place {
+            limit,
+            running: (room.others(&sight) + f64::from(sight.own)).max(refused) + refused,
+            service_time: state.service_time.get(now),
+            // Where the others are unknown, all instances of a zone might choose the same upstream.
+            is_local: candidate.is_local && room.is_known(),
+        })
+    }
+
+    /// Returns the candidate with the least expected wait; none unless it is known for all.
+    pub(super) fn least_wait<'a>(&mut self, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
+        let places: Option<Vec<Place>> = candidates.iter().map(|one| one.place).collect();
+        let index = placement::choose(&places?, self.random.next_u64())?;
+        candidates.get(index)
+    }
+}
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -210,17 +210,11 @@
         state: &State,
         sharers: usize,
     ) -> Result<Grant, Reason> {
-        let limit =
-            f64::from(self.config.upstreams[upstream].warm) * state.slow_start_share(self.now);
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
-        let share = (limit.ceil() as u32 / sharers).max(1);
+        let (share, common) = self.limits(request.priority, upstream, state, sharers);
         if state.running < share {
             return Ok(Grant::Warm);
         }
-        let common = match request.priority {
-            Priority(0) => limit.ceil() as u32,
-            _ => (limit * NORMAL_PRIORITY_SHARE).ceil() as u32,
-        };
         // All sharers may borrow at once between two reports, so each gets twice its part of the
         // spare capacity.
         let spare = common.saturating_sub(state.reported_requests());
@@ -231,6 +225,25 @@
         Err(Reason::Full)
     }
 
+    /// Returns this instance's share of the limit of a warm upstream, and the limit up to which
+    /// requests of a priority use capacity that other instances leave free.
+    pub fn limits(
+        &self,
+        priority: Priority,
+        upstream: id::Upstream,
+        state: &State,
+        sharers: u32,
+    ) -> (u32, u32) {
+        let limit =
+            f64::from(self.config.upstreams[upstream].warm) * state.slow_start_share(self.now);
+        let share = (limit.ceil() as u32 / sharers).max(1);
+        let common = match priority {
+            Priority(0) => limit.ceil() as u32,
+            _ => (limit * NORMAL_PRIORITY_SHARE).ceil() as u32,
+        };
+        (share, common)
+    }
+
     /// Checks whether the rate limit of a cold upstream has room for a request of this instance.
     fn check_rate_limit(&self, state: &State) -> Result<Grant, Reason> {
         if state.rate_limiter.allows(state.cold_share, self.now) {
--- a/crates/routing/src/peer_loads.rs
+++ b/crates/routing/src/peer_loads.rs
@@ -1,6 +1,7 @@
 //! Work of the peers at each upstream, as they announced it.
 
 use crate::demand::{Loads, Work};
+use crate::room::{Coverage, Crowd};
 use config::Config;
 use entity::id;
 use entity::name;
@@ -32,6 +33,8 @@
     /// Number of peers, whether they announced a load or not.
     peer_count: usize,
     sums: Map<id::Upstream, Work>,
+    /// Sums of the requests, each peer's bounded by the upstream's limit.
+    crowds: Map<id::Upstream, Crowd>,
 }
 
 /// Estimated work of all peers at each upstream.
@@ -57,6 +60,7 @@
     /// Sums up the loads again by the ids of a configuration.
     pub fn configure(&mut self, config: &Config) {
         self.sums = Map::filled(Work::default(), config.upstreams.len());
+        self.crowds = Map::filled(Crowd::default(), config.upstreams.len());
         for index in 0..self.peers.len() {
             self.add(config, index, 1.0);
         }
@@ -107,6 +111,21 @@
         }
     }
 
+    /// Returns how many peers' announcements count, of how many.
+    pub fn coverage(&self, now: Moment) -> Coverage {
+        let newest = self.order.back();
+        let recent = newest.is_some_and(|(at, _)| now.since(*at) < LOAD_TTL);
+        Coverage {
+            heard: if recent { self.peers.len() } else { 0 },
+            known: self.peer_count,
+        }
+    }
+
+    /// Returns the requests at an upstream of the peers whose announcements count.
+    pub fn crowd(&self, upstream: id::Upstream) -> Crowd {
+        self.crowds.get(upstream).copied().unwrap_or_default()
+    }
+
     /// Drops announcements that no longer count.
     pub fn expire(&mut self, config: &Config, now: Moment) {
         let is_over = |(at, _): &mut (Moment, _)| now.since(*at) >= LOAD_TTL;
@@ -134,6 +153,15 @@
             };
             sum.pending += sign * load.pending;
             sum.running += sign * load.running;
+            if load.running < 1.0 {
+                continue;
+            }
+            if let Some(crowd) = self.crowds.get_mut(id) {
+                crowd.running += sign * load.running.min(f64::from(config.upstreams[id].warm));
+                if load.running > 1.0 {
+                    crowd.borrowers += sign;
+                }
+            }
         }
     }
 }
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -64,6 +64,8 @@
     /// Work at the upstream before the first event of the answer, including that of the request
     /// itself, in tokens; none where the demand of the request is unknown.
     pub ahead: Option<f64>,
+    /// Whether the upstream's room is borrowed from other instances.
+    pub lent: bool,
     pub(crate) ticket: u64,
     pub(crate) config: Arc<Config>,
     pub(crate) generation: Generation,
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -4,6 +4,7 @@
 use crate::demand::Work;
 use crate::filter::Grant;
 use crate::load::Load;
+use crate::placement::ServiceTime;
 use crate::query::Outcome;
 use crate::rate_limit::RateLimiter;
 use crate::slots::Ledger;
@@ -34,6 +35,9 @@
 /// it is a sign of cold start.
 const LIGHT_LOAD_SHARE: f64 = 0.8;
 
+/// Time for which a refusal or a failure says that an upstream which reports no load has no room.
+const UNSERVED_TTL: Span = Span::from_millis(200);
+
 /// Consecutive refusals that are a sign of cold start at an upstream that reports no load. The
 /// threshold is higher there, as no report can settle the suspicion.
 const UNREPORTED_REFUSAL_THRESHOLD: u32 = 2;
@@ -90,6 +94,10 @@
     had_cold_start: bool,
     suspected: Option<Moment>,
     first_token_ms: Option<f64>,
+    /// Time that the upstream takes for an answer.
+    pub service_time: ServiceTime,
+    /// Time of the last refusal or failure.
+    unserved_at: Option<Moment>,
     /// Work of the choices whose first event is still to come, by ticket.
     pending: Vec<(u64, f64)>,
     /// Prefixes that this instance sent to the upstream and when, oldest first.
@@ -120,6 +128,8 @@
             had_cold_start: false,
             suspected: None,
             first_token_ms: None,
+            service_time: ServiceTime::default(),
+            unserved_at: None,
             pending: Vec::new(),
             prefixes: Vec::new(),
             refusals: 0,
@@ -217,6 +227,12 @@
         self.load.as_ref().map_or(0, Load::total)
     }
 
+    /// Returns whether the upstream refused or failed a request of this instance a moment ago.
+    pub fn has_failed_lately(&self, now: Moment) -> bool {
+        self.unserved_at
+            .is_some_and(|at| now.since(at) < UNSERVED_TTL)
+    }
+
     /// Returns whether the newest load report lists a prefix as cached.
     pub fn has_cached_prefix(&self, prefix: u64) -> bool {
         self.load
@@ -349,17 +365,22 @@
             Outcome::Done { first_token } => {
                 self.breaker.record_success();
                 self.refusals = 0;
+                if let Some(time) = first_token {
+                    self.service_time.record(time, now);
+                }
                 let slow = first_token.is_some_and(|time| self.is_slow(time));
                 grant == Grant::Warm && slow && is_lightly_loaded && self.record_suspicion(now)
             }
             Outcome::Refused => {
                 self.breaker.record_inconclusive(now);
                 self.refusals += 1;
+                self.unserved_at = Some(now);
                 let enough = self.reports || self.refusals >= UNREPORTED_REFUSAL_THRESHOLD;
                 grant == Grant::Warm && is_lightly_loaded && enough && self.record_suspicion(now)
             }
             Outcome::Failed => {
                 self.breaker.record_failure(now);
+                self.unserved_at = Some(now);
                 // A restarted process starts cold.
                 !self.breaker.allows(now) && self.record_suspicion(now)
             }
