--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -13,6 +13,7 @@
 use crate::rate_limit::{self, Sharers};
 use crate::restriction::{Incarnation, Restriction, Restrictions};
 use crate::retry;
+use crate::room::Coverage;
 use crate::score::{self, Affinity, Placement};
 use crate::slots::{Bounds, Claim, DrainNotice, Members, Views};
 use crate::states::States;
@@ -90,8 +91,8 @@
     score: f64,
     has_affinity: bool,
     is_local: bool,
-    /// Whether its room is borrowed from other instances.
-    lent: bool,
+    /// The peers whose announcements show the room that it lends.
+    lent: Option<Coverage>,
     /// What is known of an upstream that reports no load, where the demand is unknown.
     place: Option<Place>,
 }
@@ -427,6 +428,7 @@
         let mut rest_end: Option<Moment> = None;
         let mut limit_end: Option<Moment> = None;
         let room = self.room(request, (prefix, demand), now);
+        let room = room.as_ref();
         for &upstream in &pool.used {
             if let Some(restriction) = self.restriction(upstream, now) {
                 most_transient = most_transient.max(match restriction {
@@ -457,10 +459,11 @@
             let state = self.states.in_use(upstream);
             let sharers = self.sharers(upstream);
             let checked = filter.check(request, upstream, state, sharers, None);
-            let lent =
-                checked == Err(Reason::Full) && self.lends(room.as_ref(), upstream, request, now);
+            let is_full = checked == Err(Reason::Full);
+            let lent = room.filter(|_| is_full);
+            let lent = lent.and_then(|room| self.lent(room, upstream, request, now));
             let grant = match checked {
-                Err(Reason::Full) if lent => Grant::Warm,
+                Err(Reason::Full) if lent.is_some() => Grant::Warm,
                 Ok(grant) => grant,
                 Err(reason) => {
                     most_transient = most_transient.max(reason);
@@ -469,7 +472,7 @@
             };
             let mut candidate = self.candidate(upstream, (grant, sharers), &asked, now);
             candidate.lent = lent;
-            candidate.place = self.place(room.as_ref(), &candidate, request, now);
+            candidate.place = self.place(room, &candidate, request, now);
             candidates.push(candidate);
         }
         // The capacity of cold upstreams is used only if no warm one has room.
@@ -532,7 +535,7 @@
             score,
             has_affinity: affinity != Affinity::None,
             is_local,
-            lent: false,
+            lent: None,
             place: None,
         }
     }
--- a/crates/routing/src/balancer/plain.rs
+++ b/crates/routing/src/balancer/plain.rs
@@ -4,7 +4,7 @@
 use crate::demand::Demand;
 use crate::filter::{Grant, Request};
 use crate::placement::{self, Place};
-use crate::room::{Room, Sight};
+use crate::room::{Coverage, Room, Sight};
 use crate::state::Readiness;
 use entity::Moment;
 use entity::id;
@@ -57,17 +57,16 @@
         })
     }
 
-    /// Returns whether one more request may be sent to an upstream in room of other instances.
-    pub(super) fn lends(
+    /// Returns the evidence of room at an upstream that other instances leave for one more request.
+    pub(super) fn lent(
         &self,
-        room: Option<&Room>,
+        room: &Room,
         upstream: id::Upstream,
         request: &Request,
         now: Moment,
-    ) -> bool {
-        let sight = self.sight(upstream, request, now);
-        room.zip(sight)
-            .is_some_and(|(room, sight)| room.lends(&sight))
+    ) -> Option<Coverage> {
+        let sight = self.sight(upstream, request, now)?;
+        room.lends(&sight).then(|| room.coverage())
     }
 
     /// Returns what the choice by expected wait needs to know of a candidate; none if it isn't
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -3,6 +3,7 @@
 use crate::demand::Demand;
 use crate::filter::{Grant, Reason};
 use crate::restriction::Incarnation;
+use crate::room::Coverage;
 use config::Config;
 use entity::id;
 use entity::name;
@@ -64,8 +65,9 @@
     /// Work at the upstream before the first event of the answer, including that of the request
     /// itself, in tokens; none where the demand of the request is unknown.
     pub ahead: Option<f64>,
-    /// Whether the upstream's room is borrowed from other instances.
-    pub lent: bool,
+    /// The peers whose announcements showed the room that this choice borrows; none if it is within
+    /// the share of this instance.
+    pub lent: Option<Coverage>,
     pub(crate) ticket: u64,
     pub(crate) config: Arc<Config>,
     pub(crate) generation: Generation,
--- a/crates/routing/src/room.rs
+++ b/crates/routing/src/room.rs
@@ -65,6 +65,7 @@
 /// Room of one pool of upstreams beyond this instance's shares.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
+    coverage: Coverage,
     /// Factor from what was heard to what all peers run; 0 if nothing may be borrowed.
     scale: f64,
     /// Requests that this instance may still borrow.
@@ -89,6 +90,7 @@
         let entitled = (2.0 * spare / (borrowers + 1.0)).ceil() as u32;
         let allowed = entitled.min(loan_bound(spare, sharers));
         Self {
+            coverage,
             scale,
             loans: allowed.saturating_sub(borrowed),
         }
@@ -100,6 +102,11 @@
         self.loans > 0 && sight.usable && used(self.scale, sight) < f64::from(sight.limit)
     }
 
+    /// Returns the peers on whose announcements the room is based.
+    pub fn coverage(&self) -> Coverage {
+        self.coverage
+    }
+
     /// Returns whether enough peers were heard to know what they run.
     pub fn is_known(&self) -> bool {
         self.scale > 0.0
--- a/crates/routing/tests/common/fleet.rs
+++ b/crates/routing/tests/common/fleet.rs
@@ -271,7 +271,7 @@
         for balancer in &mut self.balancers {
             let mut choices = Vec::new();
             while let Ok(choice) = balancer.choose(&plain_query(now), now) {
-                lends |= choice.lent;
+                lends |= choice.lent.is_some();
                 choices.push(choice);
             }
             for choice in choices {
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -11,7 +11,7 @@
 use routing::demand::Demand;
 use routing::{Choice, Outcome, Priority};
 use std::sync::Arc;
-use timeline::{Counter, Kind};
+use timeline::{Counter, EventBuilder, Kind};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use upstream::{Failure, Reason};
@@ -294,11 +294,11 @@
             return Err(Abort::Stale);
         }
         let draft = core.recorder.event(Kind::Sent).request(job.id);
-        draft
+        let draft = draft
             .text("upstream", &choice.upstream)
             .count("try", u64::from(history.tries()))
-            .count("generation", job.snapshot.generation.0)
-            .record();
+            .count("generation", job.snapshot.generation.0);
+        record_room(core, draft, &choice);
         let sent = Instant::now();
         let limits = TryLimits {
             end: core.clock.instant(choice.end.min(job.deadline)),
@@ -342,6 +342,19 @@
     Err(Abort::Refused(exhausted_refusal(history)))
 }
 
+/// Records a try, with the evidence for its room at the upstream where it is borrowed.
+fn record_room(core: &Core, draft: EventBuilder<'_>, choice: &Choice) {
+    let Some(coverage) = choice.lent else {
+        draft.record();
+        return;
+    };
+    core.metric.count(Counter::LentRoom);
+    draft
+        .count("lent_by_heard", coverage.heard as u64)
+        .count("of_peers", coverage.known as u64)
+        .record();
+}
+
 /// Returns the refusal of a request that can't be tried again.
 fn exhausted_refusal(history: &History) -> Refusal {
     match &history.last_failure {
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -57,6 +57,8 @@
     RestingUpstreams = "resting_upstreams",
     /// Changes of the limits that upstreams named, or of which a peer told.
     LimitedUpstreams = "limited_upstreams",
+    /// Tries sent in room of an upstream that other instances left free.
+    LentRoom = "lent_room",
     /// Parts of prompts that were held back because they end upstreams.
     HeldParts = "held_parts",
     /// Requests that were held back with all their repeats because they end upstreams.
