Don't prefer an upstream because it answers quickly

It would have drawn the requests of all instances. One that is quicker than the median of its pool now counts as the median; a slow one still counts as slow. All tests of routing pass, the new one in tests/placement.rs included.

--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -75,15 +75,15 @@
 /// the own zone come first, and `random` picks one, so that instances with equal views differ.
 pub fn choose(places: &[Place], random: u64) -> Option<usize> {
     let known = places.iter().filter_map(|place| place.service_time);
-    let assumed = known
-        .min_by(f64::total_cmp)
-        .unwrap_or(DEFAULT_SERVICE_TIME.as_secs_f64());
+    let usual = median(known.collect());
     let mut waits = Vec::with_capacity(places.len());
     for place in places {
-        waits.push(total_time(place, place.service_time.unwrap_or(assumed)));
+        // An upstream that fails at once is quicker than the others, which must not attract requests.
+        let service_time = place.service_time.unwrap_or(usual).max(usual);
+        waits.push(total_time(place, service_time));
     }
     let least = waits.iter().copied().min_by(f64::total_cmp)?;
-    let limit = least + EQUAL_WAIT_SHARE * assumed;
+    let limit = least + EQUAL_WAIT_SHARE * usual;
     let mut equal: Vec<usize> = (0..places.len())
         .filter(|&index| waits[index] <= limit)
         .collect();
@@ -94,6 +94,14 @@
     Some(equal[pick as usize])
 }
 
+/// Returns the lower median of the service times of a pool, in seconds.
+fn median(mut known: Vec<f64>) -> f64 {
+    known.sort_by(f64::total_cmp);
+    let middle = known.len().saturating_sub(1) / 2;
+    let median = known.get(middle).copied();
+    median.unwrap_or(DEFAULT_SERVICE_TIME.as_secs_f64())
+}
+
 /// Returns the expected time to the answer, in seconds: the service time and the mean wait of a
 /// queue with several servers (Sakasegawa, 1977).
 fn total_time(place: &Place, service_time: f64) -> f64 {
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -57,9 +57,22 @@
     expect_that!(counts(&[local(6.0), place(2.0)])[0], eq(0));
 }
 
+/// One that answers errors at once is quicker than the others.
+#[gtest]
+fn an_upstream_is_not_preferred_because_it_is_quick() {
+    let quick = Place {
+        service_time: Some(0.001),
+        ..place(2.0)
+    };
+    expect_that!(
+        counts(&[quick, place(2.0), place(2.0)]),
+        elements_are![eq(&100), eq(&100), eq(&100)]
+    );
+}
+
 /// An upstream that is not known yet must be tried.
 #[gtest]
-fn an_unknown_upstream_counts_as_the_fastest() {
+fn an_unknown_upstream_counts_as_a_usual_one() {
     let unknown = Place {
         service_time: None,
         ..place(2.0)
