Judge upstreams by the tries of all instances together

Each of 80 instances sees less than one try a second of an upstream, so that three failures in a row come late at each of them. Evidence sums own tries and peers' words (field 19 of a beacon, optional, so that builds of before read the rest). An upstream that stands out from its pool, or that several can't reach, is taken out, and probed by two instances a slot. A status 5xx that is passed on to the caller counts as evidence and changes nothing else; a try without a connection has an outcome of its own.

--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -236,6 +236,25 @@
   2: required i64 age_us,
 }
 
+/** How tries of the sender ended lately at an upstream. */
+struct Tried {
+  1: required string upstream,
+  /** The start time of the incarnation, as the upstream registered it; 0 if it didn't. */
+  2: required i64 incarnation,
+  /** Tries that ended in any way. */
+  3: required i32 ended,
+  /** Those that the upstream failed. */
+  4: required i32 failed,
+  /** Those that couldn't reach it since its last answer. */
+  5: required i32 unreachable,
+  /** How long ago the newest answer without an error arrived, in microseconds. */
+  6: optional i64 answered_age_us,
+  /** How long ago the newest bad end was, in microseconds. */
+  7: optional i64 failed_age_us,
+  /** How long ago a probe of the upstream, which was taken out, was answered to the sender or to a peer, in microseconds. */
+  8: optional i64 returned_age_us,
+}
+
 /** What an instance tells others in a datagram, which is not answered. */
 struct Beacon {
   1: required string instance,
@@ -269,6 +288,8 @@
   17: optional list<Rebuttal> request_rebuttals,
   /** Whether the sender's links to upstreams are cut, so that it carries no connections for others. */
   18: optional bool cut_off,
+  /** How its tries ended lately, and upstreams that are well again. */
+  19: optional list<Tried> tried,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2491,6 +2491,157 @@
   }
 }
 
+//
+// Tried
+//
+
+/// How tries of the sender ended lately at an upstream.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Tried {
+  pub upstream: String,
+  /// The start time of the incarnation, as the upstream registered it; 0 if it didn't.
+  pub incarnation: i64,
+  /// Tries that ended in any way.
+  pub ended: i32,
+  /// Those that the upstream failed.
+  pub failed: i32,
+  /// Those that couldn't reach it since its last answer.
+  pub unreachable: i32,
+  /// How long ago the newest answer without an error arrived, in microseconds.
+  pub answered_age_us: Option<i64>,
+  /// How long ago the newest bad end was, in microseconds.
+  pub failed_age_us: Option<i64>,
+  /// How long ago a probe of the upstream, which was taken out, was answered to the sender or to a peer, in microseconds.
+  pub returned_age_us: Option<i64>,
+}
+
+impl Tried {
+  pub fn new<F6, F7, F8>(upstream: String, incarnation: i64, ended: i32, failed: i32, unreachable: i32, answered_age_us: F6, failed_age_us: F7, returned_age_us: F8) -> Tried where F6: Into<Option<i64>>, F7: Into<Option<i64>>, F8: Into<Option<i64>> {
+    Tried {
+      upstream,
+      incarnation,
+      ended,
+      failed,
+      unreachable,
+      answered_age_us: answered_age_us.into(),
+      failed_age_us: failed_age_us.into(),
+      returned_age_us: returned_age_us.into(),
+    }
+  }
+}
+
+impl TSerializable for Tried {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Tried> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i32> = None;
+    let mut f_4: Option<i32> = None;
+    let mut f_5: Option<i32> = None;
+    let mut f_6: Option<i64> = None;
+    let mut f_7: Option<i64> = None;
+    let mut f_8: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i32()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i32()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i32()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i64()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = i_prot.read_i64()?;
+          f_7 = Some(val);
+        },
+        8 => {
+          let val = i_prot.read_i64()?;
+          f_8 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Tried.upstream", &f_1)?;
+    verify_required_field_exists("Tried.incarnation", &f_2)?;
+    verify_required_field_exists("Tried.ended", &f_3)?;
+    verify_required_field_exists("Tried.failed", &f_4)?;
+    verify_required_field_exists("Tried.unreachable", &f_5)?;
+    let ret = Tried {
+      upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      ended: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      failed: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      unreachable: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      answered_age_us: f_6,
+      failed_age_us: f_7,
+      returned_age_us: f_8,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Tried");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("ended", TType::I32, 3))?;
+    o_prot.write_i32(self.ended)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("failed", TType::I32, 4))?;
+    o_prot.write_i32(self.failed)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("unreachable", TType::I32, 5))?;
+    o_prot.write_i32(self.unreachable)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.answered_age_us {
+      o_prot.write_field_begin(&TFieldIdentifier::new("answered_age_us", TType::I64, 6))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.failed_age_us {
+      o_prot.write_field_begin(&TFieldIdentifier::new("failed_age_us", TType::I64, 7))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.returned_age_us {
+      o_prot.write_field_begin(&TFieldIdentifier::new("returned_age_us", TType::I64, 8))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Beacon
 //
@@ -2529,10 +2680,12 @@
   pub request_rebuttals: Option<Vec<Rebuttal>>,
   /// Whether the sender's links to upstreams are cut, so that it carries no connections for others.
   pub cut_off: Option<bool>,
+  /// How its tries ended lately, and upstreams that are well again.
+  pub tried: Option<Vec<Tried>>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18, tried: F19) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>>, F19: Into<Option<Vec<Tried>>> {
     Beacon {
       instance,
       address,
@@ -2552,6 +2705,7 @@
       requests: requests.into(),
       request_rebuttals: request_rebuttals.into(),
       cut_off: cut_off.into(),
+      tried: tried.into(),
     }
   }
 }
@@ -2577,6 +2731,7 @@
     let mut f_16: Option<Vec<Suspect>> = None;
     let mut f_17: Option<Vec<Rebuttal>> = None;
     let mut f_18: Option<bool> = None;
+    let mut f_19: Option<Vec<Tried>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2722,6 +2877,16 @@
           let val = i_prot.read_bool()?;
           f_18 = Some(val);
         },
+        19 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Tried> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_23 = Tried::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_23);
+          }
+          i_prot.read_list_end()?;
+          f_19 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2755,6 +2920,7 @@
       requests: f_16,
       request_rebuttals: f_17,
       cut_off: f_18,
+      tried: f_19,
     };
     Ok(ret)
   }
@@ -2881,6 +3047,15 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.tried {
+      o_prot.write_field_begin(&TFieldIdentifier::new("tried", TType::List, 19))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use peer::beacon::{Datagram, Error, decode, encode};
-use peer::message::{Beacon, Clock, Crash, Limit, Rebuttal, Suspect};
+use peer::message::{Beacon, Clock, Crash, Limit, Rebuttal, Suspect, Tried};
 
 fn beacon() -> Beacon {
     Beacon {
@@ -28,6 +28,7 @@
         )]),
         request_rebuttals: Some(vec![Rebuttal::new(10, 1)]),
         cut_off: Some(true),
+        tried: Some(vec![Tried::new("i-1".to_owned(), 2, 5, 4, 1, 70, 60, None)]),
     }
 }
 
--- a/crates/routing/examples/footprint.rs
+++ b/crates/routing/examples/footprint.rs
@@ -84,6 +84,7 @@
                 excluded: &[],
                 regions: None,
                 deadline: now + Span::from_secs(30),
+                is_repeatable: true,
             };
             let choice = balancer.choose(&query, now).unwrap();
             balancer.finish(choice, Outcome::Cancelled, now);
--- a/crates/routing/examples/model/policy.rs
+++ b/crates/routing/examples/model/policy.rs
@@ -145,6 +145,7 @@
             excluded: &[],
             regions: None,
             deadline: request.deadline,
+            is_repeatable: true,
         };
         let choice = self.balancer.choose(&query, now).ok()?;
         self.balancer
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -4,8 +4,10 @@
 use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
 use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
 use crate::hash;
+use crate::judgement::{Judgement, News, Scene, Word};
 use crate::limit::{Limit, Limits, Wait};
 use crate::load::Load;
+use crate::outlier::Admission;
 use crate::peer_loads::{Others, PeerLoads};
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
@@ -74,6 +76,7 @@
     peer_loads: PeerLoads,
     restrictions: Restrictions,
     limits: Limits,
+    judgement: Judgement,
     /// Moving average of prompt sizes, in bytes.
     mean_prompt: f64,
 }
@@ -87,6 +90,8 @@
     score: f64,
     has_affinity: bool,
     is_local: bool,
+    /// Whether the request would be a probe of an upstream that is taken out.
+    is_probe: bool,
 }
 
 /// What a request asks of its upstream, and what is known of it.
@@ -117,6 +122,7 @@
             peer_loads: PeerLoads::default(),
             restrictions: Restrictions::default(),
             limits: Limits::default(),
+            judgement: Judgement::default(),
             mean_prompt: 0.0,
         }
     }
@@ -138,6 +144,7 @@
             }
         }
         self.peer_loads.configure(config);
+        self.judgement.configure(config);
         self.rebuild(now);
     }
 
@@ -233,7 +240,12 @@
     /// Returns a refusal if no upstream can take the request now.
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
         self.peer_loads.expire(&self.config, now);
+        self.review(now);
         let candidates = self.eligible(query, now)?;
+        if let Some(probe) = candidates.iter().find(|candidate| candidate.is_probe) {
+            self.judgement.record_probe(&self.config, probe.upstream);
+            return Ok(self.begin(probe, query, now));
+        }
         let sharers = self.sharers(candidates[0].upstream);
         let best = self.best(&candidates, sharers);
         Ok(self.begin(best, query, now))
@@ -265,6 +277,7 @@
             regions: query.regions,
             deadline: query.deadline,
             priority: query.priority,
+            is_repeatable: query.is_repeatable,
         };
         self.filter(now)
             .check_permitted(&request)
@@ -354,10 +367,38 @@
             .record(&self.config, instance, loads, instances, now);
     }
 
+    /// Returns what is to be told to peers of own tries, and what to log. `is_cut_off` says that the own
+    /// links to upstreams are cut.
+    pub fn evidence(&mut self, is_cut_off: bool, now: Moment) -> News {
+        self.review(now);
+        self.judgement.news(&self.config, is_cut_off, now)
+    }
+
+    /// Records what a peer told of its tries.
+    pub fn record_evidence(&mut self, word: Word, now: Moment) {
+        self.judgement.record_word(&self.config, word, now);
+    }
+
+    /// Judges the upstreams in use anew, if that is due.
+    fn review(&mut self, now: Moment) {
+        let scene = Scene {
+            config: &self.config,
+            pools: &self.pools,
+            states: &self.states,
+            restrictions: &self.restrictions,
+            others: self.peer_loads.work(now),
+            own: &self.own,
+            live: self.views.live(),
+            max_own_sharers: FULL_COMPARISON_MAX_SHARERS,
+        };
+        self.judgement.review(&scene, now);
+    }
+
     /// Records the end of a choice. Returns a suspicion of cold start if the outcome raises one.
     pub fn finish(&mut self, choice: Choice, outcome: Outcome, now: Moment) -> Option<Suspicion> {
         let config = Arc::clone(&self.config);
         let id = config.upstream(choice.upstream.as_str());
+        self.judgement.record_end(&config, &choice, outcome, now);
         let limit = id.map_or(0, |id| config.upstreams[id].warm);
         let state = self
             .states
@@ -413,6 +454,8 @@
             },
         };
         let mut candidates = Vec::with_capacity(pool.used.len());
+        let mut closed = Vec::new();
+        let mut has_other = false;
         let mut most_transient = self.unavailable_reason(request);
         let mut rest_end: Option<Moment> = None;
         let mut limit_end: Option<Moment> = None;
@@ -428,31 +471,40 @@
                 continue;
             }
             if let Some(wait) = self.limit_wait(upstream, now) {
-                let reason = match wait {
-                    Wait::Until(end) => {
-                        limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
-                        let is_soon = end < (now + MAX_LIMIT_WAIT).min(request.deadline);
-                        if is_soon {
-                            Reason::Full
-                        } else {
-                            Reason::Limited
-                        }
-                    }
-                    Wait::Unknown => Reason::Limited,
-                };
-                most_transient = most_transient.max(reason);
+                if let Wait::Until(end) = wait {
+                    limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
+                }
+                let soon = (now + MAX_LIMIT_WAIT).min(request.deadline);
+                most_transient = most_transient.max(limited(wait, soon));
+                has_other = true;
                 continue;
             }
+            let admission =
+                self.judgement
+                    .admit(&self.config, upstream, request.is_repeatable, now);
+            let is_closed = admission == Admission::Closed;
             let state = self.states.in_use(upstream);
             let sharers = self.sharers(upstream);
             let grant = match filter.check(request, upstream, state, sharers, None) {
                 Ok(grant) => grant,
                 Err(reason) => {
                     most_transient = most_transient.max(reason);
+                    has_other |= !is_closed && reason != Reason::Region;
                     continue;
                 }
             };
-            candidates.push(self.candidate(upstream, (grant, sharers), &asked, now));
+            let mut candidate = self.candidate(upstream, (grant, sharers), &asked, now);
+            candidate.is_probe = admission == Admission::Probe;
+            if is_closed {
+                most_transient = most_transient.max(Reason::Failing);
+                closed.push(candidate);
+            } else {
+                candidates.push(candidate);
+            }
+        }
+        // The last upstream that may serve a request, as in its regions, is not refused to it.
+        if candidates.is_empty() && !has_other {
+            candidates = closed;
         }
         // The capacity of cold upstreams is used only if no warm one has room.
         if candidates.iter().any(|one| one.grant != Grant::RateLimited) {
@@ -519,6 +571,7 @@
             score,
             has_affinity: affinity != Affinity::None,
             is_local,
+            is_probe: false,
         }
     }
 
@@ -677,6 +730,7 @@
             regions: None,
             deadline: choice.end,
             priority: choice.priority,
+            is_repeatable: false,
         };
         if choice.generation == self.generation {
             return Ok((request, upstream));
@@ -753,6 +807,14 @@
     }
 }
 
+/// Returns the reason of an upstream whose limit leaves no room, which may have some `soon`.
+fn limited(wait: Wait, soon: Moment) -> Reason {
+    match wait {
+        Wait::Until(end) if end < soon => Reason::Full,
+        Wait::Until(_) | Wait::Unknown => Reason::Limited,
+    }
+}
+
 fn refusal(reason: Reason) -> Refusal {
     let retry_after = match reason {
         Reason::NoUpstream
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -75,7 +75,8 @@
     /// The upstream is in cold start, and this instance owns none of its slots now.
     #[error("the upstream is in cold start")]
     Cold,
-    /// The upstream's circuit breaker is open.
+    /// The upstream's circuit breaker is open, or it fails far more often than others by what several
+    /// instances saw.
     #[error("the upstream failed a moment ago")]
     Failing,
     /// The upstream is at its limit.
@@ -100,6 +101,8 @@
     pub deadline: Moment,
     /// Priority of the request.
     pub priority: Priority,
+    /// Whether the request may be sent again after it may have run.
+    pub is_repeatable: bool,
 }
 
 /// The data on which the filter decides.
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -54,11 +54,16 @@
         }
     }
 
+    /// Returns all pools.
+    pub fn all(&self) -> impl Iterator<Item = &Pool> {
+        let pools = self.versions.values().iter();
+        pools.chain(self.services.values())
+    }
+
     /// Returns all upstreams that this instance uses, sorted.
     pub fn used(&self) -> Vec<id::Upstream> {
         let mut used = Vec::new();
-        let pools = self.versions.values().iter();
-        for pool in pools.chain(self.services.values()) {
+        for pool in self.all() {
             used.extend_from_slice(&pool.used);
         }
         used.sort_unstable();
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -1,6 +1,7 @@
 //! Requests to the balancer and their results.
 
 use crate::demand::Demand;
+use crate::evidence::End;
 use crate::filter::{Grant, Reason};
 use crate::restriction::Incarnation;
 use config::Config;
@@ -43,6 +44,8 @@
     pub regions: Option<&'a [name::Region]>,
     /// Deadline of the complete answer.
     pub deadline: Moment,
+    /// Whether the request may be sent again after it may have run.
+    pub is_repeatable: bool,
 }
 
 /// An upstream for one dispatch.
@@ -127,14 +130,34 @@
         /// once.
         first_token: Option<Span>,
     },
+    /// The complete answer arrived, and its status says that the upstream failed.
+    ErrorStatus {
+        /// Time from the dispatch to the first byte of the answer; none where all of it arrived at
+        /// once.
+        first_token: Option<Span>,
+    },
     /// The upstream refused the request before running it.
     Refused,
+    /// No connection to the upstream could be established.
+    Unreachable,
     /// The connection failed, or the answer ended early, was late or had another id.
     Failed,
     /// The request ended for a reason that gives no evidence on the upstream.
     Cancelled,
 }
 
+impl Outcome {
+    /// Returns how the try ended, as evidence on its upstream; none if it is no evidence.
+    pub fn end(self) -> Option<End> {
+        match self {
+            Self::Done { .. } => Some(End::Well),
+            Self::ErrorStatus { .. } | Self::Failed => Some(End::Failed),
+            Self::Unreachable => Some(End::Unreachable),
+            Self::Refused | Self::Cancelled => None,
+        }
+    }
+}
+
 /// A suspicion that an upstream is in cold start again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspicion {
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -346,7 +346,7 @@
         self.remove_pending(ticket);
         self.slots.release(ticket);
         match outcome {
-            Outcome::Done { first_token } => {
+            Outcome::Done { first_token } | Outcome::ErrorStatus { first_token } => {
                 self.breaker.record_success();
                 self.refusals = 0;
                 let slow = first_token.is_some_and(|time| self.is_slow(time));
@@ -358,7 +358,7 @@
                 let enough = self.reports || self.refusals >= UNREPORTED_REFUSAL_THRESHOLD;
                 grant == Grant::Warm && is_lightly_loaded && enough && self.record_suspicion(now)
             }
-            Outcome::Failed => {
+            Outcome::Failed | Outcome::Unreachable => {
                 self.breaker.record_failure(now);
                 // A restarted process starts cold.
                 !self.breaker.allows(now) && self.record_suspicion(now)
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -123,6 +123,7 @@
         excluded: &[],
         regions: None,
         deadline: now + secs(30),
+        is_repeatable: true,
     }
 }
 
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -15,6 +15,7 @@
 use quality::{Judge, Plan, Rating, Summary, Verdict};
 use routing::allowance::{Allowance, Bound};
 use routing::demand::{Demand, Loads};
+use routing::judgement;
 use routing::limit::Limit;
 use routing::reserve;
 use routing::restriction::Incarnation;
@@ -78,6 +79,8 @@
     pub regions: Option<Box<[name::Region]>>,
     /// Deadline of the whole answer.
     pub deadline: Moment,
+    /// Whether the request may be sent again after it may have run.
+    pub is_repeatable: bool,
 }
 
 /// The score that the rating service gave to an answer.
@@ -179,6 +182,8 @@
     RecordRest(Incarnation, Moment),
     RecordLimit(Incarnation, Limit),
     Limits(oneshot::Sender<Vec<(Incarnation, Limit)>>),
+    Evidence(bool, oneshot::Sender<judgement::News>),
+    RecordEvidence(judgement::Word),
 }
 
 /// A handle that sends messages to the task.
@@ -324,6 +329,23 @@
             .await
     }
 
+    /// Returns what is to be told to peers of the ends of tries, and what to log. `is_cut_off` says that the
+    /// own links to upstreams are cut.
+    ///
+    /// # Errors
+    ///
+    /// The instance is shutting down.
+    pub async fn evidence(&self, is_cut_off: bool) -> Result<judgement::News, Closed> {
+        self.ask(|reply| Message::Forward(ForwardMessage::Evidence(is_cut_off, reply)))
+            .await
+    }
+
+    /// Records what a peer told of the ends of its tries.
+    pub async fn record_evidence(&self, word: judgement::Word) {
+        self.send(Message::Forward(ForwardMessage::RecordEvidence(word)))
+            .await;
+    }
+
     /// Records that an upstream wants no requests until a time.
     pub async fn record_rest(&self, incarnation: Incarnation, until: Moment) {
         self.send(Message::Forward(ForwardMessage::RecordRest(
@@ -767,6 +789,10 @@
             ForwardMessage::Limits(reply) => {
                 let _ = reply.send(self.balancer.limits(now));
             }
+            ForwardMessage::Evidence(is_cut_off, reply) => {
+                let _ = reply.send(self.balancer.evidence(is_cut_off, now));
+            }
+            ForwardMessage::RecordEvidence(word) => self.balancer.record_evidence(word, now),
             ForwardMessage::RecordPeerLoads(instance, loads, others) => {
                 self.balancer
                     .record_peer_loads(&instance, loads, others, now);
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! upstreams come from a store instead of the log.
 
 mod dispatcher;
+mod evidence;
 mod feed;
 mod fingerprint;
 mod freshness;
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -6,6 +6,7 @@
 //! ruling from the same evidence. The first in a rendezvous order writes it; the others write it
 //! only if it is not written in time.
 
+use crate::forward::evidence;
 use crate::forward::feed;
 use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::front::Shared;
@@ -262,6 +263,8 @@
         }
         let sent = self.sending_time(beacon, &name, address).await;
         let shared = &self.parts.shared;
+        let age = sent.map(|sent| boot_time().since(sent));
+        evidence::receive(&shared.core, &name, beacon, age).await;
         for departure in beacon
             .departures
             .iter()
@@ -369,6 +372,7 @@
         let shared = &self.parts.shared;
         let departures = shared.notices.recent_departures(&shared.core);
         let (parts, requests) = shared.holds.news(&shared.core);
+        let is_cut_off = shared.paths.is_cut_off();
         let (own_now, now) = (self.now(), boot_time());
         let beacon = Beacon {
             instance: self.parts.own.to_string(),
@@ -388,7 +392,8 @@
             limits: Some(self.limits().await),
             requests: Some(encode_suspects(&requests, own_now)),
             request_rebuttals: Some(encode_rebuttals(&requests.rebuttals, own_now)),
-            cut_off: Some(shared.paths.is_cut_off()),
+            cut_off: Some(is_cut_off),
+            tried: Some(evidence::tell(&shared.core, is_cut_off).await),
         };
         match beacon::encode(&beacon) {
             Ok(payload) => self.send(&payload).await,
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -343,9 +343,12 @@
         match value {
             Answer::Whole(answer) => {
                 self.shared.holds.record_sound(core, self.subject());
-                core.decider
-                    .finish(choice, Outcome::Done { first_token })
-                    .await;
+                let outcome = if answer.status.is_server_error() {
+                    Outcome::ErrorStatus { first_token }
+                } else {
+                    Outcome::Done { first_token }
+                };
+                core.decider.finish(choice, outcome).await;
                 Ok(Reply::Forwarded(answer))
             }
             Answer::BelowThreshold => {
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -157,6 +157,7 @@
             excluded: excluded.to_vec(),
             regions: self.regions.clone(),
             deadline: self.deadline,
+            is_repeatable: self.repeatable,
         }
     }
 
@@ -427,6 +428,7 @@
 pub fn outcome(failure: &Failure) -> Outcome {
     match failure.reason {
         Reason::Refused => Outcome::Refused,
+        Reason::Connect => Outcome::Unreachable,
         _ => Outcome::Failed,
     }
 }
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -302,5 +302,6 @@
         excluded: &query.excluded,
         regions: query.regions.as_deref(),
         deadline: query.deadline,
+        is_repeatable: query.is_repeatable,
     }
 }
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -123,6 +123,8 @@
     Quarantined = "quarantined",
     /// The own link to an upstream is cut, or is back.
     Path = "path",
+    /// An upstream was taken out by the evidence of several instances, or taken back.
+    Outlier = "outlier",
     /// Events were dropped because the queue was full.
     Dropped = "dropped",
 }
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -61,6 +61,12 @@
     HeldParts = "held_parts",
     /// Requests that were held back with all their repeats because they end upstreams.
     HeldRequests = "held_requests",
+    /// Upstreams that were taken out because they fail more often than others.
+    FailingUpstreams = "failing_upstreams",
+    /// Upstreams that were taken out because several instances couldn't reach them.
+    UnreachableUpstreams = "unreachable_upstreams",
+    /// Upstreams that were taken back after they had been taken out.
+    ReturnedUpstreams = "returned_upstreams",
     /// Connections to upstreams that a peer carries.
     PeerConnections = "peer_connections",
     /// Connections to upstreams that peers asked for.
