--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -4,8 +4,10 @@
 use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
 use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
 use crate::hash;
+use crate::judgement::{Judgement, News, Scene, Word};
 use crate::limit::{Limit, Limits, Wait};
 use crate::load::Load;
+use crate::outlier::Admission;
 use crate::peer_loads::{Others, PeerLoads};
 use crate::placement::Place;
 use crate::pool::Pools;
@@ -78,6 +80,7 @@
     peer_loads: PeerLoads,
     restrictions: Restrictions,
     limits: Limits,
+    judgement: Judgement,
     /// Moving average of prompt sizes, in bytes.
     mean_prompt: f64,
 }
@@ -95,6 +98,8 @@
     lent: Option<Coverage>,
     /// What is known of an upstream that reports no load, where the demand is unknown.
     place: Option<Place>,
+    /// Whether the request would be a probe of an upstream that is taken out.
+    is_probe: bool,
 }
 
 /// What a request asks of its upstream, and what is known of it.
@@ -125,6 +130,7 @@
             peer_loads: PeerLoads::default(),
             restrictions: Restrictions::default(),
             limits: Limits::default(),
+            judgement: Judgement::default(),
             mean_prompt: 0.0,
         }
     }
@@ -146,6 +152,7 @@
             }
         }
         self.peer_loads.configure(config);
+        self.judgement.configure(config);
         self.rebuild(now);
     }
 
@@ -241,7 +248,12 @@
     /// Returns a refusal if no upstream can take the request now.
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
         self.peer_loads.expire(&self.config, now);
+        self.review(now);
         let candidates = self.eligible(query, now)?;
+        if let Some(probe) = candidates.iter().find(|candidate| candidate.is_probe) {
+            self.judgement.record_probe(&self.config, probe.upstream);
+            return Ok(self.begin(probe, query, now));
+        }
         let sharers = self.sharers(candidates[0].upstream);
         let best = match self.least_wait(&candidates) {
             Some(best) => best,
@@ -276,6 +288,7 @@
             regions: query.regions,
             deadline: query.deadline,
             priority: query.priority,
+            is_repeatable: query.is_repeatable,
         };
         self.filter(now)
             .check_permitted(&request)
@@ -365,10 +378,38 @@
             .record(&self.config, instance, loads, instances, now);
     }
 
+    /// Returns what is to be told to peers of own tries, and what to log. `is_cut_off` says that the own
+    /// links to upstreams are cut.
+    pub fn evidence(&mut self, is_cut_off: bool, now: Moment) -> News {
+        self.review(now);
+        self.judgement.news(&self.config, is_cut_off, now)
+    }
+
+    /// Records what a peer told of its tries.
+    pub fn record_evidence(&mut self, word: Word, now: Moment) {
+        self.judgement.record_word(&self.config, word, now);
+    }
+
+    /// Judges the upstreams in use anew, if that is due.
+    fn review(&mut self, now: Moment) {
+        let scene = Scene {
+            config: &self.config,
+            pools: &self.pools,
+            states: &self.states,
+            restrictions: &self.restrictions,
+            others: self.peer_loads.work(now),
+            own: &self.own,
+            live: self.views.live(),
+            max_own_sharers: FULL_COMPARISON_MAX_SHARERS,
+        };
+        self.judgement.review(&scene, now);
+    }
+
     /// Records the end of a choice. Returns a suspicion of cold start if the outcome raises one.
     pub fn finish(&mut self, choice: Choice, outcome: Outcome, now: Moment) -> Option<Suspicion> {
         let config = Arc::clone(&self.config);
         let id = config.upstream(choice.upstream.as_str());
+        self.judgement.record_end(&config, &choice, outcome, now);
         let limit = id.map_or(0, |id| config.upstreams[id].warm);
         let state = self
             .states
@@ -414,16 +455,10 @@
     ) -> Result<Vec<Candidate>, Refusal> {
         let filter = self.filter(now);
         let pool = self.pools.pool(request.service, request.version);
-        let asked = Asked {
-            prefix,
-            demand,
-            homes: prefix.map_or_else(Vec::new, |prefix| self.homes(prefix, &pool.used)),
-            others: match demand {
-                Some(_) => self.peer_loads.work(now),
-                None => Others::default(),
-            },
-        };
+        let asked = self.asked((prefix, demand), &pool.used, now);
         let mut candidates = Vec::with_capacity(pool.used.len());
+        let mut closed = Vec::new();
+        let mut has_other = false;
         let mut most_transient = self.unavailable_reason(request);
         let mut rest_end: Option<Moment> = None;
         let mut limit_end: Option<Moment> = None;
@@ -441,21 +476,18 @@
                 continue;
             }
             if let Some(wait) = self.limit_wait(upstream, now) {
-                let reason = match wait {
-                    Wait::Until(end) => {
-                        limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
-                        let is_soon = end < (now + MAX_LIMIT_WAIT).min(request.deadline);
-                        if is_soon {
-                            Reason::Full
-                        } else {
-                            Reason::Limited
-                        }
-                    }
-                    Wait::Unknown => Reason::Limited,
-                };
-                most_transient = most_transient.max(reason);
+                if let Wait::Until(end) = wait {
+                    limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
+                }
+                let soon = (now + MAX_LIMIT_WAIT).min(request.deadline);
+                most_transient = most_transient.max(limited(wait, soon));
+                has_other = true;
                 continue;
             }
+            let admission =
+                self.judgement
+                    .admit(&self.config, upstream, request.is_repeatable, now);
+            let is_closed = admission == Admission::Closed;
             let state = self.states.in_use(upstream);
             let sharers = self.sharers(upstream);
             let checked = filter.check(request, upstream, state, sharers, None);
@@ -467,13 +499,24 @@
                 Ok(grant) => grant,
                 Err(reason) => {
                     most_transient = most_transient.max(reason);
+                    has_other |= !is_closed && reason != Reason::Region;
                     continue;
                 }
             };
             let mut candidate = self.candidate(upstream, (grant, sharers), &asked, now);
             candidate.lent = lent;
             candidate.place = self.place(room, &candidate, request, now);
-            candidates.push(candidate);
+            candidate.is_probe = admission == Admission::Probe;
+            if is_closed {
+                most_transient = most_transient.max(Reason::Failing);
+                closed.push(candidate);
+            } else {
+                candidates.push(candidate);
+            }
+        }
+        // The last upstream that may serve a request, as in its regions, is not refused to it.
+        if candidates.is_empty() && !has_other {
+            candidates = closed;
         }
         // The capacity of cold upstreams is used only if no warm one has room.
         if candidates.iter().any(|one| one.grant != Grant::RateLimited) {
@@ -490,6 +533,23 @@
         Err(refusal_until(most_transient, end, now))
     }
 
+    fn asked(
+        &self,
+        (prefix, demand): (Option<u64>, Option<Demand>),
+        used: &[id::Upstream],
+        now: Moment,
+    ) -> Asked<'_> {
+        Asked {
+            prefix,
+            demand,
+            homes: prefix.map_or_else(Vec::new, |prefix| self.homes(prefix, used)),
+            others: match demand {
+                Some(_) => self.peer_loads.work(now),
+                None => Others::default(),
+            },
+        }
+    }
+
     /// Returns an upstream that passed the filter, with its score.
     fn candidate(
         &self,
@@ -537,6 +597,7 @@
             is_local,
             lent: None,
             place: None,
+            is_probe: false,
         }
     }
 
@@ -696,6 +757,7 @@
             regions: None,
             deadline: choice.end,
             priority: choice.priority,
+            is_repeatable: false,
         };
         if choice.generation == self.generation {
             return Ok((request, upstream));
@@ -782,6 +844,14 @@
     }
 }
 
+/// Returns the reason of an upstream whose limit leaves no room, which may have some `soon`.
+fn limited(wait: Wait, soon: Moment) -> Reason {
+    match wait {
+        Wait::Until(end) if end < soon => Reason::Full,
+        Wait::Until(_) | Wait::Unknown => Reason::Limited,
+    }
+}
+
 fn refusal(reason: Reason) -> Refusal {
     let retry_after = match reason {
         Reason::NoUpstream
--- a/crates/routing/src/balancer/plain.rs
+++ b/crates/routing/src/balancer/plain.rs
@@ -3,6 +3,7 @@
 use super::{Balancer, Candidate};
 use crate::demand::Demand;
 use crate::filter::{Grant, Request};
+use crate::outlier::Admission;
 use crate::placement::{self, Place};
 use crate::query::Query;
 use crate::room::{self, Coverage, Room, Sight};
@@ -70,6 +71,9 @@
         let (share, limit) = self
             .filter(now)
             .limits(request.priority, upstream, state, sharers);
+        let admission = self
+            .judgement
+            .admit(&self.config, upstream, request.is_repeatable, now);
         let is_warm = matches!(state.readiness(now), Readiness::Warm { .. });
         Some(Sight {
             limit,
@@ -77,6 +81,7 @@
             own: state.running,
             crowd: self.peer_loads.crowd(upstream),
             usable: is_warm
+                && admission == Admission::Open
                 && state.breaker.allows(now)
                 && !state.has_failed_lately(now)
                 && self.restriction(upstream, now).is_none()
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -362,10 +362,10 @@
         self.remove_pending(ticket);
         self.slots.release(ticket);
         match outcome {
-            Outcome::Done { first_token } => {
+            Outcome::Done { first_token } | Outcome::ErrorStatus { first_token } => {
                 self.breaker.record_success();
                 self.refusals = 0;
-                if let Some(time) = first_token {
+                if let (Outcome::Done { .. }, Some(time)) = (outcome, first_token) {
                     self.service_time.record(time, now);
                 }
                 let slow = first_token.is_some_and(|time| self.is_slow(time));
@@ -378,7 +378,7 @@
                 let enough = self.reports || self.refusals >= UNREPORTED_REFUSAL_THRESHOLD;
                 grant == Grant::Warm && is_lightly_loaded && enough && self.record_suspicion(now)
             }
-            Outcome::Failed => {
+            Outcome::Failed | Outcome::Unreachable => {
                 self.breaker.record_failure(now);
                 self.unserved_at = Some(now);
                 // A restarted process starts cold.
