Test the record after a return, and which requests probe

Of the mutations that were tried, four were not caught by the tests: evidence kept after an own or a told return, probes that are not preferred among many upstreams, an own return that comes back as news, and requests that can't be repeated as first probes.

--- a/crates/routing/tests/outlier.rs
+++ b/crates/routing/tests/outlier.rs
@@ -17,7 +17,7 @@
     judge,
 };
 use routing::restriction::Incarnation;
-use routing::{Outcome, Query};
+use routing::{Balancer, Outcome, Query};
 
 const INSTANCES: usize = 80;
 
@@ -412,6 +412,8 @@
     expect_false!(other.record_return(&incarnation(0), told[0].1 + millis(30), heard));
     expect_false!(other.is_eligible(&incarnation(0), answered + GRACE - millis(1)));
     expect_true!(other.is_eligible(&incarnation(0), answered + GRACE));
+    // A return of an own probe is no news either.
+    expect_false!(own.record_return(&incarnation(0), told[0].1 + millis(30), heard));
     // A return of before another ejection says nothing.
     let again = answered + secs(10);
     other.eject(&incarnation(0), Cause::Failing, evidence, again);
@@ -545,3 +547,117 @@
     }
     expect_that!(chosen, eq(INSTANCES));
 }
+
+/// Returns the word of a peer after five bad ends at the first of three upstreams.
+fn failures(peer: usize, now: Moment) -> Word {
+    let tried = |index, failed| Tried {
+        incarnation: incarnation(index),
+        counts: Counts {
+            ended: 5,
+            failed,
+            unreachable: 0,
+        },
+        answered: None,
+        failed: None,
+    };
+    Word {
+        peer: instance(peer),
+        stamp: Stamp { run: 0, sent: now },
+        sent_at: now,
+        tried: vec![tried(0, 5), tried(1, 0), tried(2, 0)],
+        returns: Vec::new(),
+    }
+}
+
+/// Returns the bad ends at the first upstream that an instance tells.
+fn bad_ends_told(balancer: &mut Balancer, now: Moment) -> u32 {
+    let tried = balancer.evidence(false, now).tried;
+    let told = tried
+        .iter()
+        .filter(|tried| tried.incarnation == incarnation(0));
+    told.map(|tried| tried.counts.bad()).sum()
+}
+
+/// Sends a request to the first upstream, if it may take one that may go nowhere else.
+fn send_to_first(balancer: &mut Balancer, outcome: Outcome, now: Moment) -> bool {
+    let excluded = [engine(1), engine(2)];
+    let asked = Query {
+        version: None,
+        excluded: &excluded,
+        ..query(now)
+    };
+    let Ok(choice) = balancer.choose(&asked, now) else {
+        return false;
+    };
+    balancer.finish(choice, outcome, now + millis(1));
+    true
+}
+
+/// Failures of before a return are not told any more.
+#[gtest]
+fn a_return_clears_the_record() {
+    for is_own in [true, false] {
+        let mut fleet = Fleet::new(1, 3, true, 10);
+        let balancer = &mut fleet.balancers[0];
+        let mut now = START + secs(1);
+        expect_true!(send_to_first(balancer, ERROR, now));
+        expect_that!(bad_ends_told(balancer, now), eq(1));
+        for peer in 1..=4 {
+            balancer.record_evidence(failures(peer, now), now);
+        }
+        now = now + millis(150);
+        expect_false!(send_to_first(balancer, DONE, now));
+        if is_own {
+            // This instance is alone, and owns all slots for probes.
+            now = now + millis(600);
+            expect_true!(send_to_first(balancer, DONE, now));
+        } else {
+            now = now + millis(100);
+            let word = Word {
+                returns: vec![(incarnation(0), now)],
+                ..failures(5, now)
+            };
+            balancer.record_evidence(word, now);
+        }
+        now = now + millis(1);
+        let news = balancer.evidence(false, now);
+        expect_that!(news.returns.len(), eq(1));
+        expect_that!(bad_ends_told(balancer, now), eq(0));
+        expect_true!(send_to_first(balancer, DONE, now + millis(10)));
+    }
+}
+
+/// An idle upstream among many is probed though the choice among so many would seldom take it.
+#[gtest]
+fn probes_are_sent_where_many_others_are() {
+    let mut fleet = Fleet::new(INSTANCES, 16, false, 11);
+    let fails = |upstream, _| if upstream == 0 { ERROR } else { DONE };
+    fleet.run(6000, 5.0, fails);
+    let begun = fleet.now;
+    fleet.run(16_000, 5.0, fails);
+    // Two owners in each slot of 2 s, with 2.5 requests each.
+    let probes = fleet.bad_tries(begun, |upstream| upstream == 0);
+    expect_that!(probes, ge(10));
+    expect_that!(probes, le(9 * PROBES_PER_SLOT));
+}
+
+/// A request that can't be repeated is the probe of a failing upstream only if no other one came.
+#[gtest]
+fn requests_that_can_be_repeated_probe_first() {
+    let evidence = (Sum::default(), Counts::default(), Span::ZERO);
+    let names = [instance(0)];
+    let begin = Moment((START.0 / SLOT.as_micros() + 1) * SLOT.as_micros());
+    for (cause, at_first) in [
+        (Cause::Failing, Admission::Closed),
+        (Cause::Unreachable, Admission::Probe),
+    ] {
+        let mut own = Outliers::default();
+        own.eject(&incarnation(0), cause, evidence, START);
+        own.review(&names[0], &names, |_| Some(true), begin);
+        let admit = |is_repeatable, now| own.admit((&engine(0), 1), is_repeatable, now);
+        expect_that!(admit(true, begin), eq(Admission::Probe));
+        expect_that!(admit(false, begin), eq(at_first));
+        expect_that!(admit(false, begin + SLOT.scaled(0.5)), eq(Admission::Probe));
+        expect_that!(admit(true, begin + SLOT), eq(Admission::Closed));
+    }
+}
