--- a/crates/peer/tests/recorded/messages.rs
+++ b/crates/peer/tests/recorded/messages.rs
@@ -77,6 +77,7 @@
         request_rebuttals: None,
         cut_off: None,
         build: None,
+        tried: None,
     }
 }
 
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -4,14 +4,18 @@
 use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
 use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
 use crate::hash;
+use crate::judgement::{Judgement, News, Scene, Word};
 use crate::limit::{Limit, Limits, Wait};
 use crate::load::Load;
+use crate::outlier::Admission;
 use crate::peer_loads::{Others, PeerLoads};
+use crate::placement::Place;
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
 use crate::rate_limit::{self, Sharers};
 use crate::restriction::{Incarnation, Restriction, Restrictions};
 use crate::retry;
+use crate::room::Coverage;
 use crate::score::{self, Affinity, Placement};
 use crate::slots::{Bounds, Claim, DrainNotice, Members, Views};
 use crate::states::States;
@@ -25,6 +29,8 @@
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
 
+mod plain;
+
 /// Largest number of instances per upstream at which all eligible upstreams are compared.
 const FULL_COMPARISON_MAX_SHARERS: usize = 32;
 
@@ -78,6 +84,7 @@
     peer_loads: PeerLoads,
     restrictions: Restrictions,
     limits: Limits,
+    judgement: Judgement,
     /// Moving average of prompt sizes, in bytes.
     mean_prompt: f64,
 }
@@ -91,6 +98,12 @@
     score: f64,
     has_affinity: bool,
     is_local: bool,
+    /// The peers whose announcements show the room that it lends.
+    lent: Option<Coverage>,
+    /// What is known of an upstream that reports no load, where the demand is unknown.
+    place: Option<Place>,
+    /// Whether the request would be a probe of an upstream that is taken out.
+    is_probe: bool,
 }
 
 /// What a request asks of its upstream, and what is known of it.
@@ -121,6 +134,7 @@
             peer_loads: PeerLoads::default(),
             restrictions: Restrictions::default(),
             limits: Limits::default(),
+            judgement: Judgement::default(),
             mean_prompt: 0.0,
         }
     }
@@ -142,6 +156,7 @@
             }
         }
         self.peer_loads.configure(config);
+        self.judgement.configure(config);
         self.rebuild(now);
     }
 
@@ -237,9 +252,17 @@
     /// Returns a refusal if no upstream can take the request now.
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
         self.peer_loads.expire(&self.config, now);
+        self.review(now);
         let candidates = self.eligible(query, now)?;
+        if let Some(probe) = candidates.iter().find(|candidate| candidate.is_probe) {
+            self.judgement.record_probe(&self.config, probe.upstream);
+            return Ok(self.begin(probe, query, now));
+        }
         let sharers = self.sharers(candidates[0].upstream);
-        let best = self.best(&candidates, sharers);
+        let best = match self.least_wait(&candidates) {
+            Some(best) => best,
+            None => self.best(&candidates, sharers),
+        };
         Ok(self.begin(best, query, now))
     }
 
@@ -269,6 +292,7 @@
             regions: query.regions,
             deadline: query.deadline,
             priority: query.priority,
+            is_repeatable: query.is_repeatable,
         };
         self.filter(now)
             .check_permitted(&request)
@@ -358,10 +382,38 @@
             .record(&self.config, instance, loads, instances, now);
     }
 
+    /// Returns what is to be told to peers of own tries, and what to log. `is_cut_off` says that the own
+    /// links to upstreams are cut.
+    pub fn evidence(&mut self, is_cut_off: bool, now: Moment) -> News {
+        self.review(now);
+        self.judgement.news(&self.config, is_cut_off, now)
+    }
+
+    /// Records what a peer told of its tries.
+    pub fn record_evidence(&mut self, word: Word, now: Moment) {
+        self.judgement.record_word(&self.config, word, now);
+    }
+
+    /// Judges the upstreams in use anew, if that is due.
+    fn review(&mut self, now: Moment) {
+        let scene = Scene {
+            config: &self.config,
+            pools: &self.pools,
+            states: &self.states,
+            restrictions: &self.restrictions,
+            others: self.peer_loads.work(now),
+            own: &self.own,
+            live: self.views.live(),
+            max_own_sharers: FULL_COMPARISON_MAX_SHARERS,
+        };
+        self.judgement.review(&scene, now);
+    }
+
     /// Records the end of a choice. Returns a suspicion of cold start if the outcome raises one.
     pub fn finish(&mut self, choice: Choice, outcome: Outcome, now: Moment) -> Option<Suspicion> {
         let config = Arc::clone(&self.config);
         let id = config.upstream(choice.upstream.as_str());
+        self.judgement.record_end(&config, &choice, outcome, now);
         let limit = id.map_or(0, |id| config.upstreams[id].warm);
         let state = self
             .states
@@ -407,19 +459,15 @@
     ) -> Result<Vec<Candidate>, Refusal> {
         let filter = self.filter(now);
         let pool = self.pools.pool(request.service, request.version);
-        let asked = Asked {
-            prefix,
-            demand,
-            homes: prefix.map_or_else(Vec::new, |prefix| self.homes(prefix, &pool.used)),
-            others: match demand {
-                Some(_) => self.peer_loads.work(now),
-                None => Others::default(),
-            },
-        };
+        let asked = self.asked((prefix, demand), &pool.used, now);
         let mut candidates = Vec::with_capacity(pool.used.len());
+        let mut closed = Vec::new();
+        let mut has_other = false;
         let mut most_transient = self.unavailable_reason(request);
         let mut rest_end: Option<Moment> = None;
         let mut limit_end: Option<Moment> = None;
+        let room = self.room(request, (prefix, demand), now);
+        let room = room.as_ref();
         for &upstream in &pool.used {
             if let Some(restriction) = self.restriction(upstream, now) {
                 most_transient = most_transient.max(match restriction {
@@ -432,31 +480,47 @@
                 continue;
             }
             if let Some(wait) = self.limit_wait(upstream, now) {
-                let reason = match wait {
-                    Wait::Until(end) => {
-                        limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
-                        let is_soon = end < (now + MAX_LIMIT_WAIT).min(request.deadline);
-                        if is_soon {
-                            Reason::Full
-                        } else {
-                            Reason::Limited
-                        }
-                    }
-                    Wait::Unknown => Reason::Limited,
-                };
-                most_transient = most_transient.max(reason);
+                if let Wait::Until(end) = wait {
+                    limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
+                }
+                let soon = (now + MAX_LIMIT_WAIT).min(request.deadline);
+                most_transient = most_transient.max(limited(wait, soon));
+                has_other = true;
                 continue;
             }
+            let admission =
+                self.judgement
+                    .admit(&self.config, upstream, request.is_repeatable, now);
+            let is_closed = admission == Admission::Closed;
             let state = self.states.in_use(upstream);
             let sharers = self.sharers(upstream);
-            let grant = match filter.check(request, upstream, state, sharers, None) {
+            let checked = filter.check(request, upstream, state, sharers, None);
+            let is_full = checked == Err(Reason::Full);
+            let lent = room.filter(|_| is_full);
+            let lent = lent.and_then(|room| self.lent(room, upstream, request, now));
+            let grant = match checked {
+                Err(Reason::Full) if lent.is_some() => Grant::Warm,
                 Ok(grant) => grant,
                 Err(reason) => {
                     most_transient = most_transient.max(reason);
+                    has_other |= !is_closed && reason != Reason::Region;
                     continue;
                 }
             };
-            candidates.push(self.candidate(upstream, (grant, sharers), &asked, now));
+            let mut candidate = self.candidate(upstream, (grant, sharers), &asked, now);
+            candidate.lent = lent;
+            candidate.place = self.place(room, &candidate, request, now);
+            candidate.is_probe = admission == Admission::Probe;
+            if is_closed {
+                most_transient = most_transient.max(Reason::Failing);
+                closed.push(candidate);
+            } else {
+                candidates.push(candidate);
+            }
+        }
+        // The last upstream that may serve a request, as in its regions, is not refused to it.
+        if candidates.is_empty() && !has_other {
+            candidates = closed;
         }
         // The capacity of cold upstreams is used only if no warm one has room.
         if candidates.iter().any(|one| one.grant != Grant::RateLimited) {
@@ -470,12 +534,24 @@
             Reason::Limited => limit_end,
             _ => None,
         };
-        Err(Refusal {
-            retry_after: end
-                .map(|end| end.since(now))
-                .or(refusal(most_transient).retry_after),
-            reason: most_transient,
-        })
+        Err(refusal_until(most_transient, end, now))
+    }
+
+    fn asked(
+        &self,
+        (prefix, demand): (Option<u64>, Option<Demand>),
+        used: &[id::Upstream],
+        now: Moment,
+    ) -> Asked<'_> {
+        Asked {
+            prefix,
+            demand,
+            homes: prefix.map_or_else(Vec::new, |prefix| self.homes(prefix, used)),
+            others: match demand {
+                Some(_) => self.peer_loads.work(now),
+                None => Others::default(),
+            },
+        }
     }
 
     /// Returns an upstream that passed the filter, with its score.
@@ -523,6 +599,9 @@
             score,
             has_affinity: affinity != Affinity::None,
             is_local,
+            lent: None,
+            place: None,
+            is_probe: false,
         }
     }
 
@@ -646,6 +725,7 @@
             grant: candidate.grant,
             end: query.deadline,
             ahead: candidate.ahead,
+            lent: candidate.lent,
             ticket,
             config: Arc::clone(&self.config),
             generation: self.generation,
@@ -684,6 +764,7 @@
             regions: None,
             deadline: choice.end,
             priority: choice.priority,
+            is_repeatable: false,
         };
         if choice.generation == self.generation {
             return Ok((request, upstream));
@@ -760,6 +841,24 @@
     }
 }
 
+/// Returns a refusal for a reason that passes at a known time, if there is one.
+fn refusal_until(reason: Reason, end: Option<Moment>, now: Moment) -> Refusal {
+    let known = end.map(|end| end.since(now));
+    let refusal = refusal(reason);
+    Refusal {
+        retry_after: known.or(refusal.retry_after),
+        ..refusal
+    }
+}
+
+/// Returns the reason of an upstream whose limit leaves no room, which may have some `soon`.
+fn limited(wait: Wait, soon: Moment) -> Reason {
+    match wait {
+        Wait::Until(end) if end < soon => Reason::Full,
+        Wait::Until(_) | Wait::Unknown => Reason::Limited,
+    }
+}
+
 fn refusal(reason: Reason) -> Refusal {
     let retry_after = match reason {
         Reason::NoUpstream
@@ -769,7 +868,7 @@
         | Reason::Region
         | Reason::Deadline => None,
         Reason::Generation => Some(Span::ZERO),
-        Reason::Excluded | Reason::Full | Reason::Resting | Reason::Limited => {
+        Reason::Excluded | Reason::Late | Reason::Full | Reason::Resting | Reason::Limited => {
             Some(CAPACITY_RETRY_AFTER)
         }
         Reason::Cold | Reason::Failing => Some(RECOVERY_RETRY_AFTER),
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -1,8 +1,10 @@
 //! Requests to the balancer and their results.
 
 use crate::demand::Demand;
+use crate::evidence::End;
 use crate::filter::{Grant, Reason};
 use crate::restriction::Incarnation;
+use crate::room::Coverage;
 use config::Config;
 use entity::id;
 use entity::name;
@@ -43,6 +45,8 @@
     pub regions: Option<&'a [name::Region]>,
     /// Deadline of the complete answer.
     pub deadline: Moment,
+    /// Whether the request may be sent again after it may have run.
+    pub is_repeatable: bool,
 }
 
 /// An upstream for one dispatch.
@@ -64,6 +68,9 @@
     /// Work at the upstream before the first event of the answer, including that of the request
     /// itself, in tokens; none where the demand of the request is unknown.
     pub ahead: Option<f64>,
+    /// The peers whose announcements showed the room that this choice borrows; none if it is within
+    /// the share of this instance.
+    pub lent: Option<Coverage>,
     pub(crate) ticket: u64,
     pub(crate) config: Arc<Config>,
     pub(crate) generation: Generation,
@@ -127,14 +134,34 @@
         /// once.
         first_token: Option<Span>,
     },
+    /// The complete answer arrived, and its status says that the upstream failed.
+    ErrorStatus {
+        /// Time from the dispatch to the first byte of the answer; none where all of it arrived at
+        /// once.
+        first_token: Option<Span>,
+    },
     /// The upstream refused the request before running it.
     Refused,
+    /// No connection to the upstream could be established.
+    Unreachable,
     /// The connection failed, or the answer ended early, was late or had another id.
     Failed,
     /// The request ended for a reason that gives no evidence on the upstream.
     Cancelled,
 }
 
+impl Outcome {
+    /// Returns how the try ended, as evidence on its upstream; none if it is no evidence.
+    pub fn end(self) -> Option<End> {
+        match self {
+            Self::Done { .. } => Some(End::Well),
+            Self::ErrorStatus { .. } | Self::Failed => Some(End::Failed),
+            Self::Unreachable => Some(End::Unreachable),
+            Self::Refused | Self::Cancelled => None,
+        }
+    }
+}
+
 /// A suspicion that an upstream is in cold start again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspicion {
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod builds;
 mod dispatcher;
+mod evidence;
 mod feed;
 mod fingerprint;
 mod freshness;
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -8,6 +8,7 @@
 
 use crate::build;
 use crate::forward::builds::Builds;
+use crate::forward::evidence;
 use crate::forward::feed;
 use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::front::Shared;
@@ -269,6 +270,8 @@
         }
         let sent = self.sending_time(beacon, &name, address).await;
         let shared = &self.parts.shared;
+        let age = sent.map(|sent| boot_time().since(sent));
+        evidence::receive(&shared.core, &name, beacon, age).await;
         for departure in beacon
             .departures
             .iter()
@@ -376,6 +379,7 @@
         let shared = &self.parts.shared;
         let departures = shared.notices.recent_departures(&shared.core);
         let (parts, requests) = shared.holds.news(&shared.core);
+        let is_cut_off = shared.paths.is_cut_off();
         let (own_now, now) = (self.now(), boot_time());
         let beacon = Beacon {
             instance: self.parts.own.to_string(),
@@ -395,8 +399,9 @@
             limits: Some(self.limits().await),
             requests: Some(encode_suspects(&requests, own_now)),
             request_rebuttals: Some(encode_rebuttals(&requests.rebuttals, own_now)),
-            cut_off: Some(shared.paths.is_cut_off()),
             build: Some(build::name().into()),
+            cut_off: Some(is_cut_off),
+            tried: Some(evidence::tell(&shared.core, is_cut_off).await),
         };
         match reach::encode(&beacon, self.peers.is_small()) {
             Ok(payloads) => self.send(payloads).await,
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -11,7 +11,7 @@
 use routing::demand::Demand;
 use routing::{Choice, Outcome, Priority};
 use std::sync::Arc;
-use timeline::{Counter, Kind};
+use timeline::{Counter, EventBuilder, Kind};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use upstream::{Failure, Reason};
@@ -157,6 +157,7 @@
             excluded: excluded.to_vec(),
             regions: self.regions.clone(),
             deadline: self.deadline,
+            is_repeatable: self.repeatable,
         }
     }
 
@@ -294,11 +295,11 @@
             return Err(Abort::Stale);
         }
         let draft = core.recorder.event(Kind::Sent).request(job.id);
-        draft
+        let draft = draft
             .text("upstream", &choice.upstream)
             .count("try", u64::from(history.tries()))
-            .count("generation", job.snapshot.generation.0)
-            .record();
+            .count("generation", job.snapshot.generation.0);
+        record_room(core, draft, &choice);
         let sent = Instant::now();
         let limits = TryLimits {
             end: core.clock.instant(choice.end.min(job.deadline)),
@@ -342,6 +343,19 @@
     Err(Abort::Refused(exhausted_refusal(history)))
 }
 
+/// Records a try, with the evidence for its room at the upstream where it is borrowed.
+fn record_room(core: &Core, draft: EventBuilder<'_>, choice: &Choice) {
+    let Some(coverage) = choice.lent else {
+        draft.record();
+        return;
+    };
+    core.metric.count(Counter::LentRoom);
+    draft
+        .count("lent_by_heard", coverage.heard as u64)
+        .count("of_peers", coverage.known as u64)
+        .record();
+}
+
 /// Returns the refusal of a request that can't be tried again.
 fn exhausted_refusal(history: &History) -> Refusal {
     match &history.last_failure {
@@ -427,6 +441,7 @@
 pub fn outcome(failure: &Failure) -> Outcome {
     match failure.reason {
         Reason::Refused => Outcome::Refused,
+        Reason::Connect => Outcome::Unreachable,
         _ => Outcome::Failed,
     }
 }
@@ -474,6 +489,7 @@
         Why::Limited => (StatusCode::SERVICE_UNAVAILABLE, "upstreams-limited"),
         Why::Failing | Why::Excluded => (StatusCode::BAD_GATEWAY, "upstream-failed"),
         Why::Full => (StatusCode::TOO_MANY_REQUESTS, "overloaded"),
+        Why::Late => (StatusCode::TOO_MANY_REQUESTS, "late"),
         Why::Generation => (StatusCode::SERVICE_UNAVAILABLE, "configuration-changed"),
     };
     let refused = Refusal::not_run(status, code, refusal.reason.to_string());
--- a/crates/server/tests/spread.rs
+++ b/crates/server/tests/spread.rs
@@ -188,6 +188,7 @@
         request_rebuttals: None,
         cut_off: None,
         build: None,
+        tried: None,
     }
 }
 
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -59,10 +59,18 @@
     RestingUpstreams = "resting_upstreams",
     /// Changes of the limits that upstreams named, or of which a peer told.
     LimitedUpstreams = "limited_upstreams",
+    /// Tries sent in room of an upstream that other instances left free.
+    LentRoom = "lent_room",
     /// Parts of prompts that were held back because they end upstreams.
     HeldParts = "held_parts",
     /// Requests that were held back with all their repeats because they end upstreams.
     HeldRequests = "held_requests",
+    /// Upstreams that were taken out because they fail more often than others.
+    FailingUpstreams = "failing_upstreams",
+    /// Upstreams that were taken out because several instances couldn't reach them.
+    UnreachableUpstreams = "unreachable_upstreams",
+    /// Upstreams that were taken back after they had been taken out.
+    ReturnedUpstreams = "returned_upstreams",
     /// Connections to upstreams that a peer carries.
     PeerConnections = "peer_connections",
     /// Connections to upstreams that peers asked for.
