Place requests by their likely work and the speed of engines

Upstreams were compared by queued prompt tokens alone. The balancer now learns output lengths by kind, the speed of each incarnation from first events (its own, and what peers tell in beacons, field 27) and compares engines by the expected end of the request. An engine whose memory (kvCapacityTokens) would be exceeded comes last. `--placement prompt` keeps the choice as it was.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -177,6 +177,9 @@
     /// Request rate that it can sustain during cold start, in requests per second over all
     /// instances.
     pub cold_rate: u32,
+    /// Number of tokens that its memory holds, of all its running requests together; none where it is
+    /// not known.
+    pub memory: Option<u32>,
 }
 
 /// `[organisation NAME]`: a customer, whose requests are billed together.
--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -46,6 +46,8 @@
     pub connections: u32,
     /// Requests per second that an upstream can serve during cold start, over all instances.
     pub cold_rate: f64,
+    /// Number of tokens that the memory of an engine holds; none where it is not known.
+    pub memory: Option<u32>,
     /// Models that its engines run, the smallest first; empty for a plain service.
     pub models: Vec<Model>,
 }
--- a/crates/forward/src/head.rs
+++ b/crates/forward/src/head.rs
@@ -51,6 +51,8 @@
     pub model: Option<Model>,
     /// Size of the generation.
     pub size: Option<Size>,
+    /// Estimated number of generated tokens, as the caller says.
+    pub length_hint: Option<u32>,
     /// Parts of the prompt, in order. The last one belongs to this request or its session alone.
     pub parts: Vec<Part>,
     /// Session that the request belongs to.
--- a/crates/forward/src/resolve.rs
+++ b/crates/forward/src/resolve.rs
@@ -177,6 +177,7 @@
             incarnation: registration.incarnation,
             cold_until: registered.cold_until,
             cold_rate: service.cold_rate.max(0.0) as u32,
+            memory: service.memory,
         }),
     })
 }
--- a/crates/forward/tests/resolve.rs
+++ b/crates/forward/tests/resolve.rs
@@ -19,6 +19,7 @@
         name: name.parse().unwrap(),
         connections: 100,
         cold_rate: 18.0,
+        memory: None,
         models: Vec::new(),
     }
 }
--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -236,6 +236,17 @@
   2: required i64 age_us,
 }
 
+/** What the sender saw of the speed of an upstream in the last seconds. */
+struct Pace {
+  1: required string upstream,
+  /** The start time of the incarnation, as the upstream registered it. */
+  2: required i64 incarnation,
+  /** Work before first events, in tokens of the largest model. */
+  3: required i32 work,
+  /** Time until they arrived, in milliseconds. */
+  4: required i32 time_ms,
+}
+
 /** What an instance tells others in a datagram, which is not answered. */
 struct Beacon {
   1: required string instance,
@@ -269,6 +280,8 @@
   17: optional list<Rebuttal> request_rebuttals,
   /** Whether the sender's links to upstreams are cut, so that it carries no connections for others. */
   18: optional bool cut_off,
+  /** Speeds of upstreams, as the sender itself saw them. */
+  27: optional list<Pace> paces,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2491,6 +2491,102 @@
   }
 }
 
+//
+// Pace
+//
+
+/// What the sender saw of the speed of an upstream in the last seconds.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Pace {
+  pub upstream: String,
+  /// The start time of the incarnation, as the upstream registered it.
+  pub incarnation: i64,
+  /// Work before first events, in tokens of the largest model.
+  pub work: i32,
+  /// Time until they arrived, in milliseconds.
+  pub time_ms: i32,
+}
+
+impl Pace {
+  pub fn new(upstream: String, incarnation: i64, work: i32, time_ms: i32) -> Pace {
+    Pace {
+      upstream,
+      incarnation,
+      work,
+      time_ms,
+    }
+  }
+}
+
+impl TSerializable for Pace {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Pace> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i32> = None;
+    let mut f_4: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i32()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i32()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Pace.upstream", &f_1)?;
+    verify_required_field_exists("Pace.incarnation", &f_2)?;
+    verify_required_field_exists("Pace.work", &f_3)?;
+    verify_required_field_exists("Pace.time_ms", &f_4)?;
+    let ret = Pace {
+      upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      work: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      time_ms: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Pace");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
+    o_prot.write_string(&self.upstream)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("work", TType::I32, 3))?;
+    o_prot.write_i32(self.work)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("time_ms", TType::I32, 4))?;
+    o_prot.write_i32(self.time_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Beacon
 //
@@ -2529,10 +2625,12 @@
   pub request_rebuttals: Option<Vec<Rebuttal>>,
   /// Whether the sender's links to upstreams are cut, so that it carries no connections for others.
   pub cut_off: Option<bool>,
+  /// Speeds of upstreams, as the sender itself saw them.
+  pub paces: Option<Vec<Pace>>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F27>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18, paces: F27) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>>, F27: Into<Option<Vec<Pace>>> {
     Beacon {
       instance,
       address,
@@ -2552,6 +2650,7 @@
       requests: requests.into(),
       request_rebuttals: request_rebuttals.into(),
       cut_off: cut_off.into(),
+      paces: paces.into(),
     }
   }
 }
@@ -2577,6 +2676,7 @@
     let mut f_16: Option<Vec<Suspect>> = None;
     let mut f_17: Option<Vec<Rebuttal>> = None;
     let mut f_18: Option<bool> = None;
+    let mut f_27: Option<Vec<Pace>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2722,6 +2822,16 @@
           let val = i_prot.read_bool()?;
           f_18 = Some(val);
         },
+        27 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Pace> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_23 = Pace::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_23);
+          }
+          i_prot.read_list_end()?;
+          f_27 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2755,6 +2865,7 @@
       requests: f_16,
       request_rebuttals: f_17,
       cut_off: f_18,
+      paces: f_27,
     };
     Ok(ret)
   }
@@ -2881,6 +2992,15 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.paces {
+      o_prot.write_field_begin(&TFieldIdentifier::new("paces", TType::List, 27))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use peer::beacon::{Datagram, Error, decode, encode};
-use peer::message::{Beacon, Clock, Crash, Limit, Rebuttal, Suspect};
+use peer::message::{Beacon, Clock, Crash, Limit, Pace, Rebuttal, Suspect};
 
 fn beacon() -> Beacon {
     Beacon {
@@ -28,6 +28,7 @@
         )]),
         request_rebuttals: Some(vec![Rebuttal::new(10, 1)]),
         cut_off: Some(true),
+        paces: Some(vec![Pace::new("i-1".to_owned(), 2, 900, 120)]),
     }
 }
 
--- a/crates/quality/tests/support/releases.rs
+++ b/crates/quality/tests/support/releases.rs
@@ -36,6 +36,7 @@
             incarnation: 1,
             cold_until: Moment(0),
             cold_rate: 10,
+            memory: None,
         }),
     };
     let mut config = Config {
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -1,7 +1,11 @@
 //! The balancer of one instance, which holds the state of its upstreams and chooses one of them for
 //! each dispatch.
 
+mod learning;
+
+use crate::completion::{Basis, Cost, Learned};
 use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
+use crate::estimate::length::Length;
 use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
 use crate::hash;
 use crate::limit::{Limit, Limits, Wait};
@@ -12,6 +16,7 @@
 use crate::rate_limit::{self, Sharers};
 use crate::restriction::{Incarnation, Restriction, Restrictions};
 use crate::retry;
+use crate::runs::Run;
 use crate::score::{self, Affinity, Placement};
 use crate::slots::{Bounds, Claim, DrainNotice, Members, Views};
 use crate::states::States;
@@ -76,6 +81,9 @@
     limits: Limits,
     /// Moving average of prompt sizes, in bytes.
     mean_prompt: f64,
+    /// By what engines are compared.
+    basis: Basis,
+    learned: Learned,
 }
 
 /// An upstream that passed the filter.
@@ -84,6 +92,8 @@
     grant: Grant,
     affinity: Affinity,
     ahead: Option<f64>,
+    /// Expected cost; none where engines are not compared by it.
+    cost: Option<Cost>,
     score: f64,
     has_affinity: bool,
     is_local: bool,
@@ -97,6 +107,10 @@
     homes: Vec<id::Upstream>,
     /// Work of the peers at each upstream.
     others: Others<'a>,
+    /// Expected length of the answer.
+    length: Length,
+    /// Mean tokens that a request of this instance holds at an engine.
+    mean_held: f64,
 }
 
 impl Balancer {
@@ -118,9 +132,16 @@
             restrictions: Restrictions::default(),
             limits: Limits::default(),
             mean_prompt: 0.0,
+            basis: Basis::default(),
+            learned: Learned::default(),
         }
     }
 
+    /// Sets by what engines are compared.
+    pub fn set_basis(&mut self, basis: Basis) {
+        self.basis = basis;
+    }
+
     /// Puts a configuration in force. The state of an upstream is kept if its name stays, except
     /// that an upstream that returns to service starts as unknown.
     pub fn configure(&mut self, config: &Arc<Config>, generation: Generation, now: Moment) {
@@ -233,6 +254,7 @@
     /// Returns a refusal if no upstream can take the request now.
     pub fn choose(&mut self, query: &Query, now: Moment) -> Result<Choice, Refusal> {
         self.peer_loads.expire(&self.config, now);
+        self.learned.paces.expire(now);
         let candidates = self.eligible(query, now)?;
         let sharers = self.sharers(candidates[0].upstream);
         let best = self.best(&candidates, sharers);
@@ -364,6 +386,10 @@
             .by_name_mut(&choice.upstream)
             .expect("the state of an upstream is kept until its last choice is finished");
         let suspected = state.end((choice.grant, choice.ticket), outcome, limit, now);
+        let run = state.runs.remove(choice.ticket);
+        if let Some(run) = run {
+            self.observe_end(&choice, &run, outcome, now);
+        }
         suspected.then_some(Suspicion {
             upstream: choice.upstream,
             since: now,
@@ -411,6 +437,8 @@
                 Some(_) => self.peer_loads.work(now),
                 None => Others::default(),
             },
+            length: demand.map_or_else(Length::default, |demand| self.learned.length(&demand, now)),
+            mean_held: self.mean_held(),
         };
         let mut candidates = Vec::with_capacity(pool.used.len());
         let mut most_transient = self.unavailable_reason(request);
@@ -458,6 +486,10 @@
         if candidates.iter().any(|one| one.grant != Grant::RateLimited) {
             candidates.retain(|one| one.grant != Grant::RateLimited);
         }
+        let exceeds = |one: &Candidate| one.cost.is_some_and(|cost| cost.exceeds_memory);
+        if candidates.iter().any(|one| !exceeds(one)) {
+            candidates.retain(|one| !exceeds(one));
+        }
         if !candidates.is_empty() {
             return Ok(candidates);
         }
@@ -497,7 +529,10 @@
             sharers,
             affinity,
         };
-        let ahead = asked.demand.map(|demand| {
+        let cost = asked
+            .demand
+            .and_then(|demand| self.cost(upstream, affinity, (&demand, asked), now));
+        let by_prompt = asked.demand.map(|demand| {
             let mut work = state.work();
             let others = asked.others.at(upstream);
             work.pending += others.pending;
@@ -506,9 +541,10 @@
         });
         let zone = self.config.zone(self.zone.as_str());
         let is_local = zone == Some(self.config.upstreams[upstream].zone);
-        let score = match ahead {
-            Some(ahead) if is_local => ahead,
-            Some(ahead) => ahead + OTHER_ZONE_COST_TOKENS,
+        let ahead = cost.map_or(by_prompt, |cost| Some(cost.ahead));
+        let score = match cost.map_or(by_prompt, |cost| Some(cost.total)) {
+            Some(tokens) if is_local => tokens,
+            Some(tokens) => tokens + OTHER_ZONE_COST_TOKENS,
             None => score::score(&self.config, zone, placement, state, now),
         };
         Candidate {
@@ -516,6 +552,7 @@
             grant,
             affinity,
             ahead,
+            cost,
             score,
             has_affinity: affinity != Affinity::None,
             is_local,
@@ -626,6 +663,22 @@
             self.states
                 .in_use_mut(candidate.upstream)
                 .add_pending(ticket, work, query.prefix, now);
+            let number = self.incarnation(candidate.upstream);
+            if let (Some(cost), Some(incarnation)) = (candidate.cost, number) {
+                let length = self.learned.length(&demand, now);
+                self.states.in_use_mut(candidate.upstream).runs.add(Run {
+                    ticket,
+                    incarnation,
+                    work,
+                    ahead: cost.queued,
+                    // Without a claim on its length, the answer may arrive as a whole.
+                    expected: demand.output.and(cost.first_event),
+                    demand,
+                    length,
+                    sent: now,
+                    begun: None,
+                });
+            }
         }
         let upstream = &self.config.upstreams[candidate.upstream];
         if let Some(registration) = &upstream.registration {
@@ -639,6 +692,8 @@
             grant: candidate.grant,
             end: query.deadline,
             ahead: candidate.ahead,
+            expected: candidate.cost.and_then(|cost| cost.first_event),
+            generated: None,
             ticket,
             config: Arc::clone(&self.config),
             generation: self.generation,
--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -5,12 +5,13 @@
 //! the same time. The part of a prompt that is in the engine's KV cache for the same model costs
 //! nothing.
 
+use crate::estimate::length::Claim;
 use crate::score::Affinity;
 use entity::name;
 
 /// Work that each running generation adds for other requests, in tokens: it makes every step of the
 /// engine slightly longer.
-const RUNNING_COST_TOKENS: f64 = 150.0;
+pub(crate) const RUNNING_COST_TOKENS: f64 = 150.0;
 
 /// Probability of a cache hit on the shared part of a prompt at an engine that read it recently.
 const CACHE_HIT_PROBABILITY: f64 = 0.95;
@@ -24,7 +25,7 @@
 /// Cost of a request to another availability zone, in tokens.
 pub(crate) const OTHER_ZONE_COST_TOKENS: f64 = 400.0;
 
-/// Size of a generation's prompt.
+/// Size of a generation.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
     /// Prompt tokens that are not shared with other requests.
@@ -33,6 +34,8 @@
     pub shared: u32,
     /// Time per token of the model, in relation to the largest model.
     pub weight: f64,
+    /// What the request says of the length of its answer; none where it says nothing.
+    pub output: Option<Claim>,
 }
 
 /// Known work of an engine.
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -64,6 +64,10 @@
     /// Work at the upstream before the first event of the answer, including that of the request
     /// itself, in tokens; none where the demand of the request is unknown.
     pub ahead: Option<f64>,
+    /// Expected time to the first event of the answer; none where nothing is known of the service.
+    pub expected: Option<Span>,
+    /// Number of tokens that the upstream generated, once the whole answer is known.
+    pub generated: Option<u32>,
     pub(crate) ticket: u64,
     pub(crate) config: Arc<Config>,
     pub(crate) generation: Generation,
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -6,6 +6,7 @@
 use crate::load::Load;
 use crate::query::Outcome;
 use crate::rate_limit::RateLimiter;
+use crate::runs::Runs;
 use crate::slots::Ledger;
 use config::Registration;
 use entity::Moment;
@@ -76,6 +77,8 @@
     pub breaker: Breaker,
     /// Requests sent in cold start, where the upstream has a rate limit instead of slots.
     pub rate_limiter: RateLimiter,
+    /// Requests of this instance whose size is known.
+    pub runs: Runs,
     /// Requests that this instance may send within the limiter's window in cold start.
     pub cold_share: u32,
     /// Incarnation of the upstream and end of its cold start, as it announced them.
@@ -113,6 +116,7 @@
             breaker: Breaker::default(),
             rate_limiter: RateLimiter::default(),
             cold_share: 0,
+            runs: Runs::default(),
             registered: None,
             load: None,
             running_at_load: 0,
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -23,6 +23,7 @@
             incarnation: 1,
             cold_until: until,
             cold_rate: 40,
+            memory: None,
         });
     }
     common::balancer(&config, 7)
@@ -41,6 +42,7 @@
         own: 6000,
         shared: 5000,
         weight: 1.0,
+        output: None,
     }
 }
 
@@ -49,6 +51,7 @@
         own: 600,
         shared: 200,
         weight: 0.07,
+        output: None,
     }
 }
 
--- a/crates/routing/tests/limit.rs
+++ b/crates/routing/tests/limit.rs
@@ -42,6 +42,7 @@
             incarnation: 1,
             cold_until: Moment(0),
             cold_rate: 40,
+            memory: None,
         });
     }
     let names: Vec<name::Instance> = (1..=count)
--- a/crates/routing/tests/restriction.rs
+++ b/crates/routing/tests/restriction.rs
@@ -22,6 +22,7 @@
             incarnation,
             cold_until: Moment(0),
             cold_rate: 40,
+            memory: None,
         });
     }
     let mut balancer = common::balancer(&config, 7);
--- a/crates/routing/tests/work.rs
+++ b/crates/routing/tests/work.rs
@@ -35,6 +35,7 @@
                 Moment(0)
             },
             cold_rate: 40,
+            memory: None,
         });
     }
     config
@@ -65,6 +66,7 @@
             own: 600,
             shared: 200,
             weight: 1.0,
+            output: None,
         }),
         ..query(START)
     }
--- a/crates/server/src/assembly.rs
+++ b/crates/server/src/assembly.rs
@@ -20,6 +20,7 @@
 use rand::Rng;
 use routing::Bounds;
 use routing::allowance::Bound;
+use routing::completion::Basis;
 use session::Signer;
 use settings::{Settings, Sink};
 use std::sync::Arc;
@@ -282,6 +283,7 @@
         session_gap: Span::ZERO,
         exposure: Share::NONE,
         restarted: true,
+        basis: Basis::Prompt,
     };
     decider::spawn(parts, stopping.clone())
 }
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -14,7 +14,9 @@
 use quality::trial::Ruling;
 use quality::{Judge, Plan, Rating, Summary, Verdict};
 use routing::allowance::{Allowance, Bound};
+use routing::completion::Basis;
 use routing::demand::{Demand, Loads};
+use routing::estimate::pace::Pace;
 use routing::limit::Limit;
 use routing::reserve;
 use routing::restriction::Incarnation;
@@ -173,6 +175,8 @@
     RecordRequest(name::Service),
     TryRepeat(name::Service, u32, oneshot::Sender<bool>),
     FirstEvent(name::Upstream, u64),
+    Paces(oneshot::Sender<Vec<Pace>>),
+    RecordPeerPaces(name::Instance, Vec<Pace>),
     Loads(oneshot::Sender<Loads>),
     RecordPeerLoads(name::Instance, Loads, usize),
     RecordLeaving(Incarnation),
@@ -294,6 +298,22 @@
             .await
     }
 
+    /// Returns what this instance observed of the speeds of upstreams.
+    ///
+    /// # Errors
+    ///
+    /// The instance is shutting down.
+    pub async fn paces(&self) -> Result<Vec<Pace>, Closed> {
+        self.ask(|reply| Message::Forward(ForwardMessage::Paces(reply)))
+            .await
+    }
+
+    /// Records what a peer observed of the speeds of upstreams.
+    pub async fn record_peer_paces(&self, instance: name::Instance, paces: Vec<Pace>) {
+        let message = ForwardMessage::RecordPeerPaces(instance, paces);
+        self.send(Message::Forward(message)).await;
+    }
+
     /// Records the load that a peer, one of `others` peers, puts on each upstream.
     pub async fn record_peer_loads(&self, instance: name::Instance, loads: Loads, others: usize) {
         self.send(Message::Forward(ForwardMessage::RecordPeerLoads(
@@ -567,14 +587,18 @@
     pub exposure: Share,
     /// Whether the instance restarted, so that callers may already be waiting.
     pub restarted: bool,
+    /// By what registered engines are compared.
+    pub basis: Basis,
 }
 
 /// Starts the task.
 pub fn spawn(parts: Parts, cancel: CancellationToken) -> Handle {
     let (messages, queue) = mpsc::channel(MESSAGE_CAPACITY);
+    let mut balancer = Balancer::new(parts.own.clone(), parts.zone, parts.bounds, parts.seed);
+    balancer.set_basis(parts.basis);
     let task = Task {
-        waiting: WaitQueues::new(parts.own.clone(), parts.queue),
-        balancer: Balancer::new(parts.own, parts.zone, parts.bounds, parts.seed),
+        waiting: WaitQueues::new(parts.own, parts.queue),
+        balancer,
         judge: Judge::new(parts.seed, &parts.incarnation),
         snapshot: None,
         clock: parts.clock,
@@ -750,7 +774,15 @@
             ForwardMessage::TryRepeat(service, reserve, reply) => {
                 let _ = reply.send(self.allowance(&service).try_repeat(reserve, now));
             }
-            ForwardMessage::FirstEvent(name, ticket) => self.balancer.remove_pending(&name, ticket),
+            ForwardMessage::FirstEvent(name, ticket) => {
+                self.balancer.record_first_event(&name, ticket, now);
+            }
+            ForwardMessage::Paces(reply) => {
+                let _ = reply.send(self.balancer.paces(now));
+            }
+            ForwardMessage::RecordPeerPaces(instance, paces) => {
+                self.balancer.record_peer_paces(&instance, &paces, now);
+            }
             ForwardMessage::Loads(reply) => {
                 let _ = reply.send(self.balancer.loads());
             }
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -412,6 +412,11 @@
         self.record_result(choice, &answer, Span::from(sent.elapsed()))
             .await;
         if matches!(answer, Ok(Answer::Stream(_))) {
+            if let Some(expected) = choice.expected {
+                let route = &self.route().name;
+                let seen = Span::from(sent.elapsed());
+                self.core().metric.time_against(route, seen, expected);
+            }
             self.core().decider.record_first_event(choice).await;
         }
         answer
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -21,8 +21,9 @@
 use rand::Rng;
 use routing::Bounds;
 use routing::allowance::Bound;
+use routing::completion::Basis;
 use serde::Serialize;
-use settings::forward::Settings;
+use settings::forward::{Placement, Settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -277,6 +278,10 @@
         session_gap: bounds.max_session_gap,
         exposure: Share::from_fraction(bounds.exposure_share),
         restarted: !settings.first_start,
+        basis: match settings.placement {
+            Placement::Work => Basis::Work,
+            Placement::Prompt => Basis::Prompt,
+        },
     };
     decider::spawn(parts, stopping.clone())
 }
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -13,6 +13,7 @@
 use quarantine::{Crash, Part, Probe, Rebuttal, Victim, Weight};
 use rand::seq::IndexedRandom;
 use routing::demand::Work;
+use routing::estimate::pace::Pace;
 use routing::limit::Limit;
 use routing::membership::Peer;
 use routing::restriction::Incarnation;
@@ -256,6 +257,28 @@
     Some((load.upstream.parse().ok()?, work))
 }
 
+/// Encodes what this instance saw of the speed of an upstream.
+pub fn encode_pace(pace: &Pace) -> message::Pace {
+    message::Pace {
+        upstream: pace.incarnation.upstream.to_string(),
+        incarnation: pace.incarnation.number as i64,
+        work: pace.work as i32,
+        time_ms: i32::try_from(pace.time.as_micros() / 1000).unwrap_or(i32::MAX),
+    }
+}
+
+/// Decodes what a peer saw of the speed of an upstream; `None` if the upstream's name is invalid.
+pub fn decode_pace(pace: &message::Pace) -> Option<Pace> {
+    Some(Pace {
+        incarnation: Incarnation {
+            upstream: pace.upstream.parse().ok()?,
+            number: pace.incarnation as u64,
+        },
+        work: f64::from(pace.work.max(0)),
+        time: Span::from_millis(u64::try_from(pace.time_ms).unwrap_or_default()),
+    })
+}
+
 /// Returns a random sample of at most `limit` sessions.
 fn sample(sessions: &[u64], limit: usize) -> Vec<i64> {
     let drawn = sessions.sample(&mut rand::rng(), limit);
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -12,9 +12,9 @@
 use crate::forward::key_validity::boot_time;
 use crate::forward::paths::Carrier;
 use crate::forward::payload::{
-    decode_departure, decode_era, decode_limit, decode_load, decode_news, decode_peer,
-    decode_trial, decode_update, encode_departure, encode_limit, encode_load, encode_peer,
-    encode_rebuttals, encode_suspects, encode_trial, encode_update, topic_number,
+    decode_departure, decode_era, decode_limit, decode_load, decode_news, decode_pace, decode_peer,
+    decode_trial, decode_update, encode_departure, encode_limit, encode_load, encode_pace,
+    encode_peer, encode_rebuttals, encode_suspects, encode_trial, encode_update, topic_number,
 };
 use crate::forward::trial_log;
 use crate::rendezvous;
@@ -285,8 +285,10 @@
         let decider = &self.parts.shared.core.decider;
         let loads = beacon.loads.iter().filter_map(decode_load).collect();
         decider
-            .record_peer_loads(name, loads, self.peers.len())
+            .record_peer_loads(name.clone(), loads, self.peers.len())
             .await;
+        let paces = beacon.paces.iter().flatten().filter_map(decode_pace);
+        decider.record_peer_paces(name, paces.collect()).await;
         self.receive_updates(beacon, sent).await;
         let reports: Vec<Report> = beacon.trials.iter().filter_map(decode_trial).collect();
         if !reports.is_empty() {
@@ -376,6 +378,7 @@
             leaving,
             trials: reports.iter().map(encode_trial).collect(),
             loads,
+            paces: Some(self.paces().await),
             sights: self.topic_ages(now),
             told: self.recent_updates(),
             zone: Some(self.parts.zone.to_string()),
@@ -472,6 +475,12 @@
         loads.unwrap_or_default().iter().map(encode_load).collect()
     }
 
+    /// Returns what this instance saw of the speeds of upstreams; nothing if the decider has ended.
+    async fn paces(&self) -> Vec<message::Pace> {
+        let paces = self.parts.shared.core.decider.paces().await;
+        paces.unwrap_or_default().iter().map(encode_pace).collect()
+    }
+
     /// Returns the limits that upstreams named; nothing if the decider has ended.
     async fn limits(&self) -> Vec<message::Limit> {
         let limits = self.parts.shared.core.decider.limits().await;
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -57,6 +57,8 @@
     /// Relays the stream to its end.
     pub async fn run(mut self, stream: OpenStream, choice: Choice) {
         let (mut stream, mut choice) = (stream, choice);
+        // The rest of a stream that was resumed doesn't tell the length of the whole answer.
+        let mut is_rest = self.last_event.is_some();
         loop {
             let ended = self.forward_pieces(&mut stream, &choice).await;
             let core = &self.run.shared.core;
@@ -65,6 +67,10 @@
                 StreamEnd::Abandoned => Outcome::Cancelled,
                 StreamEnd::Broken(_) => Outcome::Failed,
             };
+            if matches!(ended, StreamEnd::Whole) && !is_rest {
+                choice.generated = u32::try_from(stream.splitter.count()).ok();
+            }
+            is_rest = true;
             let upstream = choice.upstream.clone();
             if let StreamEnd::Broken(failure) = &ended
                 && failure.is_lost_answer()
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -24,6 +24,7 @@
 use quality::release;
 use quarantine::{Part, Progress};
 use routing::demand::Demand;
+use routing::estimate::length::Claim;
 use routing::{Choice, Outcome, Priority, hash};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
@@ -289,6 +290,15 @@
             own: own.min(size.prompt),
             shared: size.prompt.saturating_sub(own),
             weight: model.map_or(1.0, |model| service.weight(model)),
+            output: resolved.route.repeat.streams().then(|| Claim {
+                kind: request_kind(&resolved.route, model),
+                organisation: resolved
+                    .payer
+                    .as_ref()
+                    .map_or(0, |payer| hash::text(payer.as_str())),
+                max: size.output,
+                hint: head.length_hint,
+            }),
         })
     }
 
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -293,12 +293,7 @@
             core.decider.finish(choice, Outcome::Cancelled).await;
             return Err(Abort::Stale);
         }
-        let draft = core.recorder.event(Kind::Sent).request(job.id);
-        draft
-            .text("upstream", &choice.upstream)
-            .count("try", u64::from(history.tries()))
-            .count("generation", job.snapshot.generation.0)
-            .record();
+        record_sent(core, job, &choice, history);
         let sent = Instant::now();
         let limits = TryLimits {
             end: core.clock.instant(choice.end.min(job.deadline)),
@@ -411,6 +406,22 @@
     Ok(delay)
 }
 
+/// Records the dispatch of a job.
+fn record_sent(core: &Core, job: &Job, choice: &Choice, history: &History) {
+    let draft = core.recorder.event(Kind::Sent).request(job.id);
+    let draft = match (choice.ahead, choice.expected) {
+        (Some(ahead), Some(expected)) => draft
+            .count("ahead", ahead as u64)
+            .text("expected", expected),
+        _ => draft,
+    };
+    draft
+        .text("upstream", &choice.upstream)
+        .count("try", u64::from(history.tries()))
+        .count("generation", job.snapshot.generation.0)
+        .record();
+}
+
 fn record_failed_try(core: &Core, job: &Job, choice: &Choice, failure: &Failure) {
     let kind = match failure.reason {
         Reason::WrongId => Kind::Discarded,
--- a/crates/settings/src/forward.rs
+++ b/crates/settings/src/forward.rs
@@ -1,7 +1,9 @@
 //! Settings of an instance that forwards requests unchanged.
 
 use entity::{Span, name};
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 /// Time limits and shares that are fixed for the deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,6 +34,49 @@
     pub max_session_gap: Span,
 }
 
+/// By what engines are compared for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// `work`: by the expected end of the request.
+    #[default]
+    Work,
+    /// `prompt`: by the prompt tokens that are queued.
+    Prompt,
+}
+
+/// The error of a text that names no placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownPlacement;
+
+impl fmt::Display for UnknownPlacement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not a placement: it is `work` or `prompt`")
+    }
+}
+
+impl std::error::Error for UnknownPlacement {}
+
+impl fmt::Display for Placement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Work => "work",
+            Self::Prompt => "prompt",
+        })
+    }
+}
+
+impl FromStr for Placement {
+    type Err = UnknownPlacement;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "work" => Ok(Self::Work),
+            "prompt" => Ok(Self::Prompt),
+            _ => Err(UnknownPlacement),
+        }
+    }
+}
+
 /// Settings of an instance that forwards requests unchanged.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -54,6 +99,8 @@
     /// Confidence threshold: an answer of the smallest model with a lower confidence is escalated to
     /// the largest model. `None` sends every request directly to the largest, 0 never escalates.
     pub cascade: Option<u8>,
+    /// By what engines are compared for a request.
+    pub placement: Placement,
     /// Whether the whole system starts for the first time, as opposed to a restart after an outage.
     pub first_start: bool,
     /// Time limits and shares that are fixed for the deployment.
--- a/crates/timeline/src/metric.rs
+++ b/crates/timeline/src/metric.rs
@@ -4,7 +4,8 @@
 use entity::Span;
 use entity::name::Instance;
 use prometheus::{
-    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
+    TextEncoder,
 };
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -99,6 +100,11 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
 ];
 
+/// Upper bounds of the histogram buckets of the ratio of a seen to an expected time.
+const RATIO_BUCKET_BOUNDS: [f64; 14] = [
+    0.125, 0.25, 0.35, 0.5, 0.7, 0.85, 1.0, 1.2, 1.4, 2.0, 2.8, 4.0, 8.0, 16.0,
+];
+
 /// Sends counters and timers without blocking, and accumulates them for scraping.
 #[derive(Debug)]
 pub struct Metrics {
@@ -115,6 +121,8 @@
     /// Histograms of the timers, in the order of [`Timer::ALL`].
     timers: Vec<Histogram>,
     refusals: IntCounterVec,
+    /// Times to first events in relation to the expected ones, by route.
+    first_events: HistogramVec,
     gauges: GaugeVec,
 }
 
@@ -141,6 +149,11 @@
         let options = Opts::new("citrontrack_refused_total", "Refusals by their code.");
         let refusals = IntCounterVec::new(options, &["code"])?;
         registry.register(Box::new(refusals.clone()))?;
+        let name = "citrontrack_first_event_ratio";
+        let options = HistogramOpts::new(name, "Seen by expected time to the first event.")
+            .buckets(RATIO_BUCKET_BOUNDS.to_vec());
+        let first_events = HistogramVec::new(options, &["route"])?;
+        registry.register(Box::new(first_events.clone()))?;
         let options = Opts::new("citrontrack_state", "What holds now, by name.");
         let gauges = GaugeVec::new(options, &["name"])?;
         registry.register(Box::new(gauges.clone()))?;
@@ -149,6 +162,7 @@
             counters,
             timers,
             refusals,
+            first_events,
             gauges,
         })
     }
@@ -191,6 +205,13 @@
         self.totals.refusals.with_label_values(&[code]).inc();
     }
 
+    /// Records the time to the first event of an answer against the expected one.
+    pub fn time_against(&self, route: &str, seen: Span, expected: Span) {
+        let ratio = seen.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+        let histogram = self.totals.first_events.with_label_values(&[route]);
+        histogram.observe(ratio);
+    }
+
     /// Sets a gauge to its current value.
     pub fn set_gauge(&self, name: &str, value: f64) {
         self.totals.gauges.with_label_values(&[name]).set(value);
--- a/src/command/forward.rs
+++ b/src/command/forward.rs
@@ -4,7 +4,7 @@
 use anyhow::{Context, Result};
 use argh::FromArgs;
 use server::forward::Instance;
-use settings::forward::Settings;
+use settings::forward::{Placement, Settings};
 use std::process::ExitCode;
 use std::sync::Arc;
 use tokio::signal::unix::{SignalKind, signal};
@@ -23,6 +23,11 @@
     #[argh(option)]
     cascade: Option<u8>,
 
+    /// by what engines are compared for a request: `work`, the expected end of the request, which is
+    /// the default, or `prompt`, the prompt tokens that are queued
+    #[argh(option, default = "Placement::Work")]
+    placement: Placement,
+
     /// only read the settings, and say what is wrong with them
     #[argh(switch)]
     check: bool,
@@ -59,6 +64,7 @@
         let settings = platform::parse_settings(&read(&path)?).with_context(|| path.clone())?;
         Ok(Settings {
             cascade: self.cascade,
+            placement: self.placement,
             ..settings
         })
     }
