--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use peer::beacon::{Datagram, Error, decode, encode};
-use peer::message::{Beacon, Clock, Crash, Limit, Rebuttal, Suspect, Tried};
+use peer::message::{Beacon, Clock, Crash, Limit, Pace, Rebuttal, Suspect, Tried};
 
 fn beacon() -> Beacon {
     Beacon {
@@ -30,6 +30,7 @@
         cut_off: Some(true),
         build: Some("0.1.0 0a1b2c".into()),
         tried: Some(vec![Tried::new("i-1".to_owned(), 2, 5, 4, 1, 70, 60, None)]),
+        paces: Some(vec![Pace::new("i-1".to_owned(), 2, 900, 120)]),
     }
 }
 
--- a/crates/peer/tests/recorded/messages.rs
+++ b/crates/peer/tests/recorded/messages.rs
@@ -78,6 +78,7 @@
         cut_off: None,
         build: None,
         tried: None,
+        paces: None,
     }
 }
 
--- a/crates/routing/src/query.rs
+++ b/crates/routing/src/query.rs
@@ -71,6 +71,10 @@
     /// The peers whose announcements showed the room that this choice borrows; none if it is within
     /// the share of this instance.
     pub lent: Option<Coverage>,
+    /// Expected time to the first event of the answer; none where nothing is known of the service.
+    pub expected: Option<Span>,
+    /// Number of tokens that the upstream generated, once the whole answer is known.
+    pub generated: Option<u32>,
     pub(crate) ticket: u64,
     pub(crate) config: Arc<Config>,
     pub(crate) generation: Generation,
--- a/crates/routing/tests/common/fleet.rs
+++ b/crates/routing/tests/common/fleet.rs
@@ -149,6 +149,7 @@
         upstream.warm = SLOTS;
         upstream.registration = Some(Registration {
             incarnation: 1,
+            memory: None,
             cold_until: Moment(0),
             cold_rate: 0,
         });
--- a/crates/routing/tests/evidence.rs
+++ b/crates/routing/tests/evidence.rs
@@ -20,6 +20,7 @@
     for (_, upstream) in config.upstreams.iter_mut() {
         upstream.registration = Some(Registration {
             incarnation: number,
+            memory: None,
             cold_until: Moment(0),
             cold_rate: 40,
         });
--- a/crates/routing/tests/fleet/mod.rs
+++ b/crates/routing/tests/fleet/mod.rs
@@ -67,6 +67,7 @@
     for (_, upstream) in config.upstreams.iter_mut() {
         upstream.registration = Some(Registration {
             incarnation: 1,
+            memory: None,
             cold_until: Moment(0),
             cold_rate: 40,
         });
--- a/crates/server/tests/spread.rs
+++ b/crates/server/tests/spread.rs
@@ -189,6 +189,7 @@
         cut_off: None,
         build: None,
         tried: None,
+        paces: None,
     }
 }
 
