Place by likely work only where many instances share the engines; split the balancer and the decider

The least work ahead leaves out upstreams that are only probed. Tests of completion, estimate and work pass.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -1,27 +1,19 @@
 //! The balancer of one instance, which holds the state of its upstreams and chooses one of them for
 //! each dispatch.
 
-mod learning;
-
-use crate::completion::{Basis, Cost, Learned};
-use crate::demand::{Demand, Loads, OTHER_ZONE_COST_TOKENS};
-use crate::estimate::length::Length;
-use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Grant, Reason, Request};
-use crate::hash;
+use crate::completion::{Basis, Learned};
+use crate::demand::Loads;
+use crate::filter::{ASSUMED_LIVE_COUNT, Filter, Reason, Request};
 use crate::judgement::{Judgement, News, Scene, Word};
-use crate::limit::{Limit, Limits, Wait};
+use crate::limit::{Limit, Limits};
 use crate::load::Load;
-use crate::outlier::Admission;
-use crate::peer_loads::{Others, PeerLoads};
-use crate::placement::Place;
+use crate::peer_loads::PeerLoads;
 use crate::pool::Pools;
 use crate::query::{Choice, Outcome, Query, Refusal, Suspicion};
 use crate::rate_limit::{self, Sharers};
-use crate::restriction::{Incarnation, Restriction, Restrictions};
+use crate::restriction::{Incarnation, Restrictions};
 use crate::retry;
-use crate::room::Coverage;
 use crate::runs::Run;
-use crate::score::{self, Affinity, Placement};
 use crate::slots::{Bounds, Claim, DrainNotice, Members, Views};
 use crate::states::States;
 use config::Config;
@@ -30,40 +22,25 @@
 use entity::time::Span;
 use entity::unit::Bytes;
 use entity::{Generation, Moment};
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
 
+mod candidates;
+mod learning;
 mod plain;
 
+use candidates::Candidate;
+
 /// Largest number of instances per upstream at which all eligible upstreams are compared.
 const FULL_COMPARISON_MAX_SHARERS: usize = 32;
 
-/// Number of upstreams of a pool that are the homes of a prefix.
-const HOMES_PER_PREFIX: usize = 2;
-
-/// Smallest number of upstreams in the local zone for which the homes of a prefix are restricted to
-/// that zone: the prompts with one prefix come from one session, whose caller stays in a zone, so
-/// they need not cross to another.
-const MIN_LOCAL_UPSTREAMS: usize = 2 * HOMES_PER_PREFIX;
-
-/// Upstreams that are picked at random, in addition to the first one, for comparison where many
-/// instances share them.
-const RANDOM_PICK_COUNT: usize = 2;
-
-/// The same where the local zone has enough upstreams to pick from. The more of them are compared, the
-/// less often one in another zone has less work.
-const LOCAL_PICK_COUNT: usize = 3;
-
 /// Weight of the newest prompt in the moving average of prompt sizes.
 const PROMPT_SIZE_EWMA_WEIGHT: f64 = 0.01;
 
 /// Upper bound of a prompt's size in relation to the mean.
 const MAX_RELATIVE_PROMPT: f64 = 50.0;
 
-/// Longest time for which a request waits for room in the limit that an upstream named.
-const MAX_LIMIT_WAIT: Span = Span::from_secs(1);
-
 /// Retry delay that is suggested after a refusal for lack of capacity.
 const CAPACITY_RETRY_AFTER: Span = Span::from_secs(1);
 
@@ -97,39 +74,6 @@
     learned: Learned,
 }
 
-/// An upstream that passed the filter.
-struct Candidate {
-    upstream: id::Upstream,
-    grant: Grant,
-    affinity: Affinity,
-    ahead: Option<f64>,
-    /// Expected cost; none where engines are not compared by it.
-    cost: Option<Cost>,
-    score: f64,
-    has_affinity: bool,
-    is_local: bool,
-    /// The peers whose announcements show the room that it lends.
-    lent: Option<Coverage>,
-    /// What is known of an upstream that reports no load, where the demand is unknown.
-    place: Option<Place>,
-    /// Whether the request would be a probe of an upstream that is taken out.
-    is_probe: bool,
-}
-
-/// What a request asks of its upstream, and what is known of it.
-struct Asked<'a> {
-    prefix: Option<u64>,
-    demand: Option<Demand>,
-    /// Homes of the prefix.
-    homes: Vec<id::Upstream>,
-    /// Work of the peers at each upstream.
-    others: Others<'a>,
-    /// Expected length of the answer.
-    length: Length,
-    /// Mean tokens that a request of this instance holds at an engine.
-    mean_held: f64,
-}
-
 impl Balancer {
     /// Creates a balancer without a configuration or an instance list. All instances must have the
     /// same `bounds`.
@@ -296,7 +240,9 @@
     /// Returns a refusal if no upstream can take the request now.
     pub fn least_pending_work(&self, query: &Query, now: Moment) -> Result<f64, Refusal> {
         let candidates = self.eligible(query, now)?;
-        let ahead = candidates.iter().filter_map(|candidate| candidate.ahead);
+        // An upstream that is only probed is idle, and takes no other request.
+        let open = candidates.iter().filter(|candidate| !candidate.is_probe);
+        let ahead = open.filter_map(|candidate| candidate.ahead);
         Ok(ahead.min_by(f64::total_cmp).unwrap_or_default())
     }
 
@@ -475,268 +421,6 @@
         }
     }
 
-    /// Returns the upstreams that may take the request now, or the reason that is the likeliest to
-    /// pass.
-    fn candidates(
-        &self,
-        request: &Request,
-        (prefix, demand): (Option<u64>, Option<Demand>),
-        now: Moment,
-    ) -> Result<Vec<Candidate>, Refusal> {
-        let filter = self.filter(now);
-        let pool = self.pools.pool(request.service, request.version);
-        let asked = self.asked((prefix, demand), &pool.used, now);
-        let mut candidates = Vec::with_capacity(pool.used.len());
-        let mut closed = Vec::new();
-        let mut has_other = false;
-        let mut most_transient = self.unavailable_reason(request);
-        let mut rest_end: Option<Moment> = None;
-        let mut limit_end: Option<Moment> = None;
-        let room = self.room(request, (prefix, demand), now);
-        let room = room.as_ref();
-        for &upstream in &pool.used {
-            if let Some(restriction) = self.restriction(upstream, now) {
-                most_transient = most_transient.max(match restriction {
-                    Restriction::Leaving => Reason::Leaving,
-                    Restriction::Resting { until } => {
-                        rest_end = Some(rest_end.map_or(until, |end| end.min(until)));
-                        Reason::Resting
-                    }
-                });
-                continue;
-            }
-            if let Some(wait) = self.limit_wait(upstream, now) {
-                if let Wait::Until(end) = wait {
-                    limit_end = Some(limit_end.map_or(end, |known| known.min(end)));
-                }
-                let soon = (now + MAX_LIMIT_WAIT).min(request.deadline);
-                most_transient = most_transient.max(limited(wait, soon));
-                has_other = true;
-                continue;
-            }
-            let admission =
-                self.judgement
-                    .admit(&self.config, upstream, request.is_repeatable, now);
-            let is_closed = admission == Admission::Closed;
-            let state = self.states.in_use(upstream);
-            let sharers = self.sharers(upstream);
-            let checked = filter.check(request, upstream, state, sharers, None);
-            let is_full = checked == Err(Reason::Full);
-            let lent = room.filter(|_| is_full);
-            let lent = lent.and_then(|room| self.lent(room, upstream, request, now));
-            let grant = match checked {
-                Err(Reason::Full) if lent.is_some() => Grant::Warm,
-                Ok(grant) => grant,
-                Err(reason) => {
-                    most_transient = most_transient.max(reason);
-                    has_other |= !is_closed && reason != Reason::Region;
-                    continue;
-                }
-            };
-            let mut candidate = self.candidate(upstream, (grant, sharers), &asked, now);
-            candidate.lent = lent;
-            candidate.place = self.place(room, &candidate, request, now);
-            candidate.is_probe = admission == Admission::Probe;
-            if is_closed {
-                most_transient = most_transient.max(Reason::Failing);
-                closed.push(candidate);
-            } else {
-                candidates.push(candidate);
-            }
-        }
-        // The last upstream that may serve a request, as in its regions, is not refused to it.
-        if candidates.is_empty() && !has_other {
-            candidates = closed;
-        }
-        // The capacity of cold upstreams is used only if no warm one has room.
-        if candidates.iter().any(|one| one.grant != Grant::RateLimited) {
-            candidates.retain(|one| one.grant != Grant::RateLimited);
-        }
-        let exceeds = |one: &Candidate| one.cost.is_some_and(|cost| cost.exceeds_memory);
-        if candidates.iter().any(|one| !exceeds(one)) {
-            candidates.retain(|one| !exceeds(one));
-        }
-        if !candidates.is_empty() {
-            return Ok(candidates);
-        }
-        let end = match most_transient {
-            Reason::Resting => rest_end,
-            Reason::Limited => limit_end,
-            _ => None,
-        };
-        Err(refusal_until(most_transient, end, now))
-    }
-
-    fn asked(
-        &self,
-        (prefix, demand): (Option<u64>, Option<Demand>),
-        used: &[id::Upstream],
-        now: Moment,
-    ) -> Asked<'_> {
-        Asked {
-            prefix,
-            demand,
-            homes: prefix.map_or_else(Vec::new, |prefix| self.homes(prefix, used)),
-            others: match demand {
-                Some(_) => self.peer_loads.work(now),
-                None => Others::default(),
-            },
-            length: demand.map_or_else(Length::default, |demand| self.learned.length(&demand, now)),
-            mean_held: self.mean_held(),
-        }
-    }
-
-    /// Returns an upstream that passed the filter, with its score.
-    fn candidate(
-        &self,
-        upstream: id::Upstream,
-        (grant, sharers): (Grant, usize),
-        asked: &Asked<'_>,
-        now: Moment,
-    ) -> Candidate {
-        let state = self.states.in_use(upstream);
-        let affinity = match asked.prefix {
-            Some(prefix)
-                if state.has_cached_prefix(prefix) || state.has_sent_prefix(prefix, now) =>
-            {
-                Affinity::Cached
-            }
-            _ if asked.homes.contains(&upstream) => Affinity::Home,
-            _ => Affinity::None,
-        };
-        let placement = Placement {
-            upstream,
-            sharers,
-            affinity,
-        };
-        let cost = asked
-            .demand
-            .and_then(|demand| self.cost(upstream, affinity, (&demand, asked), now));
-        let by_prompt = asked.demand.map(|demand| {
-            let mut work = state.work();
-            let others = asked.others.at(upstream);
-            work.pending += others.pending;
-            work.running += others.running;
-            demand.ahead(affinity, work)
-        });
-        let zone = self.config.zone(self.zone.as_str());
-        let is_local = zone == Some(self.config.upstreams[upstream].zone);
-        let ahead = cost.map_or(by_prompt, |cost| Some(cost.ahead));
-        let score = match cost.map_or(by_prompt, |cost| Some(cost.total)) {
-            Some(tokens) if is_local => tokens,
-            Some(tokens) => tokens + OTHER_ZONE_COST_TOKENS,
-            None => score::score(&self.config, zone, placement, state, now),
-        };
-        Candidate {
-            upstream,
-            grant,
-            affinity,
-            ahead,
-            cost,
-            score,
-            has_affinity: affinity != Affinity::None,
-            is_local,
-            lent: None,
-            place: None,
-            is_probe: false,
-        }
-    }
-
-    /// Returns why a registered upstream must get no request now; none if it may get one.
-    fn restriction(&self, upstream: id::Upstream, now: Moment) -> Option<Restriction> {
-        let upstream = &self.config.upstreams[upstream];
-        let registration = upstream.registration.as_ref()?;
-        let number = registration.incarnation;
-        self.restrictions.find(&upstream.name, number, now)
-    }
-
-    /// Returns how long this instance has to wait for room in the limit that a registered upstream
-    /// named; none if there is room.
-    fn limit_wait(&self, upstream: id::Upstream, now: Moment) -> Option<Wait> {
-        let upstream = &self.config.upstreams[upstream];
-        let number = upstream.registration.as_ref()?.incarnation;
-        self.limits.wait(&upstream.name, number, now)
-    }
-
-    /// Returns the reason for which a pool has no upstreams.
-    fn unavailable_reason(&self, request: &Request) -> Reason {
-        let mut reason = Reason::NoUpstream;
-        for (id, upstream) in self.config.upstreams.iter() {
-            let serves = match request.version {
-                Some(version) => upstream.versions.binary_search(&version).is_ok(),
-                None => upstream.services.binary_search(&request.service).is_ok(),
-            };
-            if !serves || self.config.is_in_service(id) {
-                continue;
-            }
-            let zone = &self.config.zones[upstream.zone];
-            let out = zone.state == config::AdminState::Out;
-            reason = reason.max(if out {
-                Reason::ZoneOut
-            } else {
-                Reason::Leaving
-            });
-        }
-        reason
-    }
-
-    /// Returns the homes of a prefix among the upstreams of a pool, by rendezvous hashing.
-    fn homes(&self, prefix: u64, pool: &[id::Upstream]) -> Vec<id::Upstream> {
-        let mut ranked: Vec<(u64, id::Upstream)> = Vec::with_capacity(pool.len());
-        for &upstream in pool {
-            let name = hash::text(self.config.upstreams[upstream].name.as_str());
-            ranked.push((hash::weight(prefix, name), upstream));
-        }
-        let zone = self.config.zone(self.zone.as_str());
-        let is_local = |upstream: id::Upstream| Some(self.config.upstreams[upstream].zone) == zone;
-        if ranked
-            .iter()
-            .filter(|(_, upstream)| is_local(*upstream))
-            .count()
-            >= MIN_LOCAL_UPSTREAMS
-        {
-            ranked.retain(|(_, upstream)| is_local(*upstream));
-        }
-        ranked.sort_unstable_by(|left, right| right.cmp(left));
-        ranked.truncate(HOMES_PER_PREFIX);
-        ranked.into_iter().map(|(_, upstream)| upstream).collect()
-    }
-
-    /// Returns the candidate with the lowest score.
-    ///
-    /// All candidates are compared where few instances share the upstreams. Where many do, hardly
-    /// any of an upstream's load comes from this instance, and all instances would choose the same
-    /// upstream. Then the comparison is limited to candidates picked at random, most of them in the
-    /// local zone if it has enough, and to those with affinity to the prefix. Of equal scores the one
-    /// in the local zone is taken, as traffic between zones is billed.
-    fn best<'a>(&mut self, candidates: &'a [Candidate], sharers: usize) -> &'a Candidate {
-        let count = candidates.len();
-        let first = self.random.random_range(0..count);
-        let local: Vec<usize> = (0..count).filter(|&one| candidates[one].is_local).collect();
-        let mut picked = vec![first];
-        if local.len() < MIN_LOCAL_UPSTREAMS {
-            picked.extend((0..RANDOM_PICK_COUNT).map(|_| self.random.random_range(0..count)));
-        } else {
-            let mut pick = |_| local[self.random.random_range(0..local.len())];
-            picked.extend((0..LOCAL_PICK_COUNT).map(&mut pick));
-        }
-        let are_all_compared = sharers <= FULL_COMPARISON_MAX_SHARERS;
-        let mut best = &candidates[first];
-        // Other ties are resolved in favour of the first candidate after a random offset.
-        for offset in 0..count {
-            let index = (first + offset) % count;
-            let candidate = &candidates[index];
-            let compared = are_all_compared || candidate.has_affinity || picked.contains(&index);
-            let is_nearer = !are_all_compared && candidate.is_local && !best.is_local;
-            let is_better = candidate.score < best.score
-                || is_nearer && candidate.score.total_cmp(&best.score).is_eq();
-            if compared && is_better {
-                best = candidate;
-            }
-        }
-        best
-    }
-
     fn begin(&mut self, candidate: &Candidate, query: &Query, now: Moment) -> Choice {
         self.tickets += 1;
         let ticket = self.tickets;
@@ -896,24 +580,6 @@
     }
 }
 
-/// Returns a refusal for a reason that passes at a known time, if there is one.
-fn refusal_until(reason: Reason, end: Option<Moment>, now: Moment) -> Refusal {
-    let known = end.map(|end| end.since(now));
-    let refusal = refusal(reason);
-    Refusal {
-        retry_after: known.or(refusal.retry_after),
-        ..refusal
-    }
-}
-
-/// Returns the reason of an upstream whose limit leaves no room, which may have some `soon`.
-fn limited(wait: Wait, soon: Moment) -> Reason {
-    match wait {
-        Wait::Until(end) if end < soon => Reason::Full,
-        Wait::Until(_) | Wait::Unknown => Reason::Limited,
-    }
-}
-
 fn refusal(reason: Reason) -> Refusal {
     let retry_after = match reason {
         Reason::NoUpstream
--- a/crates/routing/src/balancer/learning.rs
+++ b/crates/routing/src/balancer/learning.rs
@@ -1,6 +1,7 @@
 //! What the balancer learns from the requests that it placed, and the costs that follow.
 
-use super::{Asked, Balancer};
+use super::candidates::Asked;
+use super::{Balancer, FULL_COMPARISON_MAX_SHARERS};
 use crate::completion::{Basis, Cost, Engine};
 use crate::demand::Demand;
 use crate::estimate::pace::Pace;
@@ -99,7 +100,12 @@
     ) -> Option<Cost> {
         let upstream = &self.config.upstreams[id];
         let registration = upstream.registration.as_ref()?;
-        if self.basis == Basis::Prompt {
+        let compares_by_work = match self.basis {
+            Basis::Auto => self.sharers(id) > FULL_COMPARISON_MAX_SHARERS,
+            Basis::Work => true,
+            Basis::Prompt => false,
+        };
+        if !compares_by_work {
             return None;
         }
         let engine = Engine {
--- a/crates/routing/src/balancer/plain.rs
+++ b/crates/routing/src/balancer/plain.rs
@@ -1,6 +1,7 @@
 //! Choice among registered upstreams, which report no load, for requests whose demand is unknown.
 
-use super::{Balancer, Candidate};
+use super::Balancer;
+use super::candidates::Candidate;
 use crate::demand::Demand;
 use crate::filter::{Grant, Request};
 use crate::outlier::Admission;
--- a/crates/routing/tests/completion.rs
+++ b/crates/routing/tests/completion.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::{START, config, instance, query};
+use common::{START, config, instance, members, query};
 use config::{Config, Registration};
 use entity::time::Span;
 use entity::{Moment, name};
@@ -364,6 +364,22 @@
     expect_that!(busy, not(contains(eq(&chosen))));
 }
 
+/// A few instances compare all engines: by equal estimates all of them would choose the same one. Only
+/// where many share the engines is a request placed by its likely work.
+#[gtest]
+fn likely_work_decides_only_where_many_instances_share_the_engines() {
+    for (count, decides) in [(9, false), (40, true)] {
+        let mut balancer = balancer(None, Basis::Auto);
+        let live: Vec<usize> = (0..count).collect();
+        balancer.set_members(members(1, &live), START, START);
+        let first = balancer.choose(&ask(&large(), START), START).unwrap();
+        let later = START + Span::from_millis(300);
+        balancer.record_first_event(&first.upstream, first.ticket(), later);
+        let second = balancer.choose(&ask(&large(), later), later).unwrap();
+        expect_that!(second.expected.is_some(), eq(decides), "{count} instances");
+    }
+}
+
 /// A restarted instance places by sizes alone.
 #[gtest]
 fn an_instance_without_knowledge_spreads_requests() {
--- a/crates/settings/src/forward.rs
+++ b/crates/settings/src/forward.rs
@@ -37,8 +37,10 @@
 /// By what engines are compared for a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Placement {
-    /// `work`: by the expected end of the request.
+    /// `auto`: as `work` where many instances share the engines, else as `prompt`.
     #[default]
+    Auto,
+    /// `work`: by the expected end of the request.
     Work,
     /// `prompt`: by the prompt tokens that are queued.
     Prompt,
@@ -50,7 +52,7 @@
 
 impl fmt::Display for UnknownPlacement {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("not a placement: it is `work` or `prompt`")
+        f.write_str("not a placement: it is `auto`, `work` or `prompt`")
     }
 }
 
@@ -59,6 +61,7 @@
 impl fmt::Display for Placement {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Auto => "auto",
             Self::Work => "work",
             Self::Prompt => "prompt",
         })
@@ -70,6 +73,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text {
+            "auto" => Ok(Self::Auto),
             "work" => Ok(Self::Work),
             "prompt" => Ok(Self::Prompt),
             _ => Err(UnknownPlacement),
--- a/src/command/forward.rs
+++ b/src/command/forward.rs
@@ -23,9 +23,10 @@
     #[argh(option)]
     cascade: Option<u8>,
 
-    /// by what engines are compared for a request: `work`, the expected end of the request, which is
-    /// the default, or `prompt`, the prompt tokens that are queued
-    #[argh(option, default = "Placement::Work")]
+    /// by what engines are compared for a request: `work`, the expected end of the request, `prompt`, the
+    /// prompt tokens that are queued, or `auto`, which is the default: `work` where many instances share
+    /// the engines
+    #[argh(option, default = "Placement::Auto")]
     placement: Placement,
 
     /// only read the settings, and say what is wrong with them
