Ask an upstream that refused again only where others are loaded

A server that refuses at once looks empty to the choice by expected wait, and 200 ms after each refusal each instance tried it again. The time doubles with each refusal in a row, up to 4 s, and among nearly equal upstreams one that refused the last request comes last. The test passes, and those of room and placement, with a new one.

--- a/crates/routing/src/balancer/plain.rs
+++ b/crates/routing/src/balancer/plain.rs
@@ -127,6 +127,7 @@
             service_time: state.service_time.get(now),
             is_local: candidate.is_local,
             is_doubtful: state.is_doubtful,
+            was_refused: state.was_refused(),
         })
     }
 
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -71,10 +71,12 @@
     pub is_local: bool,
     /// Whether the instance's last request there failed: it may be idle because it fails for all.
     pub is_doubtful: bool,
+    /// Whether it refused the last request that it answered.
+    pub was_refused: bool,
 }
 
-/// Returns the index of the upstream with the least expected wait. Among nearly equal ones, those in
-/// the own zone come first, and `random` picks one, so that instances with equal views differ.
+/// Returns the index of the upstream with the least expected wait. Among nearly equal ones, those that
+/// refused nothing and those in the own zone come first, and `random` picks one, so that instances with equal views differ.
 pub fn choose(places: &[Place], random: u64) -> Option<usize> {
     let known = places.iter().filter_map(|place| place.service_time);
     let usual = median(known.collect());
@@ -100,6 +102,10 @@
     let mut equal: Vec<usize> = (0..places.len())
         .filter(|&index| waits[index] <= limit)
         .collect();
+    // A full upstream looks empty to those that it refuses.
+    if equal.iter().any(|&index| !places[index].was_refused) {
+        equal.retain(|&index| !places[index].was_refused);
+    }
     if equal.iter().any(|&index| places[index].is_local) {
         equal.retain(|&index| places[index].is_local);
     }
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -36,9 +36,13 @@
 /// it is a sign of cold start.
 const LIGHT_LOAD_SHARE: f64 = 0.8;
 
-/// Time for which a refusal or a failure says that an upstream which reports no load has no room.
+/// Time for which a refusal or a failure says that an upstream which reports no load has no room. It
+/// doubles with each refusal in a row, up to `MAX_UNSERVED_TTL`.
 const UNSERVED_TTL: Span = Span::from_millis(200);
 
+/// Longest time for which refusals in a row say so.
+const MAX_UNSERVED_TTL: Span = Span::from_secs(4);
+
 /// Consecutive refusals that are a sign of cold start at an upstream that reports no load. The
 /// threshold is higher there, as no report can settle the suspicion.
 const UNREPORTED_REFUSAL_THRESHOLD: u32 = 2;
@@ -236,8 +240,15 @@
 
     /// Returns whether the upstream refused or failed a request of this instance a moment ago.
     pub fn has_failed_lately(&self, now: Moment) -> bool {
+        let doublings = self.refusals.saturating_sub(1).min(8);
+        let ttl = Span::from_micros(UNSERVED_TTL.as_micros() << doublings);
         self.unserved_at
-            .is_some_and(|at| now.since(at) < UNSERVED_TTL)
+            .is_some_and(|at| now.since(at) < ttl.min(MAX_UNSERVED_TTL))
+    }
+
+    /// Returns whether the upstream refused the last request of this instance that it answered.
+    pub fn was_refused(&self) -> bool {
+        self.refusals > 0
     }
 
     /// Returns whether the newest load report lists a prefix as cached.
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -14,6 +14,7 @@
         service_time: Some(0.05),
         is_local: false,
         is_doubtful: false,
+        was_refused: false,
     }
 }
 
@@ -60,6 +61,18 @@
     expect_that!(counts(&[failed]), elements_are![eq(&300)]);
 }
 
+/// A full server refuses at once and looks empty. All instances together must not go on asking it while
+/// others have room.
+#[gtest]
+fn an_upstream_that_refused_is_asked_again_only_where_others_are_loaded() {
+    let refused = Place {
+        was_refused: true,
+        ..place(0.0)
+    };
+    expect_that!(counts(&[refused, place(0.0), place(2.0)])[0], eq(0));
+    expect_that!(counts(&[refused, place(7.0), place(7.0)])[0], eq(300));
+}
+
 #[gtest]
 fn own_zone_comes_first_only_among_equals() {
     let local = |running| Place {
