Check answers of an instance that was disturbed twice, and share the processes of both soaks

The check of changes over nine processes took an instance that was frozen twice, or killed while frozen, for disturbed to the end of its run, and left its later answers out. All disturbances end together now; nothing else is narrowed. Ports, start and signals of processes are one module for this test and the soak.

--- a/tests/forward_config.rs
+++ b/tests/forward_config.rs
@@ -9,6 +9,8 @@
 mod fleet;
 #[path = "forward_config/probe.rs"]
 mod probe;
+#[path = "forward_soak/process.rs"]
+mod process;
 #[allow(dead_code, reason = "the soak uses all faults")]
 #[path = "forward_soak/proxy.rs"]
 mod proxy;
--- a/tests/forward_config/fleet.rs
+++ b/tests/forward_config/fleet.rs
@@ -1,18 +1,16 @@
 //! Instances as processes, one store, and upstreams of several services.
 
 use crate::probe::Answer;
+use crate::process;
 use crate::proxy::Proxy;
 use crate::support::store::FakeStore;
 use crate::support::{serve, whole};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
-use std::fs::File;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use nix::sys::signal::Signal;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
 use std::time::{Duration, Instant};
 
 /// Longest time from the acknowledgement of a change until it is in force at every instance.
@@ -50,22 +48,6 @@
     directory: PathBuf,
 }
 
-/// Returns a port that is free for datagrams and for connections, below those that the system gives to outgoing
-/// connections, so that it is still free when an instance starts again.
-fn free_port() -> u16 {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = (std::process::id() as u16).wrapping_mul(64) % 4000;
-    for _ in 0..2000 {
-        let port = 20_000 + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % 8000;
-        let datagrams = UdpSocket::bind(("127.0.0.1", port));
-        let connections = TcpListener::bind(("127.0.0.1", port));
-        if datagrams.is_ok() && connections.is_ok() {
-            return port;
-        }
-    }
-    panic!("no port is free");
-}
-
 /// Returns a configuration whose route runs at a service, with `fillers` further routes.
 fn config(version: usize, service: usize, fillers: usize) -> String {
     let mut routes = format!(
@@ -137,8 +119,8 @@
     }
 
     fn start_instance(&self, index: usize, store: SocketAddr) -> Instance {
-        let caller: SocketAddr = ([127, 0, 0, 1], free_port()).into();
-        let (internal, zone) = (free_port(), index % 3);
+        let caller: SocketAddr = ([127, 0, 0, 1], process::free_lasting_port()).into();
+        let (internal, zone) = (process::free_lasting_port(), index % 3);
         let text = format!(
             "nodeName = \"front-{index}\"\nzone = \"z{zone}\"\nip = \"127.0.0.1\"\n\
              internalPorts = [{internal},{internal}]\nheartbeatMs = 1200\n\
@@ -146,13 +128,13 @@
              [listen]\nfront = \"{caller}\"\nready = \"127.0.0.1:{}\"\n\
              [bounds]\ngraceS = 4\nconfigApplyMs = {}\nrevokeFailClosed = true\nrevokeMs = 5000\n\
              budgetRatio = 0.9\nbudgetWindowS = 10\n[platform]\naddress = \"{store}\"\n",
-            free_port(),
+            process::free_lasting_port(),
             APPLY_LIMIT.as_millis(),
         );
         let settings = self.directory.join(format!("front-{index}.toml"));
         std::fs::write(&settings, text).unwrap();
         let log = self.directory.join(format!("front-{index}.jsonl"));
-        let child = spawn(&settings, &log);
+        let child = process::spawn(&settings, &log);
         Instance {
             child,
             settings,
@@ -192,10 +174,8 @@
     /// Resumes all frozen processes.
     pub fn resume_all(&mut self) {
         for instance in &mut self.instances {
-            if let Some((_, end @ None)) = instance.disturbed.last_mut() {
-                *end = Some(Instant::now());
-                instance.signal(Signal::SIGCONT);
-            }
+            instance.signal(Signal::SIGCONT);
+            instance.end_disturbances();
         }
     }
 
@@ -203,10 +183,8 @@
     pub fn restart_ended(&mut self) {
         for instance in &mut self.instances {
             if instance.child.try_wait().unwrap().is_some() {
-                instance.child = spawn(&instance.settings, &instance.log);
-                if let Some((_, end)) = instance.disturbed.last_mut() {
-                    *end = Some(Instant::now());
-                }
+                instance.child = process::spawn(&instance.settings, &instance.log);
+                instance.end_disturbances();
             }
         }
     }
@@ -255,9 +233,7 @@
 
 impl Instance {
     fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
-        // Sending a signal to a process that has exited fails, which is harmless.
-        let _ = kill(pid, signal);
+        process::signal(&self.child, signal);
     }
 
     fn disturb(&mut self, signal: Signal) {
@@ -265,6 +241,14 @@
         self.disturbed.push((Instant::now(), None));
     }
 
+    /// Ends all disturbances that go on: an instance may have been frozen twice, or killed while frozen.
+    fn end_disturbances(&mut self) {
+        let now = Instant::now();
+        for (_, end) in &mut self.disturbed {
+            end.get_or_insert(now);
+        }
+    }
+
     fn is_disturbed(&self, at: Instant) -> bool {
         let covers = |&(from, to): &(Instant, Option<Instant>)| {
             from <= at && to.is_none_or(|to| at <= to + SETTLE_PERIOD)
@@ -272,15 +256,3 @@
         self.disturbed.iter().any(covers)
     }
 }
-
-fn spawn(settings: &Path, log: &Path) -> Child {
-    let log = File::options().create(true).append(true).open(log).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_citrontrack"))
-        .args(["forward", "--settings"])
-        .arg(settings)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone().unwrap())
-        .stderr(log)
-        .spawn()
-        .unwrap()
-}
--- a/tests/forward_soak.rs
+++ b/tests/forward_soak.rs
@@ -9,6 +9,8 @@
 mod audit;
 #[path = "forward_soak/load.rs"]
 mod load;
+#[path = "forward_soak/process.rs"]
+mod process;
 #[path = "forward_soak/proxy.rs"]
 mod proxy;
 #[path = "../platform/tests/support/mod.rs"]
--- a/tests/forward_soak/system.rs
+++ b/tests/forward_soak/system.rs
@@ -1,17 +1,15 @@
 //! Instances as processes, which reach a store and upstreams through proxies.
 
+use crate::process;
 use crate::proxy::{LINK_FAULTS, LinkFault, Proxy};
 use crate::support::store::FakeStore;
 use crate::upstream::{self, Runs};
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use std::fs::File;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::process::Child;
 use std::time::{Duration, Instant};
 
 const INSTANCES: usize = 3;
@@ -48,23 +46,6 @@
     tcp.local_addr().unwrap().port()
 }
 
-/// Returns a port that is free for datagrams and for connections. It is below the ports that the system gives to
-/// outgoing connections, so that it is still free when an instance starts again.
-fn free_internal_port() -> u16 {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let first = std::process::id().wrapping_mul(64);
-    for _ in 0..1000 {
-        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = 28_000 + (number % 4_000) as u16;
-        let datagrams = UdpSocket::bind(("127.0.0.1", port));
-        let connections = TcpListener::bind(("127.0.0.1", port));
-        if datagrams.is_ok() && connections.is_ok() {
-            return port;
-        }
-    }
-    panic!("no port is free");
-}
-
 /// Returns a configuration, with or without the key `passing`.
 fn config(version: u64, revocable_key_valid: bool) -> String {
     let key = if revocable_key_valid {
@@ -125,7 +106,7 @@
 
     fn start_instance(&mut self, index: usize, store: SocketAddr) {
         let caller: SocketAddr = ([127, 0, 0, 1], free_port()).into();
-        let internal = free_internal_port();
+        let internal = process::free_lasting_port();
         let text = format!(
             "nodeName = \"front-{index}\"\nzone = \"a\"\nip = \"127.0.0.1\"\n\
              internalPorts = [{internal},{internal}]\nheartbeatMs = 1200\n[zones]\na = \"r\"\n\
@@ -138,7 +119,7 @@
         let settings = self.directory.join(format!("front-{index}.toml"));
         std::fs::write(&settings, text).unwrap();
         let log = self.directory.join(format!("front-{index}.jsonl"));
-        let child = spawn(&settings, &log);
+        let child = process::spawn(&settings, &log);
         self.instances.push(Instance {
             child,
             settings,
@@ -195,7 +176,7 @@
     fn restart_ended(&mut self) {
         for instance in &mut self.instances {
             if instance.child.try_wait().unwrap().is_some() {
-                instance.child = spawn(&instance.settings, &instance.log);
+                instance.child = process::spawn(&instance.settings, &instance.log);
                 instance.frozen = false;
             }
         }
@@ -235,9 +216,7 @@
 
 impl Instance {
     fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
-        // Sending a signal to a process that has exited fails, which is harmless.
-        let _ = kill(pid, signal);
+        process::signal(&self.child, signal);
     }
 
     fn freeze(&mut self) {
@@ -252,15 +231,3 @@
         }
     }
 }
-
-fn spawn(settings: &Path, log: &Path) -> Child {
-    let log = File::options().create(true).append(true).open(log).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_citrontrack"))
-        .args(["forward", "--settings"])
-        .arg(settings)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone().unwrap())
-        .stderr(log)
-        .spawn()
-        .unwrap()
-}
