Order incarnations in one place, sum held tokens only where they count, and test two guards

Three copies of the order by name and number became Incarnation::key. The mean of held tokens was summed over all engines for each choice, also of plain requests and where engines are compared by prompts; the result is used in neither.

--- a/crates/routing/src/balancer/candidates.rs
+++ b/crates/routing/src/balancer/candidates.rs
@@ -170,6 +170,8 @@
         used: &[id::Upstream],
         now: Moment,
     ) -> Asked<'_> {
+        let first = used.first().filter(|_| demand.is_some());
+        let has_costs = first.is_some_and(|&first| self.compares_by_work(first));
         Asked {
             prefix,
             demand,
@@ -178,8 +180,10 @@
                 Some(_) => self.peer_loads.work(now),
                 None => Others::default(),
             },
-            length: demand.map_or_else(Length::default, |demand| self.learned.length(&demand, now)),
-            mean_held: self.mean_held(),
+            length: demand
+                .filter(|_| has_costs)
+                .map_or_else(Length::default, |demand| self.learned.length(&demand, now)),
+            mean_held: if has_costs { self.mean_held() } else { 0.0 },
         }
     }
 
--- a/crates/routing/src/balancer/learning.rs
+++ b/crates/routing/src/balancer/learning.rs
@@ -100,12 +100,7 @@
     ) -> Option<Cost> {
         let upstream = &self.config.upstreams[id];
         let registration = upstream.registration.as_ref()?;
-        let compares_by_work = match self.basis {
-            Basis::Auto => self.sharers(id) > FULL_COMPARISON_MAX_SHARERS,
-            Basis::Work => true,
-            Basis::Prompt => false,
-        };
-        if !compares_by_work {
+        if !self.compares_by_work(id) {
             return None;
         }
         let engine = Engine {
@@ -121,6 +116,15 @@
         Some(self.learned.cost(&engine, asked, now))
     }
 
+    /// Returns whether engines are compared by the expected end of a request, of which `id` is one.
+    pub(super) fn compares_by_work(&self, id: id::Upstream) -> bool {
+        match self.basis {
+            Basis::Auto => self.sharers(id) > FULL_COMPARISON_MAX_SHARERS,
+            Basis::Work => true,
+            Basis::Prompt => false,
+        }
+    }
+
     /// Returns the incarnation of a registered upstream.
     pub(super) fn incarnation(&self, upstream: id::Upstream) -> Option<u64> {
         let registration = self.config.upstreams[upstream].registration.as_ref()?;
--- a/crates/routing/src/estimate/pace.rs
+++ b/crates/routing/src/estimate/pace.rs
@@ -128,11 +128,6 @@
     }
 }
 
-/// Returns an order of incarnations.
-fn key(incarnation: &Incarnation) -> (&name::Upstream, u64) {
-    (&incarnation.upstream, incarnation.number)
-}
-
 impl Paces {
     /// Records that the first event of an answer, with `ahead` tokens of work before it, took `time`.
     pub fn observe(
@@ -147,7 +142,7 @@
         let log = self.reading.learn(service, (seconds / ahead).ln());
         let found = self
             .own
-            .binary_search_by(|own| key(&own.incarnation).cmp(&key(incarnation)));
+            .binary_search_by(|own| own.incarnation.cmp(incarnation));
         let index = found.unwrap_or_else(|_| {
             if self.own.len() == MAX_OWN {
                 let oldest = (0..MAX_OWN).min_by_key(|&index| self.own[index].at);
@@ -155,7 +150,7 @@
             }
             let index = self
                 .own
-                .partition_point(|own| key(&own.incarnation) < key(incarnation));
+                .partition_point(|own| own.incarnation < *incarnation);
             let own = Own {
                 incarnation: incarnation.clone(),
                 sum: Sum::default(),
@@ -207,7 +202,7 @@
         let mut sum = Sum::default();
         if let Ok(index) = self
             .own
-            .binary_search_by(|own| key(&own.incarnation).cmp(&wanted))
+            .binary_search_by(|own| own.incarnation.key().cmp(&wanted))
         {
             let own = &self.own[index];
             let factor = decay(now.since(own.at), HALF_LIFE);
@@ -216,7 +211,7 @@
         }
         if let Ok(index) = self
             .sums
-            .binary_search_by(|(known, _)| key(known).cmp(&wanted))
+            .binary_search_by(|(known, _)| known.key().cmp(&wanted))
         {
             sum.weight += self.sums[index].1.weight;
             sum.log += self.sums[index].1.log;
@@ -311,10 +306,10 @@
 
     /// Adds to the sum of an engine, which is dropped once nobody tells of it.
     fn add(&mut self, incarnation: &Incarnation, sum: Sum) {
-        let wanted = key(incarnation);
+        let wanted = incarnation.key();
         let found = self
             .sums
-            .binary_search_by(|(known, _)| key(known).cmp(&wanted));
+            .binary_search_by(|(known, _)| known.key().cmp(&wanted));
         let index = found.unwrap_or_else(|index| {
             self.sums
                 .insert(index, (incarnation.clone(), Sum::default()));
--- a/crates/routing/src/outlier.rs
+++ b/crates/routing/src/outlier.rs
@@ -241,11 +241,9 @@
     }
 
     fn find(&self, upstream: &name::Upstream, number: u64) -> Result<usize, usize> {
-        let order = |known: &Incarnation| {
-            let by_name = known.upstream.cmp(upstream);
-            by_name.then_with(|| known.number.cmp(&number))
-        };
-        self.records.binary_search_by(|(known, _)| order(known))
+        let wanted = (upstream, number);
+        self.records
+            .binary_search_by(|(known, _)| known.key().cmp(&wanted))
     }
 
     fn ejection(&self, incarnation: &Incarnation) -> Option<&Ejection> {
--- a/crates/routing/src/restriction.rs
+++ b/crates/routing/src/restriction.rs
@@ -18,6 +18,13 @@
     pub number: u64,
 }
 
+impl Incarnation {
+    /// Returns the parts by which incarnations are ordered.
+    pub fn key(&self) -> (&name::Upstream, u64) {
+        (&self.upstream, self.number)
+    }
+}
+
 /// Why an upstream must get no request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Restriction {
@@ -65,10 +72,7 @@
 
     /// Returns why an incarnation must get no request now; none if it may get one.
     pub fn find(&self, upstream: &name::Upstream, number: u64, now: Moment) -> Option<Restriction> {
-        let order = |known: &Incarnation| {
-            let by_name = known.upstream.cmp(upstream);
-            by_name.then_with(|| known.number.cmp(&number))
-        };
+        let order = |known: &Incarnation| known.key().cmp(&(upstream, number));
         if self
             .leaving
             .binary_search_by(|(known, _)| order(known))
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -289,6 +289,33 @@
     }
 }
 
+/// Requests that are served without a queue don't tell how long a queue takes, and must not keep what an
+/// overload taught for longer than its time.
+#[gtest]
+fn a_learned_pace_ages_while_requests_are_served_without_waiting() {
+    let mut queue = Queue::new(100);
+    let one = organisation("one");
+    for step in 0..60 {
+        let now = START + secs(step);
+        queue.push(&one, entry(0), now);
+        queue.push(&one, entry(0), now);
+        queue.pop(now, |_, _| Some(()));
+        queue.pop(now + secs(1), |_, _| Some(()));
+    }
+    for step in 0..10 {
+        let now = START + secs(70 + 5 * step);
+        expect_that!(queue.push(&one, entry(0), now), none());
+        queue.pop(now, |_, _| Some(()));
+    }
+    let now = START + secs(130);
+    expect_that!(queue.push(&one, entry(0), now), none());
+    let urgent = Entry {
+        deadline: now + Span::from_millis(100),
+        ..entry(1)
+    };
+    expect_that!(queue.push(&one, urgent, now), none());
+}
+
 #[gtest]
 fn idle_and_lent_reserve_are_traced_to_their_owner() {
     let (owner, borrower) = (organisation("owner"), organisation("borrower"));
--- a/crates/routing/tests/demand.rs
+++ b/crates/routing/tests/demand.rs
@@ -236,6 +236,27 @@
     expect_that!(count_local_choices(&mut balancer, 400), lt(240));
 }
 
+/// A peer that names an engine again and again, with more than it takes, counts once and for no more than
+/// the engine takes. Otherwise a single one could keep all others away from it.
+#[gtest]
+fn a_peer_counts_once_for_an_engine_and_for_what_it_takes_at_most() {
+    let ahead = |running: f64, times: usize| {
+        let mut balancer = balancer_with_many_peers();
+        let work = Work {
+            pending: 0.0,
+            running,
+        };
+        let engines = (0..40).map(common::engine);
+        let loads = engines.flat_map(|name| vec![(name, work); times]).collect();
+        balancer.record_peer_loads(&"north-2".parse().unwrap(), loads, 1, START);
+        choose(&mut balancer, short_prompt()).ahead
+    };
+    // Each engine takes eight requests.
+    let full = ahead(8.0, 1);
+    expect_that!(full, gt(ahead(1.0, 1)));
+    expect_that!(ahead(1e6, 5), eq(full));
+}
+
 /// Requests to other zones are billed, but no caller may wait longer for it: the mean work ahead is no
 /// more than with one engine picked of all and two of the local zone, however the work is spread.
 #[gtest]
