--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -9,6 +9,7 @@
 use entity::name;
 use entity::unit::Share;
 use entity::{Era, Moment, Span, work};
+use std::fmt;
 
 /// Number of peers whose evidence one report has.
 const REPORTED_PEER_COUNT: usize = 23;
@@ -73,9 +74,35 @@
     origin: Origin,
 }
 
+/// What is known here of a session.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sighting {
+    /// The release that ran its last known request.
+    pub version: name::Version,
+    /// Source of the information.
+    pub origin: Origin,
+    /// Time since the request, or since the last report of it.
+    pub age: Span,
+}
+
+/// What the release of a request in a trial depends on, as known at one instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Basis {
+    /// What is known of the request's session; `None` without a session, or if nothing is known.
+    pub sighting: Option<Sighting>,
+    /// Share of the requests without a known session that go to the new release.
+    pub share: Share,
+    /// Time since the order.
+    pub order_age: Span,
+    /// The ruling, if there is one.
+    pub ruling: Option<Ruling>,
+    /// Whether the instance started too recently to have seen all sessions.
+    pub recently_started: bool,
+}
+
 /// Source of the information about a session, in order of precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Origin {
+pub enum Origin {
     /// This instance received a request of the session.
     Local,
     /// An instance that received a request of the session reported it.
@@ -84,6 +111,16 @@
     Relayed,
 }
 
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Local => "own",
+            Self::Reported => "peer",
+            Self::Relayed => "relayed",
+        })
+    }
+}
+
 /// The releases of all services at one instance.
 #[derive(Debug)]
 pub struct Releases {
@@ -140,7 +177,7 @@
         if let Some(trial) = &mut self.services[index].trial {
             trial.keep_steps(now);
         }
-        let recently_started = now.since(self.started_at) < self.session_gap;
+        let recently_started = self.is_recently_started(now);
         let service = &self.services[index];
         let pinned = query.session.and_then(|hash| self.pinned(hash, now));
         let version = match &service.trial {
@@ -164,6 +201,27 @@
         Some(id)
     }
 
+    /// Returns what the release of a request depends on; `None` if its service has no trial.
+    pub fn basis(&self, config: &Config, query: Query, now: Moment) -> Option<Basis> {
+        let name = &config.services[query.service].name;
+        let trial = self.services[self.service_index(name).ok()?]
+            .trial
+            .as_ref()?;
+        let found = query.session.and_then(|hash| self.session_index(hash).ok());
+        let session = found.map(|index| &self.sessions[index]);
+        Some(Basis {
+            sighting: session.map(|session| Sighting {
+                version: session.version.clone(),
+                origin: session.origin,
+                age: now.since(session.seen),
+            }),
+            share: trial.share(now),
+            order_age: now.since(trial.started_at()),
+            ruling: trial.ruling(),
+            recently_started: self.is_recently_started(now),
+        })
+    }
+
     /// Counts an answer, and ends the trial if the new release turns out to be bad.
     pub fn record_answer(
         &mut self,
@@ -271,6 +329,10 @@
         }
     }
 
+    fn is_recently_started(&self, now: Moment) -> bool {
+        now.since(self.started_at) < self.session_gap
+    }
+
     /// Returns the index of a service, or the index at which to insert it.
     fn service_index(&self, name: &name::Service) -> Result<usize, usize> {
         self.services
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -165,7 +165,7 @@
     AssignRelease(
         release::Query,
         Generation,
-        oneshot::Sender<Result<Option<id::Version>, Stale>>,
+        oneshot::Sender<Result<Assignment, Stale>>,
     ),
     RecordAnswer(name::Service, name::Version, release::AnswerOutcome),
     ObserveFirstEvent(name::Service, Observation),
@@ -198,6 +198,15 @@
     messages: mpsc::Sender<Message>,
 }
 
+/// The release of a request, and what it was chosen by.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    /// The release; `None` if the service has no upstream.
+    pub version: Option<id::Version>,
+    /// What it was chosen by; `None` if the service has no trial.
+    pub basis: Option<release::Basis>,
+}
+
 /// The error of a message whose ids belong to another configuration than the one in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the configuration changed")]
@@ -471,11 +480,13 @@
         query: release::Query,
         generation: Generation,
         now: Moment,
-    ) -> Result<Option<id::Version>, Stale> {
+    ) -> Result<Assignment, Stale> {
         let snapshot = self.snapshot.as_ref();
         let current = snapshot.filter(|snapshot| snapshot.generation == generation);
         let config = &current.ok_or(Stale)?.config;
-        Ok(self.releases.assign(config, query, now))
+        let basis = self.releases.basis(config, query, now);
+        let version = self.releases.assign(config, query, now);
+        Ok(Assignment { version, basis })
     }
 
     fn set_members(&mut self, members: Members, begun: Moment, ended: Moment) {
--- a/crates/server/src/decider/handle.rs
+++ b/crates/server/src/decider/handle.rs
@@ -191,8 +191,7 @@
             .await;
     }
 
-    /// Chooses the release that runs a request of a service whose upstreams register themselves;
-    /// returns none where the service has no upstream.
+    /// Chooses the release that runs a request of a service whose upstreams register themselves.
     ///
     /// # Errors
     ///
@@ -202,7 +201,7 @@
         &self,
         query: release::Query,
         generation: Generation,
-    ) -> Result<Result<Option<id::Version>, Stale>, Closed> {
+    ) -> Result<Result<Assignment, Stale>, Closed> {
         self.ask(|reply| Message::Forward(ForwardMessage::AssignRelease(query, generation, reply)))
             .await
     }
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -8,6 +8,7 @@
 use crate::forward::holds::Subject;
 use crate::forward::key_validity::boot_time;
 use crate::forward::relay::Relay;
+use crate::forward::trial_log;
 use crate::tries::{self, Abort, Accepted, History, Job};
 use adoption::Snapshot;
 use caller::Refusal;
@@ -85,6 +86,8 @@
     pub service: id::Service,
     /// Release that runs the request; `None` where the service has no upstream.
     pub version: Option<id::Version>,
+    /// What the release was chosen by; `None` where the service has no trial.
+    pub basis: Option<release::Basis>,
     /// Deadline of the whole answer.
     pub deadline: Moment,
 }
@@ -159,8 +162,9 @@
             .assign_release(query, generation)
             .await;
         match assigned {
-            Ok(Ok(version)) => {
-                resolved.version = version;
+            Ok(Ok(assignment)) => {
+                resolved.version = assignment.version;
+                resolved.basis = assignment.basis;
                 true
             }
             // If the decider has ended, resolving the request again refuses it.
@@ -245,6 +249,7 @@
             organisation,
             payer,
             version: None,
+            basis: None,
             deadline: core.clock.moment(self.arrival.at) + timeout,
             snapshot,
         })
@@ -479,7 +484,8 @@
             .version
             .map(|version| &config.versions[version].name);
         let release = release.map_or("no release", name::Version::as_str);
-        core.recorder
+        let draft = core
+            .recorder
             .event(Kind::Routed)
             .request(self.id)
             .text("route", &resolved.route.name)
@@ -491,8 +497,9 @@
             .count("generation", resolved.snapshot.generation.0)
             .text("config-age", age.unwrap_or_default())
             .text("upstreams-age", upstreams_age.unwrap_or_default())
-            .text("left", resolved.deadline.since(core.clock.now()))
-            .record();
+            .text("left", resolved.deadline.since(core.clock.now()));
+        let session = self.arrival.request.head.session.as_deref();
+        trial_log::describe_choice(draft, session, resolved.basis.as_ref()).record();
     }
 
     /// Returns by what the request may be held back.
--- a/crates/server/src/forward/trial_log.rs
+++ b/crates/server/src/forward/trial_log.rs
@@ -2,9 +2,9 @@
 
 use entity::name;
 use entity::unit::Share;
-use quality::release::Report;
+use quality::release::{Basis, Report};
 use quality::trial::{Ruling, Tally};
-use timeline::{Kind, Recorder};
+use timeline::{EventBuilder, Kind, Recorder};
 
 /// Logs trials whose share or ruling has changed.
 #[derive(Debug, Default)]
@@ -24,16 +24,11 @@
             if self.logged.contains(state) {
                 continue;
             }
-            let ruling = match report.ruling {
-                None => "open",
-                Some(Ruling::Good) => "good",
-                Some(Ruling::Bad) => "bad",
-            };
             recorder
                 .event(Kind::Tried)
                 .text("service", &report.service)
                 .text("target", &report.target)
-                .text("ruling", ruling)
+                .text("ruling", ruling(report.ruling))
                 .text("share", report.share)
                 .text("age", report.age)
                 .text("evidence", evidence(report.sum))
@@ -53,3 +48,38 @@
     } = sum;
     format!("old {old_bad} bad of {old}, new {new_bad} bad of {new}")
 }
+
+/// Adds to an event by what the release of a request was chosen.
+pub fn describe_choice<'a>(
+    event: EventBuilder<'a>,
+    session: Option<&str>,
+    basis: Option<&Basis>,
+) -> EventBuilder<'a> {
+    let Some(basis) = basis else {
+        return event;
+    };
+    let event = event
+        .text("share", basis.share)
+        .text("order-age", basis.order_age)
+        .text("ruling", ruling(basis.ruling))
+        .flag("recently-started", basis.recently_started);
+    let Some(session) = session else {
+        return event;
+    };
+    let event = event.text("session", session);
+    match &basis.sighting {
+        None => event.text("session-known", "no"),
+        Some(sighting) => event
+            .text("session-known", sighting.origin)
+            .text("session-release", &sighting.version)
+            .text("session-age", sighting.age),
+    }
+}
+
+fn ruling(ruling: Option<Ruling>) -> &'static str {
+    match ruling {
+        None => "open",
+        Some(Ruling::Good) => "good",
+        Some(Ruling::Bad) => "bad",
+    }
+}
