Keep a completed release in service when the next order comes

Cause: which release is in service was inferred from registrations. An instance that learned from its peers that an order was completed went on believing in the old release, and as the next order came one entry of it was still registered: the trial had a release without upstreams as its old one, and its requests went to any. Evidence: 'routed' without a release at the instances that saw the first order end, from 18.45 s; front-amman-b-14 adopts the order with 117 upstreams, one of them old, and 116 right after. Change: a good ruling puts its target in service, whatever is still registered.

--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -480,6 +480,7 @@
         exposure: Share,
     ) {
         let Some(order) = order else {
+            self.adopt_ruling();
             self.trial = None;
             self.update_current(config, id, None);
             return;
@@ -498,6 +499,7 @@
                 if self.trial.as_ref().is_some_and(|trial| trial.new == target) {
                     return;
                 }
+                self.adopt_ruling();
                 self.update_current(config, id, Some(&target));
                 let Some(old) = self.current.clone() else {
                     // No other release serves the service, so there is no baseline to compare with.
@@ -511,6 +513,16 @@
         }
     }
 
+    /// Puts the new release in service if the trial ended well. Registrations of the old one may
+    /// outlast it.
+    fn adopt_ruling(&mut self) {
+        if let Some(trial) = &self.trial
+            && trial.ruling() == Some(Ruling::Good)
+        {
+            self.current = Some(trial.new.clone());
+        }
+    }
+
     fn end_trial(&mut self, target: &name::Version, ruling: Ruling) {
         if let Some(trial) = &mut self.trial
             && trial.new == *target
--- a/crates/quality/tests/support/releases.rs
+++ b/crates/quality/tests/support/releases.rs
@@ -77,3 +77,70 @@
         ..config(None)
     }
 }
+
+/// A service with up to three releases, `v1` to `v3`, and what the store says of its orders.
+#[derive(Clone, Debug, Default)]
+#[allow(dead_code, reason = "not every test has several releases")]
+pub struct Fleet {
+    /// Number of upstreams of each release.
+    upstreams: [usize; 3],
+    /// Release that the order names.
+    target: Option<usize>,
+}
+
+#[allow(dead_code, reason = "not every test has several releases")]
+impl Fleet {
+    /// Sets the number of upstreams of each release.
+    pub fn with(self, upstreams: [usize; 3]) -> Self {
+        Self { upstreams, ..self }
+    }
+
+    /// Orders a move to a release.
+    pub fn ordered(self, release: &str) -> Self {
+        let target = ["v1", "v2", "v3"].iter().position(|one| *one == release);
+        Self { target, ..self }
+    }
+}
+
+/// Returns the configuration of a fleet. Only releases with an upstream or an order are in it.
+#[allow(dead_code, reason = "not every test has several releases")]
+pub fn fleet(fleet: Fleet) -> Config {
+    let mut config = config(None);
+    let version = config.versions.values()[0].clone();
+    let upstream = config.upstreams.values()[0].clone();
+    let (mut versions, mut upstreams, mut target) = (Vec::new(), Vec::new(), None);
+    for (release, &count) in fleet.upstreams.iter().enumerate() {
+        let ordered = fleet.target == Some(release);
+        if count == 0 && !ordered {
+            continue;
+        }
+        let id = id::Version::new(versions.len());
+        if ordered {
+            target = Some(id);
+        }
+        versions.push(Version {
+            name: format!("advice/v{}", release + 1).parse().unwrap(),
+            ..version.clone()
+        });
+        for number in 0..count {
+            upstreams.push(Upstream {
+                name: format!("i-{release}-{number}").parse().unwrap(),
+                versions: vec![id],
+                ..upstream.clone()
+            });
+        }
+    }
+    let ids = (0..versions.len()).map(id::Version::new).collect();
+    let service = Service {
+        versions: ids,
+        ..config.services.values()[0].clone()
+    };
+    config.services = Map::new(vec![service]);
+    config.versions = Map::new(versions);
+    config.upstreams = Map::new(upstreams);
+    let moves = config.moves.into_iter();
+    config.moves = moves
+        .filter_map(|order| target.map(|target| Move { target, ..order }))
+        .collect();
+    config
+}
