Decide a session's release without knowing its earlier requests

Cause: a session's release depended on what one instance knew of its earlier requests. Peers were told of sessions in rounds, by samples, to some; an instance that stopped told nothing; one that had just started took all unknown sessions for old ones, also after they had moved; and each instance let the share grow by the evidence it had. The class: a decision that all have to make alike rests on what only one knows. Change: in the first half all sessions are on the old release. From half of the order's time on, a session's release follows from its position, the age of the order and a schedule of steps that all instances share: the first step holds at half of the time, later ones are announced 500 ms ahead and passed on at once; the earliest announcement counts. An instance that starts while an order is under way asks its peers for the age of the order and is not ready before one answers, or for a second.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -271,6 +271,13 @@
     pub progress: Option<Progress>,
 }
 
+impl Move {
+    /// Returns whether the order is under way, as far as its progress is known.
+    pub fn is_under_way(&self) -> bool {
+        matches!(self.progress, None | Some(Progress::Running))
+    }
+}
+
 macro_rules! lookup {
     ($function:ident, $field:ident, $entity:ident) => {
         /// Returns the id of the entity with this name, by binary search.
--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -141,12 +141,13 @@
   /** Whether the ruling is on the store. */
   5: required bool written,
   6: required list<Counted> evidence,
-  /** Sessions on the old release that would begin on the new one, by hash. */
+  /** Sessions on the old release, by hash; empty since the release follows from the steps. */
   7: required list<i64> kept,
-  /** The same of others that told the sender. */
   8: optional list<i64> passed_on,
   /** The era of the store in which the ruling was written. */
   9: optional i64 era,
+  /** Ages of the order from which each step of the share holds, in microseconds. */
+  10: optional list<i64> steps,
 }
 
 /** What an instance has running at an upstream. */
@@ -305,6 +306,8 @@
   19: optional list<Tried> tried,
   /** Speeds of upstreams, as the sender itself saw them. */
   27: optional list<Pace> paces,
+  /** Whether the sender has started and no peer has told it the state yet; it wants an answer. */
+  28: optional bool newcomer,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -1480,16 +1480,17 @@
   /// Whether the ruling is on the store.
   pub written: bool,
   pub evidence: Vec<Counted>,
-  /// Sessions on the old release that would begin on the new one, by hash.
+  /// Sessions on the old release, by hash; empty since the release follows from the steps.
   pub kept: Vec<i64>,
-  /// The same of others that told the sender.
   pub passed_on: Option<Vec<i64>>,
   /// The era of the store in which the ruling was written.
   pub era: Option<i64>,
+  /// Ages of the order from which each step of the share holds, in microseconds.
+  pub steps: Option<Vec<i64>>,
 }
 
 impl Trial {
-  pub fn new<F8, F9>(service_name: String, target: String, age_us: i64, ruling: Ruling, written: bool, evidence: Vec<Counted>, kept: Vec<i64>, passed_on: F8, era: F9) -> Trial where F8: Into<Option<Vec<i64>>>, F9: Into<Option<i64>> {
+  pub fn new<F8, F9, F10>(service_name: String, target: String, age_us: i64, ruling: Ruling, written: bool, evidence: Vec<Counted>, kept: Vec<i64>, passed_on: F8, era: F9, steps: F10) -> Trial where F8: Into<Option<Vec<i64>>>, F9: Into<Option<i64>>, F10: Into<Option<Vec<i64>>> {
     Trial {
       service_name,
       target,
@@ -1500,6 +1501,7 @@
       kept,
       passed_on: passed_on.into(),
       era: era.into(),
+      steps: steps.into(),
     }
   }
 }
@@ -1516,6 +1518,7 @@
     let mut f_7: Option<Vec<i64>> = None;
     let mut f_8: Option<Vec<i64>> = None;
     let mut f_9: Option<i64> = None;
+    let mut f_10: Option<Vec<i64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1577,6 +1580,16 @@
           let val = i_prot.read_i64()?;
           f_9 = Some(val);
         },
+        10 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_11 = i_prot.read_i64()?;
+            val.push(list_elem_11);
+          }
+          i_prot.read_list_end()?;
+          f_10 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1601,6 +1614,7 @@
       kept: f_7.expect("auto-generated code should have checked for presence of required fields"),
       passed_on: f_8,
       era: f_9,
+      steps: f_10,
     };
     Ok(ret)
   }
@@ -1650,6 +1664,15 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.steps {
+      o_prot.write_field_begin(&TFieldIdentifier::new("steps", TType::List, 10))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::I64, fld_var.len() as i32))?;
+      for e in fld_var {
+        o_prot.write_i64(*e)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2372,8 +2395,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Crash> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_11 = Crash::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_11);
+            let list_elem_12 = Crash::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_12);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -2782,10 +2805,12 @@
   pub build: Option<String>,
   /// Speeds of upstreams, as the sender itself saw them.
   pub paces: Option<Vec<Pace>>,
+  /// Whether the sender has started and no peer has told it the state yet; it wants an answer.
+  pub newcomer: Option<bool>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F26, F27>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18, tried: F19, build: F26, paces: F27) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>>, F19: Into<Option<Vec<Tried>>>, F26: Into<Option<String>>, F27: Into<Option<Vec<Pace>>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F26, F27, F28>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18, tried: F19, build: F26, paces: F27, newcomer: F28) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>>, F19: Into<Option<Vec<Tried>>>, F26: Into<Option<String>>, F27: Into<Option<Vec<Pace>>>, F28: Into<Option<bool>> {
     Beacon {
       instance,
       address,
@@ -2808,6 +2833,7 @@
       tried: tried.into(),
       build: build.into(),
       paces: paces.into(),
+      newcomer: newcomer.into(),
     }
   }
 }
@@ -2836,6 +2862,7 @@
     let mut f_19: Option<Vec<Tried>> = None;
     let mut f_26: Option<String> = None;
     let mut f_27: Option<Vec<Pace>> = None;
+    let mut f_28: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2859,8 +2886,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Trial> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_12 = Trial::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_12);
+            let list_elem_13 = Trial::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_13);
           }
           i_prot.read_list_end()?;
           f_4 = Some(val);
@@ -2869,8 +2896,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<UpstreamLoad> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_13 = UpstreamLoad::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_13);
+            let list_elem_14 = UpstreamLoad::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_14);
           }
           i_prot.read_list_end()?;
           f_5 = Some(val);
@@ -2879,8 +2906,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_14 = Sight::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_14);
+            let list_elem_15 = Sight::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_15);
           }
           i_prot.read_list_end()?;
           f_6 = Some(val);
@@ -2889,8 +2916,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Told> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_15 = Told::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_15);
+            let list_elem_16 = Told::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_16);
           }
           i_prot.read_list_end()?;
           f_7 = Some(val);
@@ -2903,8 +2930,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Acquaintance> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_16 = Acquaintance::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_16);
+            let list_elem_17 = Acquaintance::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_17);
           }
           i_prot.read_list_end()?;
           f_9 = Some(val);
@@ -2921,8 +2948,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Departure> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_17 = Departure::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_17);
+            let list_elem_18 = Departure::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_18);
           }
           i_prot.read_list_end()?;
           f_12 = Some(val);
@@ -2931,8 +2958,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Suspect> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_18 = Suspect::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_18);
+            let list_elem_19 = Suspect::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_19);
           }
           i_prot.read_list_end()?;
           f_13 = Some(val);
@@ -2941,8 +2968,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Rebuttal> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_19 = Rebuttal::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_19);
+            let list_elem_20 = Rebuttal::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_20);
           }
           i_prot.read_list_end()?;
           f_14 = Some(val);
@@ -2951,8 +2978,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Limit> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_20 = Limit::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_20);
+            let list_elem_21 = Limit::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_21);
           }
           i_prot.read_list_end()?;
           f_15 = Some(val);
@@ -2961,8 +2988,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Suspect> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_21 = Suspect::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_21);
+            let list_elem_22 = Suspect::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_22);
           }
           i_prot.read_list_end()?;
           f_16 = Some(val);
@@ -2971,8 +2998,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Rebuttal> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_22 = Rebuttal::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_22);
+            let list_elem_23 = Rebuttal::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_23);
           }
           i_prot.read_list_end()?;
           f_17 = Some(val);
@@ -2985,8 +3012,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Tried> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_23 = Tried::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_23);
+            let list_elem_24 = Tried::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_24);
           }
           i_prot.read_list_end()?;
           f_19 = Some(val);
@@ -2999,12 +3026,16 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Pace> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_24 = Pace::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_24);
+            let list_elem_25 = Pace::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_25);
           }
           i_prot.read_list_end()?;
           f_27 = Some(val);
         },
+        28 => {
+          let val = i_prot.read_bool()?;
+          f_28 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3041,6 +3072,7 @@
       tried: f_19,
       build: f_26,
       paces: f_27,
+      newcomer: f_28,
     };
     Ok(ret)
   }
@@ -3190,6 +3222,11 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.newcomer {
+      o_prot.write_field_begin(&TFieldIdentifier::new("newcomer", TType::Bool, 28))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -31,6 +31,7 @@
         build: Some("0.1.0 0a1b2c".into()),
         tried: Some(vec![Tried::new("i-1".to_owned(), 2, 5, 4, 1, 70, 60, None)]),
         paces: Some(vec![Pace::new("i-1".to_owned(), 2, 900, 120)]),
+        newcomer: Some(true),
     }
 }
 
--- a/crates/quality/src/lib.rs
+++ b/crates/quality/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod record;
 pub mod release;
 pub mod rollout;
+pub mod schedule;
 pub mod totals;
 pub mod trial;
 pub mod verdict;
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -1,26 +1,29 @@
 //! Assigns requests to releases of a service according to the operators' orders.
 //!
 //! Releases are versions of services that register themselves. Without an order, a service stays on
-//! its current release. Sessions keep their release through the first half of a [`Trial`].
+//! its current release. The release of a session depends on its position in the split and on the
+//! [`Trial`], not on what is known of its earlier requests: another instance may have served these.
 
 use crate::trial::{Answer, Evidence, Measure, Ruling, Side, Tally, Trial};
 use config::{Config, Move, Progress};
 use entity::id;
 use entity::name;
 use entity::unit::Share;
-use entity::{Era, Moment, Span, work};
-use std::fmt;
+use entity::{Era, Moment, Span};
 
 /// Number of peers whose evidence one report has.
 const REPORTED_PEER_COUNT: usize = 23;
+/// Time for which a report on an order that isn't read yet is kept. A later order may name the same
+/// release.
+const EARLY_REPORT_LIFETIME: Span = Span::from_secs(5);
 
 /// The properties of a request that decide its release.
 #[derive(Clone, Copy, Debug)]
 pub struct Query {
     /// The service.
     pub service: id::Service,
-    /// Hash of the request's session, if it belongs to one.
-    pub session: Option<u64>,
+    /// Whether the request belongs to a session.
+    pub in_session: bool,
     /// Position of the request in the split, the same at all instances: a hash of its session or
     /// its id.
     pub position: u64,
@@ -42,15 +45,11 @@
     pub ruling_era: Option<Era>,
     /// Evidence by incarnation of an instance, the sender's first.
     pub evidence: Vec<(name::Instance, Evidence)>,
-    /// Hashes of sessions on the old release that would start on the new one. An instance to which
-    /// their callers move must not treat them as new sessions.
-    pub kept_sessions: Vec<u64>,
-    /// Hashes of such sessions that were reported by other instances to this one. In a large
-    /// deployment each instance reports to only some of the others.
-    pub relayed_sessions: Vec<u64>,
+    /// Ages of the order from which each step of the share holds.
+    pub schedule: Vec<Span>,
     /// Whether the trial can be completed, so that the old release may be stopped.
     pub can_complete: bool,
-    /// Share of the requests without a session that go to the new release.
+    /// Share of the sessions that are on the new release.
     pub share: Share,
     /// Sum of the evidence of all instances that this one knows.
     pub sum: Tally,
@@ -64,61 +63,21 @@
     trial: Option<Trial>,
 }
 
-/// A session with its release and the time of its last request.
-#[derive(Debug)]
-struct Session {
-    hash: u64,
-    position: u64,
-    version: name::Version,
-    seen: Moment,
-    origin: Origin,
-}
-
-/// What is known here of a session.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Sighting {
-    /// The release that ran its last known request.
-    pub version: name::Version,
-    /// Source of the information.
-    pub origin: Origin,
-    /// Time since the request, or since the last report of it.
-    pub age: Span,
-}
-
 /// What the release of a request in a trial depends on, as known at one instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Basis {
-    /// What is known of the request's session; `None` without a session, or if nothing is known.
-    pub sighting: Option<Sighting>,
-    /// Share of the requests without a known session that go to the new release.
+    /// Share of the requests that go to the new release: of sessions, or of requests without one.
     pub share: Share,
+    /// Position of the request in the split.
+    pub position: Share,
     /// Time since the order.
     pub order_age: Span,
+    /// Number of steps of the share that are announced.
+    pub announced: usize,
+    /// The release that is in service without the trial.
+    pub old: name::Version,
     /// The ruling, if there is one.
     pub ruling: Option<Ruling>,
-    /// Whether the instance started too recently to have seen all sessions.
-    pub recently_started: bool,
-}
-
-/// Source of the information about a session, in order of precedence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Origin {
-    /// This instance received a request of the session.
-    Local,
-    /// An instance that received a request of the session reported it.
-    Reported,
-    /// Another instance relayed a report of the session.
-    Relayed,
-}
-
-impl fmt::Display for Origin {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Local => "own",
-            Self::Reported => "peer",
-            Self::Relayed => "relayed",
-        })
-    }
 }
 
 /// The releases of all services at one instance.
@@ -128,32 +87,28 @@
     own: name::Instance,
     /// Services, sorted by name.
     services: Vec<Service>,
-    /// Sessions, sorted by hash.
-    sessions: Vec<Session>,
-    /// Maximum time between two requests of one session.
-    session_gap: Span,
+    /// The last report on an order of each service that this instance hasn't read yet, and the time of
+    /// its receipt, sorted by service.
+    early: Vec<(name::Service, (Report, Moment))>,
     exposure: Share,
-    started_at: Moment,
-    last_prune: Moment,
 }
 
 impl Releases {
     /// Returns the state of an instance that has no services yet. `exposure` bounds the share of
     /// its service's requests that a bad release may receive.
-    pub fn new(own: name::Instance, session_gap: Span, exposure: Share, now: Moment) -> Self {
+    pub fn new(own: name::Instance, exposure: Share) -> Self {
         Self {
             own,
             services: Vec::new(),
-            sessions: Vec::new(),
-            session_gap,
+            early: Vec::new(),
             exposure,
-            started_at: now,
-            last_prune: now,
         }
     }
 
     /// Adopts a configuration.
-    pub fn configure(&mut self, config: &Config) {
+    pub fn configure(&mut self, config: &Config, now: Moment) {
+        self.early
+            .retain(|(_, (_, at))| now.since(*at) < EARLY_REPORT_LIFETIME);
         for (id, service) in config.services.iter() {
             let index = self.service_index(&service.name).unwrap_or_else(|index| {
                 let new = Service {
@@ -166,62 +121,51 @@
             });
             let order = config.moves.iter().find(|order| order.service == id);
             self.services[index].apply_order(config, id, order, self.exposure);
+            self.merge_early(index);
         }
     }
 
-    /// Returns the release that runs a request, or `None` if the service has no upstream.
-    pub fn assign(&mut self, config: &Config, query: Query, now: Moment) -> Option<id::Version> {
-        self.prune(now);
-        let name = &config.services[query.service].name;
-        let index = self.service_index(name).ok()?;
-        if let Some(trial) = &mut self.services[index].trial {
-            trial.keep_steps(now);
+    /// Merges the early report on the order of a service, if there is one.
+    fn merge_early(&mut self, index: usize) {
+        let service = &mut self.services[index];
+        let found = self.early.iter().position(|(name, (report, _))| {
+            let trial = service.trial.as_ref();
+            *name == service.name && trial.is_some_and(|trial| trial.new == report.target)
+        });
+        if let (Some(early), Some(trial)) = (found, &mut service.trial) {
+            let (_, (report, at)) = self.early.remove(early);
+            merge(trial, report, &self.own, at);
         }
-        let recently_started = self.is_recently_started(now);
-        let service = &self.services[index];
-        let pinned = query.session.and_then(|hash| self.pinned(hash, now));
+    }
+
+    /// Returns the release that runs a request, or `None` if the service has no upstream.
+    pub fn assign(&self, config: &Config, query: Query, now: Moment) -> Option<id::Version> {
+        let service = self.service(config, query.service)?;
         let version = match &service.trial {
-            None => service.current.clone()?,
-            Some(trial) => {
-                // An instance that has just started can't determine whether a session is new.
-                let may_be_old = query.session.is_some() && pinned.is_none() && recently_started;
-                assigned_version(trial, config, query, pinned, may_be_old, now)
-            }
+            None => service.current.as_ref()?,
+            Some(trial) => assigned_version(trial, config, query, now),
         };
-        let id = config.version(version.as_str())?;
-        if let Some(hash) = query.session {
-            self.insert_session(Session {
-                hash,
-                position: query.position,
-                version,
-                seen: now,
-                origin: Origin::Local,
-            });
-        }
-        Some(id)
+        config.version(version.as_str())
     }
 
     /// Returns what the release of a request depends on; `None` if its service has no trial.
     pub fn basis(&self, config: &Config, query: Query, now: Moment) -> Option<Basis> {
-        let name = &config.services[query.service].name;
-        let trial = self.services[self.service_index(name).ok()?]
-            .trial
-            .as_ref()?;
-        let found = query.session.and_then(|hash| self.session_index(hash).ok());
-        let session = found.map(|index| &self.sessions[index]);
+        let trial = self.service(config, query.service)?.trial.as_ref()?;
         Some(Basis {
-            sighting: session.map(|session| Sighting {
-                version: session.version.clone(),
-                origin: session.origin,
-                age: now.since(session.seen),
-            }),
-            share: trial.share(now),
+            share: share(trial, query, now),
+            position: split_position(query.position),
             order_age: now.since(trial.started_at()),
+            announced: trial.schedule().len(),
+            old: trial.old.clone(),
             ruling: trial.ruling(),
-            recently_started: self.is_recently_started(now),
         })
     }
 
+    fn service(&self, config: &Config, id: id::Service) -> Option<&Service> {
+        let index = self.service_index(&config.services[id].name).ok()?;
+        Some(&self.services[index])
+    }
+
     /// Counts an answer, and ends the trial if the new release turns out to be bad.
     pub fn record_answer(
         &mut self,
@@ -249,52 +193,46 @@
         }
     }
 
-    /// Merges the reports of a peer.
-    pub fn receive(&mut self, reports: Vec<Report>, now: Moment) {
+    /// Merges the reports of a peer. Returns whether they bring a step or a ruling that the peers of this
+    /// instance have to know soon.
+    pub fn receive(&mut self, reports: Vec<Report>, now: Moment) -> bool {
         let own = self.own.clone();
+        let mut has_news = false;
         for report in reports {
-            let Some(trial) = self.trial(&report.service) else {
-                continue;
-            };
-            if trial.new != report.target {
-                continue;
-            }
-            trial.start_no_later_than(now - report.age);
-            for (incarnation, evidence) in report.evidence {
-                if incarnation != own {
-                    trial.receive(incarnation, evidence);
+            match self.trial(&report.service) {
+                Some(trial) if trial.new == report.target => {
+                    has_news |= merge(trial, report, &own, now);
                 }
-            }
-            trial.ruling_era = trial.ruling_era.max(report.ruling_era);
-            if let Some(ruling) = report.ruling {
-                trial.set_ruling(ruling);
-            }
-            if trial.is_bad() {
-                trial.set_ruling(Ruling::Bad);
-            }
-            let old = trial.old.clone();
-            for hash in report.kept_sessions {
-                self.receive_session(hash, &old, Origin::Reported, now);
-            }
-            for hash in report.relayed_sessions {
-                self.receive_session(hash, &old, Origin::Relayed, now);
+                _ => self.keep_early(report, now),
             }
         }
+        has_news
     }
 
-    /// Returns the reports on all trials, to be sent to peers.
-    pub fn reports(&mut self, now: Moment) -> Vec<Report> {
+    /// Keeps a report on an order that may not be read yet.
+    fn keep_early(&mut self, report: Report, now: Moment) {
+        let Ok(index) = self.service_index(&report.service) else {
+            return;
+        };
+        let service = self.services[index].name.clone();
+        let found = self.early.binary_search_by(|(name, _)| name.cmp(&service));
+        match found {
+            Ok(index) => self.early[index].1 = (report, now),
+            Err(index) => self.early.insert(index, (service, (report, now))),
+        }
+    }
+
+    /// Returns the reports on all trials, to be sent to peers, and announces steps that are due, `lead`
+    /// ahead. `lead` is a time within which a report reaches all instances.
+    pub fn reports(&mut self, config: &Config, lead: Span, now: Moment) -> Vec<Report> {
         let mut reports = Vec::new();
-        for index in 0..self.services.len() {
-            let Some(trial) = &mut self.services[index].trial else {
+        for service in &mut self.services {
+            let Some(trial) = &mut service.trial else {
                 continue;
             };
-            trial.keep_steps(now);
+            let is_served = has_upstream(config, &trial.new, Some(now));
+            trial.announce_steps(lead, is_served, now);
             let evidence = trial.evidence(&self.own, REPORTED_PEER_COUNT);
-            let service = &self.services[index];
-            let Some(trial) = &service.trial else {
-                continue;
-            };
             reports.push(Report {
                 service: service.name.clone(),
                 target: trial.new.clone(),
@@ -302,10 +240,9 @@
                 ruling: trial.ruling(),
                 ruling_era: trial.ruling_era,
                 evidence,
-                kept_sessions: self.sessions_to_report(trial, Origin::Local, now),
-                relayed_sessions: self.sessions_to_report(trial, Origin::Reported, now),
+                schedule: trial.schedule().ages().to_vec(),
                 can_complete: trial.can_complete(now),
-                share: trial.share(now),
+                share: trial.session_share(now),
                 sum: trial.sum(),
             });
         }
@@ -329,89 +266,16 @@
         }
     }
 
-    fn is_recently_started(&self, now: Moment) -> bool {
-        now.since(self.started_at) < self.session_gap
-    }
-
     /// Returns the index of a service, or the index at which to insert it.
     fn service_index(&self, name: &name::Service) -> Result<usize, usize> {
         self.services
             .binary_search_by(|service| service.name.cmp(name))
     }
 
-    /// Returns the index of a session, or the index at which to insert it.
-    fn session_index(&self, hash: u64) -> Result<usize, usize> {
-        self.sessions
-            .binary_search_by_key(&hash, |session| session.hash)
-    }
-
     fn trial(&mut self, service: &name::Service) -> Option<&mut Trial> {
         let index = self.service_index(service).ok()?;
         self.services[index].trial.as_mut()
     }
-
-    fn pinned(&self, hash: u64, now: Moment) -> Option<&name::Version> {
-        let session = &self.sessions[self.session_index(hash).ok()?];
-        (now.since(session.seen) <= self.session_gap).then_some(&session.version)
-    }
-
-    fn insert_session(&mut self, session: Session) {
-        match self.session_index(session.hash) {
-            Ok(index) => self.sessions[index] = session,
-            Err(index) => self.sessions.insert(index, session),
-        }
-    }
-
-    /// Records a session on the old release that a peer reported, unless it is known from an
-    /// origin that takes precedence.
-    fn receive_session(&mut self, hash: u64, version: &name::Version, origin: Origin, now: Moment) {
-        if let Ok(index) = self.session_index(hash) {
-            let existing = &self.sessions[index];
-            let valid = now.since(existing.seen) <= self.session_gap;
-            if existing.origin == Origin::Local || valid && existing.origin < origin {
-                return;
-            }
-        }
-        self.insert_session(Session {
-            hash,
-            position: 0,
-            version: version.clone(),
-            seen: now,
-            origin,
-        });
-    }
-
-    /// Returns the hashes of sessions of one origin that are on the old release and would start on
-    /// the new one.
-    fn sessions_to_report(&self, trial: &Trial, origin: Origin, now: Moment) -> Vec<u64> {
-        if trial.ruling().is_some() {
-            return Vec::new();
-        }
-        let share = trial.share(now);
-        let mut hashes = Vec::new();
-        work::count(self.sessions.len());
-        for session in &self.sessions {
-            let old = session.origin == origin && session.version == trial.old;
-            let recent = now.since(session.seen) <= self.session_gap;
-            // The instance that reported a session has checked that it would start on the new
-            // release.
-            let is_moving = origin != Origin::Local || is_in_share(share, session.position);
-            if old && recent && is_moving {
-                hashes.push(session.hash);
-            }
-        }
-        hashes
-    }
-
-    fn prune(&mut self, now: Moment) {
-        if now.since(self.last_prune) < self.session_gap {
-            return;
-        }
-        self.last_prune = now;
-        let gap = self.session_gap;
-        self.sessions
-            .retain(|session| now.since(session.seen) <= gap);
-    }
 }
 
 /// The properties of an answer that matter to a trial.
@@ -427,47 +291,70 @@
     pub measure: Measure,
 }
 
-fn assigned_version(
-    trial: &Trial,
+/// Merges the report of a peer that was received at `at`. Returns whether it brings a step or a ruling.
+fn merge(trial: &mut Trial, report: Report, own: &name::Instance, at: Moment) -> bool {
+    trial.start_no_later_than(at - report.age);
+    let mut has_news = trial.receive_schedule(&report.schedule);
+    for (incarnation, evidence) in report.evidence {
+        if incarnation != *own {
+            trial.receive(incarnation, evidence);
+        }
+    }
+    trial.ruling_era = trial.ruling_era.max(report.ruling_era);
+    if let Some(ruling) = report.ruling {
+        has_news |= trial.set_ruling(ruling);
+    }
+    if trial.is_bad() {
+        has_news |= trial.set_ruling(Ruling::Bad);
+    }
+    has_news
+}
+
+fn assigned_version<'a>(
+    trial: &'a Trial,
     config: &Config,
     query: Query,
-    pinned: Option<&name::Version>,
-    may_be_old: bool,
     now: Moment,
-) -> name::Version {
-    let new = match (trial.ruling(), pinned) {
-        (Some(Ruling::Good), _) => true,
-        (Some(Ruling::Bad), _) => false,
-        (None, Some(version)) if *version == trial.new => true,
-        (None, Some(_)) => trial.can_move_sessions(now),
-        (None, None) => {
-            is_in_share(trial.share(now), query.position)
-                && !may_be_old
-                && is_served(config, &trial.new, now)
-        }
-    };
-    if new {
-        trial.new.clone()
+) -> &'a name::Version {
+    if trial.ruling() == Some(Ruling::Good) {
+        return &trial.new;
+    }
+    // The first step is announced once the new release has a warm upstream. From then on all instances
+    // have to agree, whatever they see of upstreams that start.
+    let warm_at = trial.schedule().is_empty().then_some(now);
+    let is_in_share = split_position(query.position) < share(trial, query, now);
+    if is_in_share && has_upstream(config, &trial.new, warm_at) {
+        &trial.new
+    } else {
+        &trial.old
+    }
+}
+
+/// Returns the share of requests like this one that go to the new release.
+fn share(trial: &Trial, query: Query, now: Moment) -> Share {
+    if query.in_session {
+        trial.session_share(now)
     } else {
-        trial.old.clone()
+        trial.share(now)
     }
 }
 
-/// Returns whether a position in the split falls into the share of the new release.
-fn is_in_share(share: Share, position: u64) -> bool {
-    position % 1_000_000 < u64::from(share.ppm())
+/// Returns the position in the split as a share.
+fn split_position(position: u64) -> Share {
+    Share::from_ppm((position % 1_000_000) as u32)
 }
 
-/// Returns whether a release has an upstream that is in service and warm.
-fn is_served(config: &Config, version: &name::Version, now: Moment) -> bool {
+/// Returns whether a release has an upstream that is in service, and warm at a time if one is given.
+fn has_upstream(config: &Config, version: &name::Version, warm_at: Option<Moment>) -> bool {
     let Some(version) = config.version(version.as_str()) else {
         return false;
     };
     config.upstreams.iter().any(|(id, upstream)| {
-        let registration = upstream.registration.as_ref();
+        let cold_until = upstream.registration.as_ref().map(|one| one.cold_until);
+        let is_warm = |until| warm_at.is_none_or(|at| until <= at);
         upstream.versions.contains(&version)
             && config.is_in_service(id)
-            && registration.is_none_or(|one| one.cold_until <= now)
+            && cold_until.is_none_or(is_warm)
     })
 }
 
--- a/crates/server/src/assembly.rs
+++ b/crates/server/src/assembly.rs
@@ -281,7 +281,6 @@
         clock,
         verdicts: reached,
         repeats: DEFAULT_REPEAT_BOUND,
-        session_gap: Span::ZERO,
         exposure: Share::NONE,
         restarted: true,
         basis: Basis::Prompt,
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -174,8 +174,8 @@
         Box<UpstreamQuery>,
         oneshot::Sender<Result<f64, routing::Refusal>>,
     ),
-    Reports(oneshot::Sender<Vec<release::Report>>),
-    MergeReports(Vec<release::Report>),
+    Reports(Span, oneshot::Sender<Vec<release::Report>>),
+    MergeReports(Vec<release::Report>, oneshot::Sender<bool>),
     EndTrial(name::Service, name::Version, Ruling, Era),
     RecordRequest(name::Service),
     TryRepeat(name::Service, u32, oneshot::Sender<bool>),
@@ -237,8 +237,6 @@
     pub verdicts: mpsc::UnboundedSender<Verdict>,
     /// Bound on repeats, for services whose upstreams agreed on one.
     pub repeats: Bound,
-    /// Longest time between two requests of one session.
-    pub session_gap: Span,
     /// Largest share of a service's requests that a bad release may receive.
     pub exposure: Share,
     /// Whether the instance restarted, so that callers may already be waiting.
@@ -260,12 +258,7 @@
         clock: parts.clock,
         verdicts: parts.verdicts,
         repeats: parts.repeats,
-        releases: Releases::new(
-            incarnation_name(&parts.incarnation),
-            parts.session_gap,
-            parts.exposure,
-            parts.clock.now(),
-        ),
+        releases: Releases::new(incarnation_name(&parts.incarnation), parts.exposure),
         allowances: Vec::new(),
         governors: Vec::new(),
         restarted: parts.restarted,
@@ -418,10 +411,12 @@
             ForwardMessage::Governor(service, reply) => {
                 let _ = reply.send(self.governor(&service, now).clone());
             }
-            ForwardMessage::Reports(reply) => {
-                let _ = reply.send(self.releases.reports(now));
+            ForwardMessage::Reports(lead, reply) => {
+                let _ = reply.send(self.release_reports(lead, now));
+            }
+            ForwardMessage::MergeReports(reports, reply) => {
+                let _ = reply.send(self.releases.receive(reports, now));
             }
-            ForwardMessage::MergeReports(reports) => self.releases.receive(reports, now),
             ForwardMessage::EndTrial(service, target, ruling, era) => {
                 self.releases
                     .record_written_ruling(&service, &target, ruling, era);
@@ -471,7 +466,7 @@
             .configure(&snapshot.config, snapshot.generation, now);
         self.judge.configure(&snapshot.config, snapshot.generation);
         self.waiting.configure(&snapshot.config, now);
-        self.releases.configure(&snapshot.config);
+        self.releases.configure(&snapshot.config, now);
         self.snapshot = Some(snapshot);
     }
 
@@ -489,6 +484,13 @@
         Ok(Assignment { version, basis })
     }
 
+    fn release_reports(&mut self, lead: Span, now: Moment) -> Vec<release::Report> {
+        let Some(snapshot) = &self.snapshot else {
+            return Vec::new();
+        };
+        self.releases.reports(&snapshot.config, lead, now)
+    }
+
     fn set_members(&mut self, members: Members, begun: Moment, ended: Moment) {
         let live = u32::try_from(members.live.len()).unwrap_or(u32::MAX).max(1);
         self.judge
--- a/crates/server/src/decider/handle.rs
+++ b/crates/server/src/decider/handle.rs
@@ -253,20 +253,24 @@
             .await
     }
 
-    /// Returns reports on trials of releases, to be announced to peers.
+    /// Returns reports on trials of releases, to be sent to peers. They reach all instances within
+    /// `lead`.
     ///
     /// # Errors
     ///
     /// The instance is shutting down.
-    pub async fn reports(&self) -> Result<Vec<release::Report>, Closed> {
-        self.ask(|reply| Message::Forward(ForwardMessage::Reports(reply)))
+    pub async fn reports(&self, lead: Span) -> Result<Vec<release::Report>, Closed> {
+        self.ask(|reply| Message::Forward(ForwardMessage::Reports(lead, reply)))
             .await
     }
 
-    /// Merges the reports of a peer on trials of releases.
-    pub async fn merge_reports(&self, reports: Vec<release::Report>) {
-        self.send(Message::Forward(ForwardMessage::MergeReports(reports)))
+    /// Merges the reports of a peer on trials of releases. Returns whether the peers of this instance
+    /// have to know of them soon; `false` if the instance is shutting down.
+    pub async fn merge_reports(&self, reports: Vec<release::Report>) -> bool {
+        let merged = self
+            .ask(|reply| Message::Forward(ForwardMessage::MergeReports(reports, reply)))
             .await;
+        merged.unwrap_or_default()
     }
 
     /// Ends the trial of a release once its ruling is in the store, in an era of it.
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -10,8 +10,10 @@
 use crate::forward::run::{Run, timeline_id};
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
+use config::Move;
 use forward::source::Topic;
 use quarantine::Part;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use timeline::{Counter, Kind};
 use upstream::forward::Pool;
@@ -46,9 +48,16 @@
     pub cascade: Cascade,
     /// Finds organisations by their API keys.
     pub authenticator: Authenticator,
+    /// Whether a peer has told this instance the state since its start, or none did in time.
+    pub introduced: AtomicBool,
 }
 
 impl Shared {
+    /// Returns whether a peer has told this instance the state since its start, or none did in time.
+    pub fn is_introduced(&self) -> bool {
+        self.introduced.load(Ordering::Relaxed)
+    }
+
     /// Checks whether the load balancer may send requests to this instance.
     ///
     /// # Errors
@@ -58,8 +67,11 @@
         if self.core.is_draining() {
             return Err("this instance is being shut down");
         }
-        if self.core.snapshot().is_none() {
+        let Some(snapshot) = self.core.snapshot() else {
             return Err("no configuration is known here yet");
+        };
+        if !self.is_introduced() && snapshot.config.moves.iter().any(Move::is_under_way) {
+            return Err("no peer has told the age of an order yet");
         }
         let age = self.freshness.age(Topic::Operator, boot_time());
         if self.freshness.key_validity.is_near_expiry(age) {
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -27,7 +27,7 @@
 use settings::forward::{Placement, Settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use timeline::{Kind, Metrics, Recorder, Sink};
 use tokio::sync::{mpsc, watch};
@@ -125,6 +125,7 @@
                 Some(threshold) => Cascade::Below(threshold),
             },
             authenticator: Authenticator::default(),
+            introduced: AtomicBool::new(false),
         });
         let limits = Arc::new(ArcSwap::from_pointee(Limits::default()));
         let parts = feed::Parts {
@@ -272,7 +273,6 @@
             window: bounds.retry_window,
             burst: EXTRA_REPEATS,
         },
-        session_gap: bounds.max_session_gap,
         exposure: Share::from_fraction(bounds.exposure_share),
         restarted: !settings.first_start,
         basis: match settings.placement {
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -9,21 +9,15 @@
 use forward::updates::{AnnouncedRecord, Content};
 use peer::message;
 use quality::release::Report;
+use quality::schedule::STEP_COUNT;
 use quality::trial::{Ruling, Tally};
 use quarantine::{Crash, Part, Probe, Rebuttal, Victim, Weight};
-use rand::seq::IndexedRandom;
 use routing::demand::Work;
 use routing::estimate::pace::Pace;
 use routing::limit::Limit;
 use routing::membership::Peer;
 use routing::restriction::Incarnation;
 
-/// Largest number of the sender's own sessions in one beacon.
-const MAX_OWN_SESSIONS: usize = 256;
-/// Largest number of peers' sessions in one beacon. The beacons of a round carry each session
-/// several times, and processing more would delay the requests of a small machine.
-const MAX_RELAYED_SESSIONS: usize = 24;
-
 /// Returns the number that identifies a topic in beacons.
 pub fn topic_number(topic: Topic) -> i32 {
     match topic {
@@ -279,10 +273,9 @@
     })
 }
 
-/// Returns a random sample of at most `limit` sessions.
-fn sample(sessions: &[u64], limit: usize) -> Vec<i64> {
-    let drawn = sessions.sample(&mut rand::rng(), limit);
-    drawn.map(|&hash| hash as i64).collect()
+/// Encodes an age in microseconds.
+fn encode_age(age: &Span) -> i64 {
+    age.as_micros() as i64
 }
 
 /// Encodes a report of a trial.
@@ -309,14 +302,16 @@
         written: report.ruling_era.is_some(),
         era: report.ruling_era.map(|era| era.0 as i64),
         evidence: report.evidence.iter().map(counted).collect(),
-        kept: sample(&report.kept_sessions, MAX_OWN_SESSIONS),
-        passed_on: Some(sample(&report.relayed_sessions, MAX_RELAYED_SESSIONS)),
+        // Instances of the build before this one read sessions here.
+        kept: Vec::new(),
+        passed_on: None,
+        steps: Some(report.schedule.iter().map(encode_age).collect()),
     }
 }
 
 /// Decodes a report of a trial; `None` if one of its names is invalid.
 pub fn decode_trial(trial: &message::Trial) -> Option<Report> {
-    let relayed = trial.passed_on.iter().flatten();
+    let steps = trial.steps.iter().flatten().take(STEP_COUNT);
     let count = |number: i32| u32::try_from(number).unwrap_or(0);
     let mut evidence = Vec::new();
     for counted in &trial.evidence {
@@ -344,8 +339,7 @@
         },
         ruling_era: trial.written.then(|| decode_era(trial.era)),
         evidence,
-        kept_sessions: trial.kept.iter().map(|&hash| hash as u64).collect(),
-        relayed_sessions: relayed.map(|&hash| hash as u64).collect(),
+        schedule: steps.map(|&age| decode_age(age)).collect(),
         can_complete: false,
         share: Share::NONE,
         sum: Tally::default(),
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -7,6 +7,7 @@
 //! only if it is not written in time.
 
 use crate::build;
+use crate::decider::Closed;
 use crate::forward::builds::Builds;
 use crate::forward::evidence;
 use crate::forward::feed;
@@ -36,6 +37,7 @@
 use routing::membership::{Membership, Peer};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use timeline::{Counter, Kind};
 use tokio_util::sync::CancellationToken;
@@ -46,6 +48,11 @@
 /// Interval between rounds among many instances, so that a bad release is stopped everywhere within
 /// a second.
 const LARGE_ROUND_INTERVAL: Duration = Duration::from_millis(400);
+/// Time within which a step of a release's share reaches all instances: each passes it on at once, to all
+/// peers or to thirteen, and once more in its next round.
+const STEP_LEAD: Span = Span::from_millis(500);
+/// Time after its start for which an instance waits for a peer that tells it the state.
+const INTRODUCTION_TIMEOUT: Span = Span::from_millis(1000);
 /// Number of peers that one beacon mentions; the beacons of a round mention each peer several
 /// times.
 const PEERS_PER_BEACON: usize = 8;
@@ -107,6 +114,8 @@
     clocks: Clocks,
     /// Era of the store in which this instance wrote its entry.
     entry_era: Era,
+    /// Time at which this instance knew its peers.
+    joined_at: Moment,
 }
 
 /// Binds the address and starts the task.
@@ -133,6 +142,7 @@
         builds: Builds::new(build::name()),
         clocks: Clocks::default(),
         entry_era: Era::default(),
+        joined_at: Moment(0),
     };
     tokio::spawn(async move {
         tokio::select! {
@@ -146,6 +156,7 @@
 impl<S: Source> Task<S> {
     async fn run(mut self) {
         self.join().await;
+        self.joined_at = self.now();
         let mut next = tokio::time::Instant::now();
         loop {
             tokio::select! {
@@ -159,11 +170,10 @@
                     }
                 },
                 () = tokio::time::sleep_until(next) => {
-                    let Ok(reports) = self.parts.shared.core.decider.reports().await else {
+                    let Ok(reports) = self.reports().await else {
                         return;
                     };
-                    let few = self.peers.is_small();
-                    next += if few { SMALL_ROUND_INTERVAL } else { LARGE_ROUND_INTERVAL };
+                    next += self.round_interval();
                     next = next.max(tokio::time::Instant::now());
                     self.run_round(&reports).await;
                 }
@@ -171,6 +181,19 @@
         }
     }
 
+    fn round_interval(&self) -> Duration {
+        if self.peers.is_small() {
+            SMALL_ROUND_INTERVAL
+        } else {
+            LARGE_ROUND_INTERVAL
+        }
+    }
+
+    /// Returns reports on trials, for the peers.
+    async fn reports(&self) -> Result<Vec<Report>, Closed> {
+        self.parts.shared.core.decider.reports(STEP_LEAD).await
+    }
+
     /// Writes this instance's entry, then reads those of its peers: of two instances that join at
     /// once, at least one finds the other.
     async fn join(&mut self) {
@@ -301,11 +324,54 @@
         decider.record_peer_paces(name, paces.collect()).await;
         self.receive_updates(beacon, sent).await;
         let reports: Vec<Report> = beacon.trials.iter().filter_map(decode_trial).collect();
-        if !reports.is_empty() {
-            decider.merge_reports(reports).await;
+        if !reports.is_empty() && decider.merge_reports(reports).await {
+            self.pass_on().await;
+        }
+        if beacon.newcomer.unwrap_or_default() {
+            self.answer_newcomer(beacon, address).await;
+        } else {
+            self.record_introduction();
         }
     }
 
+    /// Sends the state to an instance that has started: it doesn't know the age of an order that is
+    /// under way.
+    async fn answer_newcomer(&self, beacon: &Beacon, address: SocketAddr) {
+        let Some((near, far)) = self.payloads().await else {
+            return;
+        };
+        let is_near = beacon.zone.as_deref() == Some(self.parts.zone.as_str());
+        // A failure to send is treated as a lost datagram.
+        let payload = if is_near { near } else { far };
+        let _ = self.socket.send(&payload, address).await;
+    }
+
+    /// Sends news of a trial to peers without waiting for the next round.
+    async fn pass_on(&self) {
+        if let Some(payloads) = self.payloads().await {
+            self.send(payloads).await;
+        }
+    }
+
+    /// Encodes what this instance tells its peers in their own zone and in other ones.
+    async fn payloads(&self) -> Option<(Vec<u8>, Vec<u8>)> {
+        // The decider ends only when the instance is closing.
+        let reports = self.reports().await.ok()?;
+        let beacon = self.compose(&reports).await;
+        match reach::encode(&beacon, self.peers.is_small()) {
+            Ok(payloads) => Some(payloads),
+            Err(error) => {
+                self.record_outage("beacon", &error.to_string());
+                None
+            }
+        }
+    }
+
+    fn record_introduction(&self) {
+        let introduced = &self.parts.shared.introduced;
+        introduced.store(true, Ordering::Relaxed);
+    }
+
     /// Returns a time in boot time before which a beacon was not sent; none while the sender's clock
     /// is unknown. Asks the sender for it if necessary.
     async fn sending_time(
@@ -376,17 +442,31 @@
         let is_reader = rank.unwrap_or_default() < READER_COUNT;
         self.parts.shared.freshness.set_reader(is_reader);
         self.parts.shared.holds.set_rank(rank);
-        let leaving = self.parts.shared.core.is_draining();
+        if self.now().since(self.joined_at) >= INTRODUCTION_TIMEOUT {
+            self.record_introduction();
+        }
+        let beacon = self.compose(reports).await;
+        match reach::encode(&beacon, self.peers.is_small()) {
+            Ok(payloads) => self.send(payloads).await,
+            Err(error) => self.record_outage("beacon", &error.to_string()),
+        }
+        if !beacon.leaving {
+            self.write_due_rulings(reports).await;
+        }
+    }
+
+    /// Returns what this instance tells its peers.
+    async fn compose(&self, reports: &[Report]) -> Beacon {
         let loads = self.loads().await;
         let shared = &self.parts.shared;
         let departures = shared.notices.recent_departures(&shared.core);
         let (parts, requests) = shared.holds.news(&shared.core);
         let is_cut_off = shared.paths.is_cut_off();
         let (own_now, now) = (self.now(), boot_time());
-        let beacon = Beacon {
+        Beacon {
             instance: self.parts.own.to_string(),
             address: self.parts.address.to_string(),
-            leaving,
+            leaving: shared.core.is_draining(),
             trials: reports.iter().map(encode_trial).collect(),
             loads,
             paces: Some(self.paces().await),
@@ -405,13 +485,7 @@
             build: Some(build::name().into()),
             cut_off: Some(is_cut_off),
             tried: Some(evidence::tell(&shared.core, is_cut_off).await),
-        };
-        match reach::encode(&beacon, self.peers.is_small()) {
-            Ok(payloads) => self.send(payloads).await,
-            Err(error) => self.record_outage("beacon", &error.to_string()),
-        }
-        if !leaving {
-            self.write_due_rulings(reports).await;
+            newcomer: Some(!shared.is_introduced()),
         }
     }
 
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -151,7 +151,7 @@
         let session = head.session.as_deref().map(hash::text);
         let query = release::Query {
             service: resolved.service,
-            session,
+            in_session: session.is_some(),
             position: hash::mix(session.unwrap_or(id)),
         };
         let generation = resolved.snapshot.generation;
--- a/crates/server/tests/spread.rs
+++ b/crates/server/tests/spread.rs
@@ -167,6 +167,7 @@
         Vec::new(),
         None,
         None,
+        None,
     );
     Beacon {
         instance: "entry-000".into(),
@@ -189,6 +190,7 @@
         cut_off: None,
         build: None,
         tried: None,
+        newcomer: None,
         paces: None,
     }
 }
--- a/crates/settings/src/forward.rs
+++ b/crates/settings/src/forward.rs
@@ -30,8 +30,6 @@
     pub exposure_share: f64,
     /// Number of requests that a bad release may receive in addition to `exposure_share`.
     pub exposure_extra_requests: u32,
-    /// Longest time between two consecutive requests of a session.
-    pub max_session_gap: Span,
 }
 
 /// By what engines are compared for a request.
