Read from the store how the order before ended when a new one comes

What callers could see: sessions on another release after an instance had started between the completion of an order and the next one, and while entries of the old release were still registered. Change: an instance lists the progress whenever an order is added, replaced or removed: one call of the store an instance and change. The newest completed target is in service, also where the next order has already begun; what the instance learned itself since isn't undone by the older record. The test instance_that_missed_a_completed_order_learns_of_it_from_the_store could not be written before (no record in the configuration) and fails without adopt_completed.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -31,6 +31,8 @@
     pub rollouts: Vec<Rollout>,
     /// Orders to move services to other releases, sorted by service; at most one for each service.
     pub moves: Vec<Move>,
+    /// Releases that services have moved to by their newest completed order, sorted by service.
+    pub completed: Vec<(id::Service, id::Version)>,
     /// Routes of requests that are forwarded unchanged, sorted by host and prefix.
     pub forwards: Vec<Forward>,
     /// Limits on requests that callers send to those routes.
@@ -306,6 +308,14 @@
         found.ok().map(|index| &self.rollouts[index])
     }
 
+    /// Returns the release that a service has moved to by its newest order, if that was completed.
+    pub fn completed(&self, service: id::Service) -> Option<id::Version> {
+        let found = self
+            .completed
+            .binary_search_by_key(&service, |(service, _)| *service);
+        found.ok().map(|index| self.completed[index].1)
+    }
+
     /// Returns whether the configuration lets an upstream receive new work: the upstream is not
     /// leaving and its zone is not out of service.
     pub fn is_in_service(&self, upstream: id::Upstream) -> bool {
--- a/crates/forward/src/resolve.rs
+++ b/crates/forward/src/resolve.rs
@@ -4,8 +4,8 @@
 use crate::fold::{Fold, RegisteredUpstream};
 use config::forward::{Destination, Forward};
 use config::{
-    AdminState, Config, Fencing, Kind, Move, Organisation, Registration, Service, Stage, Upstream,
-    Version, Zone,
+    AdminState, Config, Fencing, Kind, Move, Organisation, Progress, Registration, Service, Stage,
+    Upstream, Version, Zone,
 };
 use entity::id::{self, Id};
 use entity::unit::{Cost, Share};
@@ -48,6 +48,7 @@
     config.upstreams = upstreams(fold, publication, &config);
     config.organisations = organisations(publication, &config);
     config.moves = moves(fold, &config);
+    config.completed = completed(fold, &config);
     config.forwards = forwards(publication, &config);
     Some(config)
 }
@@ -243,6 +244,22 @@
     moves
 }
 
+fn completed(fold: &Fold, config: &Config) -> Vec<(id::Service, id::Version)> {
+    let mut completed = Vec::new();
+    for written in fold.rollout_progress() {
+        let service = config.service(written.service.as_str());
+        let version = version_name(&written.service, &written.target);
+        let version = version.and_then(|version| config.version(version.as_str()));
+        if let (Some(service), Some(version), Progress::Completed) =
+            (service, version, written.progress)
+        {
+            completed.push((service, version));
+        }
+    }
+    completed.sort_by_key(|(service, _)| *service);
+    completed
+}
+
 fn forwards(publication: &Publication, config: &Config) -> Vec<Forward> {
     let open = publication.organisations.is_none();
     let mut forwards = Vec::new();
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -61,6 +61,8 @@
     /// The release in service.
     current: Option<name::Version>,
     trial: Option<Trial>,
+    /// The release that the store last named as the target of a completed order.
+    completed: Option<name::Version>,
 }
 
 /// What the release of a request in a trial depends on, as known at one instance.
@@ -115,12 +117,14 @@
                     name: service.name.clone(),
                     current: None,
                     trial: None,
+                    completed: None,
                 };
                 self.services.insert(index, new);
                 index
             });
             let order = config.moves.iter().find(|order| order.service == id);
             self.services[index].apply_order(config, id, order, self.exposure);
+            self.services[index].adopt_completed(config.completed(id), config);
             self.merge_early(index);
         }
     }
@@ -400,6 +404,22 @@
         }
     }
 
+    /// Puts the release in service that the store names as the target of a completed order, once it is
+    /// first read. An order may have begun before.
+    fn adopt_completed(&mut self, completed: Option<id::Version>, config: &Config) {
+        let completed = completed.map(|version| config.versions[version].name.clone());
+        if completed.is_none() || completed == self.completed {
+            return;
+        }
+        self.completed.clone_from(&completed);
+        self.current.clone_from(&completed);
+        if let (Some(trial), Some(completed)) = (&mut self.trial, completed)
+            && trial.new != completed
+        {
+            trial.old = completed;
+        }
+    }
+
     /// Puts the new release in service if the trial ended well. Registrations of the old one may
     /// outlast it.
     fn adopt_ruling(&mut self) {
--- a/crates/quality/tests/succession.rs
+++ b/crates/quality/tests/succession.rs
@@ -86,3 +86,26 @@
         some(eq("advice/v2"))
     );
 }
+
+/// Guards against an old release that is taken for the one in service by an instance that has started
+/// after an order was completed, while most entries of the old release are still registered.
+#[gtest]
+fn instance_that_missed_a_completed_order_learns_of_it_from_the_store() {
+    let mut releases = releases();
+    let ordered = Fleet::default().with([9, 8, 9]).ordered("v3");
+    releases.configure(&fleet(ordered), START);
+    let read = fleet(ordered.completed("v2"));
+    releases.configure(&read, START);
+    expect_that!(
+        release(&mut releases, &read).as_deref(),
+        some(eq("advice/v2"))
+    );
+    // The entry of the store is older than what the instance learned itself since.
+    complete(&mut releases);
+    let next = fleet(Fleet::default().with([0, 1, 9]).completed("v2"));
+    releases.configure(&next, START);
+    expect_that!(
+        release(&mut releases, &next).as_deref(),
+        some(eq("advice/v3"))
+    );
+}
--- a/crates/quality/tests/support/releases.rs
+++ b/crates/quality/tests/support/releases.rs
@@ -90,6 +90,8 @@
     /// Time at which the order was read; `START` by default.
     read: Option<Moment>,
     progress: Option<Progress>,
+    /// Release that the store names as the target of a completed order.
+    completed: Option<usize>,
 }
 
 #[allow(dead_code, reason = "not every test has several releases")]
@@ -105,6 +107,12 @@
         Self { target, ..self }
     }
 
+    /// Sets the release that the store names as the target of a completed order.
+    pub fn completed(self, release: &str) -> Self {
+        let completed = ["v1", "v2", "v3"].iter().position(|one| *one == release);
+        Self { completed, ..self }
+    }
+
     /// Sets the time at which the order was read.
     pub fn read(self, read: Moment) -> Self {
         let read = Some(read);
@@ -124,6 +132,7 @@
     let version = config.versions.values()[0].clone();
     let upstream = config.upstreams.values()[0].clone();
     let (mut versions, mut upstreams, mut target) = (Vec::new(), Vec::new(), None);
+    let mut completed = Vec::new();
     for (release, &count) in fleet.upstreams.iter().enumerate() {
         let ordered = fleet.target == Some(release);
         if count == 0 && !ordered {
@@ -133,6 +142,9 @@
         if ordered {
             target = Some(id);
         }
+        if fleet.completed == Some(release) {
+            completed.push((id::Service::new(0), id));
+        }
         versions.push(Version {
             name: format!("advice/v{}", release + 1).parse().unwrap(),
             ..version.clone()
@@ -153,6 +165,7 @@
     config.services = Map::new(vec![service]);
     config.versions = Map::new(versions);
     config.upstreams = Map::new(upstreams);
+    config.completed = completed;
     for order in &mut config.moves {
         order.read = fleet.read.unwrap_or(START);
         order.progress = fleet.progress;
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use timeline::Kind;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 /// Longest time for which a reader's read of the operators' topic waits for a record.
@@ -139,15 +139,19 @@
         reads: reads.clone(),
         shared: parts.shared.clone(),
     };
-    let token = cancel.clone();
+    let ordered = Arc::new(Notify::new());
+    // The first listing belongs to the start.
+    ordered.notify_one();
+    let (token, due) = (cancel.clone(), ordered.clone());
     tokio::spawn(async move {
         tokio::select! {
             () = token.cancelled() => {}
-            () = lister.read_once() => {}
+            () = lister.list_when(&due) => {}
         }
     });
     let applier = Applier {
         parts,
+        ordered,
         fold: Fold::default(),
         generation: Generation(0),
     };
@@ -280,32 +284,41 @@
         }
     }
 
-    /// Reads once a topic that instances write themselves: peers send its later records in
-    /// datagrams.
-    async fn read_once(self) {
-        let mut delay = RETRY_DELAY_RANGE.0;
+    /// Lists a topic that instances write themselves, whenever notified. Peers tell its records in
+    /// datagrams too, but those may be lost, and an instance that starts has missed them.
+    async fn list_when(self, due: &Notify) {
         loop {
-            let sent = boot_time();
-            match self.source.newest(self.topic).await {
-                Ok(listing) => {
-                    let read = Read {
-                        topic: self.topic,
-                        batch: Batch::Listing(listing),
-                        sent,
-                        after_outage: false,
-                        coverage: Coverage::Whole,
-                    };
-                    // The receiver is dropped only when the instance is closing.
-                    let _ = self.reads.send(read).await;
-                    return;
-                }
-                Err(error) => self.record_event(Kind::Outage, &error.to_string()),
+            due.notified().await;
+            let mut delay = RETRY_DELAY_RANGE.0;
+            while !self.list().await {
+                tokio::time::sleep(delay).await;
+                delay = (delay * 2).min(RETRY_DELAY_RANGE.1);
             }
-            tokio::time::sleep(delay).await;
-            delay = (delay * 2).min(RETRY_DELAY_RANGE.1);
         }
     }
 
+    /// Lists the topic once. Returns whether the store answered.
+    async fn list(&self) -> bool {
+        let sent = boot_time();
+        let listing = match self.source.newest(self.topic).await {
+            Ok(listing) => listing,
+            Err(error) => {
+                self.record_event(Kind::Outage, &error.to_string());
+                return false;
+            }
+        };
+        let read = Read {
+            topic: self.topic,
+            batch: Batch::Listing(listing),
+            sent,
+            after_outage: false,
+            coverage: Coverage::Whole,
+        };
+        // The receiver is dropped only when the instance is closing.
+        let _ = self.reads.send(read).await;
+        true
+    }
+
     async fn read(&self, next: Option<Offset>, failing: bool) -> Result<Batch, Error> {
         let Some(from) = next else {
             let listing = self.report_slow(Span::ZERO, self.source.newest(self.topic));
@@ -366,6 +379,8 @@
 /// Owns the fold and puts its configurations in force.
 struct Applier {
     parts: Parts,
+    /// Notified when an order is added, replaced or removed: the one before may have ended unnoticed.
+    ordered: Arc<Notify>,
     fold: Fold,
     generation: Generation,
 }
@@ -376,6 +391,7 @@
             let now = self.parts.clock.now();
             let expiry = self.fold.next_expiry();
             let wait = expiry.map_or(Duration::from_secs(3600), |at| at.since(now).duration());
+            let orders = self.fold.orders().to_vec();
             let (change, source) = tokio::select! {
                 read = received.recv() => match read {
                     Some(read) => {
@@ -387,6 +403,9 @@
                 () = tokio::time::sleep(wait) => (self.expire(), "grace-end"),
             };
             self.record_change(&change, source);
+            if self.fold.orders() != orders {
+                self.ordered.notify_one();
+            }
             if change.routing && self.fold.is_complete() {
                 self.put_in_force().await;
             }
