Refuse entries of upstreams whose figures no upstream has

What other operators saw: one odd entry among those of the servers, very deeply nested, with a number too large or with a port out of range, ended the machines that read it. Cold starts of any length and port 0 were taken too. The class: a figure of another writer without an upper bound goes into sums.

--- a/crates/forward/src/catalog.rs
+++ b/crates/forward/src/catalog.rs
@@ -96,6 +96,32 @@
     pub incarnation: u64,
 }
 
+/// Most requests that an upstream may say to run at once.
+const MAX_SLOTS: u32 = 100_000;
+/// Longest cold start that an upstream may announce.
+const MAX_COLD_START: Span = Span::from_secs(3600);
+
+impl Registration {
+    /// Checks that the figures are those of an upstream. Another writer's would distort what is added up
+    /// over all upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the field.
+    pub fn check(&self) -> Result<(), Box<str>> {
+        if self.slots > MAX_SLOTS {
+            return Err(format!("slots = {}: at most {MAX_SLOTS}", self.slots).into());
+        }
+        if self.cold > MAX_COLD_START {
+            return Err(format!("cold = {}: at most {MAX_COLD_START}", self.cold).into());
+        }
+        if self.address.port() == 0 {
+            return Err(format!("address = {}: the port is missing", self.address).into());
+        }
+        Ok(())
+    }
+}
+
 /// An operator's request to roll a service out to another release.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rollout {
