Take a refusal without an id on a reused connection for no answer

What other operators saw: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that it ran. Here a copy that names its request was recognised, and unsafe requests and streams that can't be resumed always get a new connection, so that neither REFUSED nor TWICE could be broken by them. But a refusal without an id was believed on any connection: callers of safe requests were told 'not run' while the upstream ran them. Change: on a connection that carried requests before, an answer has to name the request; without a name the request may have run. repeated_refusal_is_not_taken_for_the_answer_to_a_later_request failed before: 503 for a request that ran, with the refusal unnamed; the named one passed.

--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -159,9 +159,9 @@
         notice: &mut Notice,
     ) -> Result<IncomingAnswer, Failure> {
         let request = self.build_request(outgoing)?;
-        let mut connection = match self.take_idle(outgoing) {
-            Some(connection) => connection,
-            None => self.connect(outgoing.address, outgoing.end).await?,
+        let (mut connection, is_reused) = match self.take_idle(outgoing) {
+            Some(connection) => (connection, true),
+            None => (self.connect(outgoing.address, outgoing.end).await?, false),
         };
         connection.allowance.set(MAX_BYTES_BEFORE_BODY);
         let sent =
@@ -184,7 +184,7 @@
         let (parts, body) = response.into_parts();
         let mut head = self.shared.dialect.answer(&parts.headers);
         *notice = take_notice(&mut head, parts.status);
-        check(&head, &outgoing.head.id, parts.status)?;
+        check(&head, &outgoing.head.id, parts.status, is_reused)?;
         Ok(IncomingAnswer {
             status: parts.status,
             headers: parts.headers,
@@ -307,11 +307,15 @@
     }
 }
 
-/// Checks that an answer belongs to the request and comes from an upstream that ran it.
-fn check(head: &Answer, id: &str, status: StatusCode) -> Result<(), Failure> {
+/// Checks that an answer belongs to the request and comes from an upstream that ran it. On a connection
+/// that carried requests before, only its id shows that an answer isn't a copy of an earlier one.
+fn check(head: &Answer, id: &str, status: StatusCode, is_reused: bool) -> Result<(), Failure> {
     if head.id.as_deref().is_some_and(|answered| answered != id) {
         return Err(Failure::may_have_run(Reason::WrongId));
     }
+    if head.id.is_none() && is_reused {
+        return Err(Failure::may_have_run(Reason::WrongId));
+    }
     if head.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         return Err(Failure {
             reason: Reason::Refused,
