Take the steps of a share sooner, and answer newcomers only once told

And two instances that had both just started answered each other's beacons without end, for up to a second: platform/tests/limit.rs failed by it, twice, and passes now.

--- a/crates/quality/src/schedule.rs
+++ b/crates/quality/src/schedule.rs
@@ -11,7 +11,7 @@
 /// Number of steps.
 pub const STEP_COUNT: usize = 3;
 /// Ages are multiples of this, so that instances that announce a step at once name the same age.
-const RESOLUTION: Span = Span::from_millis(250);
+const RESOLUTION: Span = Span::from_millis(100);
 
 /// Ages of an order from which each step of the share holds; steps that are not announced are missing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -23,6 +23,7 @@
 use crate::forward::reach;
 use crate::forward::trial_log;
 use crate::rendezvous;
+use entity::unit::Share;
 use entity::{Era, Moment, Span, name};
 use forward::catalog::{Entry, Instance};
 use forward::clocks::{Clocks, Run, Stamp};
@@ -48,6 +49,9 @@
 /// Interval between rounds among many instances, so that a bad release is stopped everywhere within
 /// a second.
 const LARGE_ROUND_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between rounds among many instances while a share of the sessions is on a new release: the
+/// evidence of all is needed soon.
+const TRIAL_ROUND_INTERVAL: Duration = Duration::from_millis(200);
 /// Time within which a step of a release's share reaches all instances: each passes it on at once, to all
 /// peers or to thirteen, and once more in its next round.
 const STEP_LEAD: Span = Span::from_millis(500);
@@ -173,7 +177,7 @@
                     let Ok(reports) = self.reports().await else {
                         return;
                     };
-                    next += self.round_interval();
+                    next += self.round_interval(&reports);
                     next = next.max(tokio::time::Instant::now());
                     self.run_round(&reports).await;
                 }
@@ -181,9 +185,12 @@
         }
     }
 
-    fn round_interval(&self) -> Duration {
+    fn round_interval(&self, reports: &[Report]) -> Duration {
+        let is_partial = |share| share != Share::NONE && share != Share::WHOLE;
         if self.peers.is_small() {
             SMALL_ROUND_INTERVAL
+        } else if reports.iter().any(|report| is_partial(report.share)) {
+            TRIAL_ROUND_INTERVAL
         } else {
             LARGE_ROUND_INTERVAL
         }
@@ -327,10 +334,11 @@
         if !reports.is_empty() && decider.merge_reports(reports).await {
             self.pass_on().await;
         }
-        if beacon.newcomer.unwrap_or_default() {
-            self.answer_newcomer(beacon, address).await;
-        } else {
-            self.record_introduction();
+        match (beacon.newcomer, self.parts.shared.is_introduced()) {
+            (Some(true), true) => self.answer_newcomer(beacon, address).await,
+            // Neither has been told anything.
+            (Some(true), false) => {}
+            (Some(false) | None, _) => self.record_introduction(),
         }
     }
 
--- a/crates/server/src/forward/reach.rs
+++ b/crates/server/src/forward/reach.rs
@@ -1,6 +1,6 @@
 //! What beacons carry to other availability zones, where traffic is billed.
 //!
-//! Whatever every instance has to know soon goes to all: records of the store, rulings, sessions,
+//! Whatever every instance has to know soon goes to all: records of the store, rulings, steps,
 //! departures, limits and suspects. Evidence on trials is bounded, since the receiving zone passes it on
 //! by itself, and counts only grow, so that no peer loses by a beacon without some of them.
 
