Measure the pace of a slow stream after 700 ms

Cause: a slow stream told its pace after 1.5 s, when the share of its release had grown already by answers of fast ones. Change: two pauses are enough after 700 ms.

--- a/crates/quality/src/pace.rs
+++ b/crates/quality/src/pace.rs
@@ -5,7 +5,7 @@
 /// Number of pauses between events that are measured.
 const MEASURED_PAUSES: usize = 6;
 /// Time after which fewer pauses are enough, so that a slow stream is noticed early.
-const MAX_MEASURING_TIME: Span = Span::from_millis(1500);
+const MAX_MEASURING_TIME: Span = Span::from_millis(700);
 /// Least number of pauses after that time.
 const MIN_PAUSES_OF_SLOW: usize = 2;
 /// Least number of pauses of a stream that has ended.
