Keep a peer's report on an order also before the first configuration

Cause: an instance that has just started is answered by its peers within milliseconds, at times before it has put its first configuration in force. It dropped reports on services that it didn't know, and took an order that was under way for a new one until the next beacon reached it. Found by reading the change once more. Change: such reports are kept for 64 services, for five seconds as before. report_on_an_order_that_is_not_read_yet_is_kept, whose instance now knows no service when the report comes, failed before.

--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -16,6 +16,8 @@
 /// Time for which a report on an order that isn't read yet is kept. A later order may name the same
 /// release.
 const EARLY_REPORT_LIFETIME: Span = Span::from_secs(5);
+/// Number of services of which such a report is kept. An instance that has just started knows none yet.
+const MAX_EARLY_REPORTS: usize = 64;
 
 /// The properties of a request that decide its release.
 #[derive(Clone, Copy, Debug)]
@@ -215,14 +217,16 @@
 
     /// Keeps a report on an order that may not be read yet.
     fn keep_early(&mut self, report: Report, now: Moment) {
-        let Ok(index) = self.service_index(&report.service) else {
-            return;
-        };
-        let service = self.services[index].name.clone();
-        let found = self.early.binary_search_by(|(name, _)| name.cmp(&service));
+        let found = self
+            .early
+            .binary_search_by(|(name, _)| name.cmp(&report.service));
         match found {
             Ok(index) => self.early[index].1 = (report, now),
-            Err(index) => self.early.insert(index, (service, (report, now))),
+            Err(_) if self.early.len() == MAX_EARLY_REPORTS => {}
+            Err(index) => {
+                let service = report.service.clone();
+                self.early.insert(index, (service, (report, now)));
+            }
         }
     }
 
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -596,10 +596,9 @@
 fn report_on_an_order_that_is_not_read_yet_is_kept() {
     let ordered = config(None);
     let (mut informed, mut started) = (releases(), releases());
-    for one in [&mut informed, &mut started] {
-        one.configure(&before_the_order(), START);
-    }
+    informed.configure(&before_the_order(), START);
     informed.configure(&ordered, START);
+    // The other knows no service yet.
     started.receive(
         informed.reports(&ordered, LEAD, after(11_600)),
         after(11_600),
@@ -611,6 +610,7 @@
         }],
         ..ordered.clone()
     };
+    started.configure(&before_the_order(), after(11_650));
     started.configure(&read_late, after(11_700));
     let moved = started.assign(&read_late, query(Some(9), 0), after(12_300));
     expect_that!(moved, some(eq(new())));
