--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -308,6 +308,8 @@
   27: optional list<Pace> paces,
   /** Whether the sender has started and no peer has told it the state yet; it wants an answer. */
   28: optional bool newcomer,
+  /** The run of the newcomer that this answers. */
+  29: optional i64 answered_run,
 }
 
 /** Asks for the receiver's time, or returns a peer's question with the sender's time. A datagram of its own,
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2807,10 +2807,12 @@
   pub paces: Option<Vec<Pace>>,
   /// Whether the sender has started and no peer has told it the state yet; it wants an answer.
   pub newcomer: Option<bool>,
+  /// The run of the newcomer that this answers.
+  pub answered_run: Option<i64>,
 }
 
 impl Beacon {
-  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F26, F27, F28>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18, tried: F19, build: F26, paces: F27, newcomer: F28) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>>, F19: Into<Option<Vec<Tried>>>, F26: Into<Option<String>>, F27: Into<Option<Vec<Pace>>>, F28: Into<Option<bool>> {
+  pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F26, F27, F28, F29>(instance: String, address: String, leaving: bool, trials: Vec<Trial>, loads: Vec<UpstreamLoad>, sights: Vec<Sight>, told: Vec<Told>, zone: F8, acquaintances: F9, sent_us: F10, run: F11, departures: F12, suspects: F13, rebuttals: F14, limits: F15, requests: F16, request_rebuttals: F17, cut_off: F18, tried: F19, build: F26, paces: F27, newcomer: F28, answered_run: F29) -> Beacon where F8: Into<Option<String>>, F9: Into<Option<Vec<Acquaintance>>>, F10: Into<Option<i64>>, F11: Into<Option<i64>>, F12: Into<Option<Vec<Departure>>>, F13: Into<Option<Vec<Suspect>>>, F14: Into<Option<Vec<Rebuttal>>>, F15: Into<Option<Vec<Limit>>>, F16: Into<Option<Vec<Suspect>>>, F17: Into<Option<Vec<Rebuttal>>>, F18: Into<Option<bool>>, F19: Into<Option<Vec<Tried>>>, F26: Into<Option<String>>, F27: Into<Option<Vec<Pace>>>, F28: Into<Option<bool>>, F29: Into<Option<i64>> {
     Beacon {
       instance,
       address,
@@ -2834,6 +2836,7 @@
       build: build.into(),
       paces: paces.into(),
       newcomer: newcomer.into(),
+      answered_run: answered_run.into(),
     }
   }
 }
@@ -2863,6 +2866,7 @@
     let mut f_26: Option<String> = None;
     let mut f_27: Option<Vec<Pace>> = None;
     let mut f_28: Option<bool> = None;
+    let mut f_29: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3036,6 +3040,10 @@
           let val = i_prot.read_bool()?;
           f_28 = Some(val);
         },
+        29 => {
+          let val = i_prot.read_i64()?;
+          f_29 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3073,6 +3081,7 @@
       build: f_26,
       paces: f_27,
       newcomer: f_28,
+      answered_run: f_29,
     };
     Ok(ret)
   }
@@ -3227,6 +3236,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.answered_run {
+      o_prot.write_field_begin(&TFieldIdentifier::new("answered_run", TType::I64, 29))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -32,6 +32,7 @@
         tried: Some(vec![Tried::new("i-1".to_owned(), 2, 5, 4, 1, 70, 60, None)]),
         paces: Some(vec![Pace::new("i-1".to_owned(), 2, 900, 120)]),
         newcomer: Some(true),
+        answered_run: Some(-7),
     }
 }
 
--- a/crates/peer/tests/recorded/messages.rs
+++ b/crates/peer/tests/recorded/messages.rs
@@ -90,6 +90,7 @@
         build: None,
         tried: None,
         newcomer: None,
+        answered_run: None,
         paces: None,
     }
 }
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -334,18 +334,20 @@
         if !reports.is_empty() && decider.merge_reports(reports).await {
             self.pass_on().await;
         }
-        match (beacon.newcomer, self.parts.shared.is_introduced()) {
-            (Some(true), true) => self.answer_newcomer(beacon, address).await,
-            // Neither has been told anything.
-            (Some(true), false) => {}
-            (Some(false) | None, _) => self.record_introduction(),
+        // One that hasn't been told anything itself has nothing to tell.
+        if beacon.newcomer == Some(true) && self.parts.shared.is_introduced() {
+            self.answer_newcomer(beacon, address).await;
+        }
+        // A beacon that was sent before this instance started may arrive late.
+        if beacon.answered_run == Some(self.run.0 as i64) {
+            self.record_introduction();
         }
     }
 
     /// Sends the state to an instance that has started: it doesn't know the age of an order that is
     /// under way.
     async fn answer_newcomer(&self, beacon: &Beacon, address: SocketAddr) {
-        let Some((near, far)) = self.payloads().await else {
+        let Some((near, far)) = self.payloads(beacon.run).await else {
             return;
         };
         let is_near = beacon.zone.as_deref() == Some(self.parts.zone.as_str());
@@ -356,16 +358,20 @@
 
     /// Sends news of a trial to peers without waiting for the next round.
     async fn pass_on(&self) {
-        if let Some(payloads) = self.payloads().await {
+        if let Some(payloads) = self.payloads(None).await {
             self.send(payloads).await;
         }
     }
 
-    /// Encodes what this instance tells its peers in their own zone and in other ones.
-    async fn payloads(&self) -> Option<(Vec<u8>, Vec<u8>)> {
+    /// Encodes what this instance tells its peers in their own zone and in other ones, or a newcomer of
+    /// this run.
+    async fn payloads(&self, answered_run: Option<i64>) -> Option<(Vec<u8>, Vec<u8>)> {
         // The decider ends only when the instance is closing.
         let reports = self.reports().await.ok()?;
-        let beacon = self.compose(&reports).await;
+        let beacon = Beacon {
+            answered_run,
+            ..self.compose(&reports).await
+        };
         match reach::encode(&beacon, self.peers.is_small()) {
             Ok(payloads) => Some(payloads),
             Err(error) => {
@@ -494,6 +500,7 @@
             cut_off: Some(is_cut_off),
             tried: Some(evidence::tell(&shared.core, is_cut_off).await),
             newcomer: Some(!shared.is_introduced()),
+            answered_run: None,
         }
     }
 
--- a/crates/server/tests/spread.rs
+++ b/crates/server/tests/spread.rs
@@ -191,6 +191,7 @@
         build: None,
         tried: None,
         newcomer: None,
+        answered_run: None,
         paces: None,
     }
 }
