--- a/crates/quality/tests/agreement.rs
+++ b/crates/quality/tests/agreement.rs
@@ -263,14 +263,10 @@
             delays.push(self.random.random_range(0..4_000));
         }
         for delay in delays {
-            let reports = reports.iter().map(|report| Report {
-                age: report.age,
-                ..report.clone()
-            });
             self.messages.push(Message {
                 at: now + 1 + delay,
                 to,
-                reports: reports.collect(),
+                reports: reports.to_vec(),
                 answered,
             });
         }
