Count a request as lost only if it was sent whole and before its deadline

Cause: the check of the cases 3 and 4 would have counted a client without a connection as well. Change: the stand-in client tells whether it sent the whole request.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -218,10 +218,13 @@
     judge_lost(&outcomes, events, record)
 }
 
-/// Counts requests that a node has read whole and whose connection ends without a complete answer. A
-/// refusal is an answer.
+/// Counts requests that were sent whole and whose connection ends without a complete answer before their
+/// deadline. A refusal is an answer.
 fn judge_lost(outcomes: &[Outcome], events: usize, record: &Record) -> Verdict {
-    let is_lost = |one: &&Outcome| !one.is_complete && one.ended > one.sent + LOSS_SLACK;
+    let is_lost = |one: &&Outcome| {
+        let is_early = one.ended < one.sent + DEADLINE;
+        one.is_sent && is_early && !one.is_complete && one.ended > one.sent + LOSS_SLACK
+    };
     let lost = outcomes.iter().filter(is_lost).count();
     let whole = outcomes.iter().filter(|one| is_whole(one, events)).count();
     let refused = outcomes
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -22,8 +22,10 @@
 #[derive(Clone, Debug)]
 pub struct Outcome {
     pub id: String,
-    /// Time at which the last byte of the request was sent.
+    /// Time at which the last byte of the request was sent, or the connection was asked for.
     pub sent: Duration,
+    /// Whether the whole request was sent.
+    pub is_sent: bool,
     /// Time at which the answer or the connection ended.
     pub ended: Duration,
     /// Status of the answer; 0 if none arrived.
@@ -44,6 +46,7 @@
         let mut outcome = Outcome {
             id: request.id.clone(),
             sent: record.now(),
+            is_sent: false,
             ended: Duration::ZERO,
             status: 0,
             is_sealed: false,
@@ -95,6 +98,7 @@
         return;
     }
     outcome.sent = record.now();
+    outcome.is_sent = true;
     record.line(&format!(
         "client: {} is sent to {}",
         request.id, request.node
