--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,7 +3,7 @@
 # if the case could not run. Needs the build of the deploy file and of review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/citrontrack ] && [ -x target/review/standin ] || exit 2
-target/review/standin silence-at-shutdown review/4/record.txt
+target/review/standin waiting-at-shutdown review/4/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -5,7 +5,7 @@
 use crate::platform::{Platform, Ports};
 use crate::record::Record;
 use crate::server::{Framing, Plan, Properties, Server};
-use crate::store::Store;
+use crate::store::{Gate, Store};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -16,12 +16,18 @@
 /// Time after its last byte within which a request may still cross a close.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-hvz3pfi","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"streaming","timeoutMs":25000,"targetLatencyMs":2000,"priority":1,"sizes":["m0","m1","m2"],"service":"huvo11a","maxAttempts":3,"public":false,"sticky":true,"resumable":true,"gapAimMs":1000},{"name":"r-6y7z5k6","host":"ficu95.example","pathPrefix":"/puxa403/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"wuno96b","maxAttempts":1,"public":false}],"services":[{"name":"wuno96b","healthPath":"/health","maxConnections":96,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0},{"name":"huvo11a","healthPath":"/health","maxConnections":610,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":22.0,"engine":{"slots":128,"kvCapacityTokens":1116687,"kvTokenBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m0","cost":0.014},{"name":"m1","cost":0.1},{"name":"m2","cost":0.21}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-hvz3pfi","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"streaming","timeoutMs":25000,"targetLatencyMs":2000,"priority":1,"sizes":["m0","m1","m2"],"service":"huvo11a","maxAttempts":3,"public":false,"sticky":true,"resumable":true,"gapAimMs":1000},{"name":"r-6y7z5k6","host":"ficu95.example","pathPrefix":"/puxa403/","kind":"unsafe","timeoutMs":1000,"targetLatencyMs":150,"priority":2,"service":"wuno96b","maxAttempts":1,"public":false}],"services":[{"name":"wuno96b","healthPath":"/health","maxConnections":96,"protocol":"h1","tls":false,"coldStartS":0.0,"coldPerS":0.0},{"name":"huvo11a","healthPath":"/health","maxConnections":610,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":22.0,"engine":{"slots":128,"kvCapacityTokens":1116687,"kvTokenBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":6,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m0","cost":0.014},{"name":"m1","cost":0.1},{"name":"m2","cost":0.21}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb","anfqasnmgkcuyj8pjbvk"],"priority":1}]}"#;
+
+/// A key that lasts, and one that is taken away.
+const KEY: &str = "n2ctnfzs989anu6wsjnb";
+const PASSING_KEY: &str = "anfqasnmgkcuyj8pjbvk";
 
 /// A running deployment: the store, two servers of each version in one zone, and the nodes.
 struct System {
     ports: Ports,
     store: Store,
+    /// Of the store, one for each node.
+    gates: Vec<Gate>,
     servers: Vec<Server>,
     platform: Platform,
     record: Record,
@@ -40,7 +46,8 @@
     fn start(zones: &[&str], slots: usize, plan: &Plan, record: &Record) -> Option<Self> {
         let (ports, store) = (Ports::find()?, Store::default());
         store.put("keyed.op", "config", CONFIG.as_bytes());
-        store.serve(ports.store());
+        let gates = (0..zones.len()).map(|node| store.serve(ports.store(node as u16)));
+        let gates = gates.collect();
         let service = match plan {
             Plan::Stream { .. } => DRAFTS,
             Plan::Plain { .. } => NOTICES,
@@ -48,6 +55,7 @@
         let mut system = Self {
             ports,
             store,
+            gates,
             servers: Vec::new(),
             platform: Platform::new()?,
             record: record.clone(),
@@ -94,6 +102,7 @@
             node: node.front,
             path: "/lohu930/2f",
             is_draft: true,
+            key: KEY,
             deadline: DEADLINE,
         };
         client::send(request, &self.record)
@@ -290,6 +299,7 @@
                 node: node.front,
                 path: "/puxa403/2f",
                 is_draft: false,
+                key: KEY,
                 deadline: ms(1000),
             };
             sent.push(client::send(request, record));
@@ -394,3 +404,90 @@
         Verdict::Held
     }
 }
+
+/// Time after its acknowledgement from which a configuration's loss of a key holds everywhere.
+const REVOKE: Duration = Duration::from_secs(5);
+
+/// The store turns a machine away, which learns of an order from its only peer. The peer is lost for good, and a
+/// key is taken away. Then the store serves the machine again.
+pub fn revoked_key(record: &Record, has_trouble: bool) -> Verdict {
+    let plan = Plan::Plain { work: ms(30) };
+    let Some(mut system) = System::start(&["amman-a", "amman-b"], 6, &plan, record) else {
+        return Verdict::NotRun;
+    };
+    system.add_servers((NOTICES, "v2"), 6, &plan);
+    thread::sleep(ms(1000));
+    let started = record.now();
+    let (mut sent, mut step, mut revoked) = (Vec::new(), 0, None);
+    while record.now() < started + ms(14_000) {
+        let age = record.now() - started;
+        if step == 0 {
+            if has_trouble {
+                system.gates[0].close();
+                record.line("store: turns the first node away");
+            }
+            step = 1;
+        }
+        if step == 1 && age > ms(1000) {
+            let order = format!(r#"{{"service":"{NOTICES}","target":"v2","durationS":24}}"#);
+            let key = format!("rollout/{NOTICES}");
+            system.store.put("keyed.op", &key, order.as_bytes());
+            record.line("operator: orders the rollout of v2");
+            step = 2;
+        }
+        if step == 2 && age > ms(1700) {
+            if has_trouble {
+                system.platform.nodes[1].kill();
+            }
+            step = 3;
+        }
+        if step == 3 && age > ms(2000) {
+            let config = CONFIG.replace("\"version\":7", "\"version\":9");
+            let config = config.replace(&format!(",\"{PASSING_KEY}\""), "");
+            system.store.put("keyed.op", "config", config.as_bytes());
+            revoked = Some(record.now());
+            record.line("operator: a configuration without the passing key is acknowledged");
+            step = 4;
+        }
+        if step == 4 && age > TURNED_AWAY {
+            system.gates[0].open();
+            record.line("store: serves the first node");
+            step = 5;
+        }
+        let id = sent.len();
+        let request = Request {
+            id: format!("9c41d07b{id:08x}"),
+            node: system.platform.nodes[0].front,
+            path: "/puxa403/2f",
+            is_draft: false,
+            key: PASSING_KEY,
+            deadline: ms(1000),
+        };
+        sent.push(client::send(request, record));
+        thread::sleep(ms(10));
+    }
+    let outcomes = wait(sent);
+    let Some(revoked) = revoked else {
+        return Verdict::NotRun;
+    };
+    let is_late = |one: &&Outcome| {
+        let ran = system
+            .servers
+            .iter()
+            .any(|one_of| one_of.arrival(&one.id).is_some());
+        one.sent > revoked + REVOKE && ran
+    };
+    let late = outcomes.iter().filter(is_late).count();
+    record.line(&format!(
+        "{late} of {} requests with the passing key are sent later than {REVOKE:?} after it was taken away, and run",
+        outcomes.len()
+    ));
+    if late > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// Time for which the store turns a machine away.
+const TURNED_AWAY: Duration = Duration::from_secs(9);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -34,6 +34,7 @@
         "waiting-at-shutdown" => cases::waiting_at_shutdown(&record, has_trouble),
         "silence-at-shutdown" => cases::silence_at_shutdown(&record, has_trouble),
         "stale-ruling" => cases::stale_ruling(&record, has_trouble),
+        "revoked-key" => cases::revoked_key(&record, has_trouble),
         _ => Verdict::NotRun,
     };
     // A panic ends the processes that were started, as all else does.
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -16,19 +16,19 @@
 /// Longest time for a node to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Ports on the loopback address, some for each machine and some for all.
+/// Ports on the loopback address, some for each machine and one for each server.
 #[derive(Clone, Copy)]
 pub struct Ports(u16);
 
-/// Ports of a machine: for clients, for probes and for the other machines.
-const PORTS_PER_NODE: u16 = 3;
+/// Ports of a machine: for clients, for probes, for the other machines, and that of the store for it.
+const PORTS_PER_NODE: u16 = 4;
 const MAX_NODES: u16 = 3;
 const MAX_SERVERS: u16 = 4;
 
 impl Ports {
     /// Finds ports that are free now, below those of outgoing connections.
     pub fn find() -> Option<Self> {
-        let count = 1 + MAX_NODES * PORTS_PER_NODE + MAX_SERVERS;
+        let count = MAX_NODES * PORTS_PER_NODE + MAX_SERVERS;
         let first = 12_000 + (std::process::id() % 500) as u16 * count;
         (0..200).map(|step| first + step * count).find_map(|base| {
             let is_free = (base..base + count).all(|port| {
@@ -39,19 +39,19 @@
         })
     }
 
-    /// Returns the address of the store.
-    pub fn store(self) -> SocketAddr {
-        SocketAddr::new(LOOPBACK, self.0)
+    /// Returns the address at which a machine finds the store.
+    pub fn store(self, node: u16) -> SocketAddr {
+        SocketAddr::new(LOOPBACK, self.of_node(node) + 3)
     }
 
     /// Returns the address of a server.
     pub fn server(self, number: u16) -> SocketAddr {
-        let first = self.0 + 1 + MAX_NODES * PORTS_PER_NODE;
+        let first = self.0 + MAX_NODES * PORTS_PER_NODE;
         SocketAddr::new(LOOPBACK, first + number)
     }
 
     fn of_node(self, number: u16) -> u16 {
-        self.0 + 1 + number * PORTS_PER_NODE
+        self.0 + number * PORTS_PER_NODE
     }
 }
 
@@ -238,7 +238,7 @@
 fn settings_text(name: &str, zone: &str, number: u16, ports: Ports) -> String {
     let (ip, front) = (LOOPBACK, ports.of_node(number));
     let (ready, internal) = (front + 1, front + 2);
-    let store = ports.store();
+    let store = ports.store(number);
     format!(
         r#"nodeName = "{name}"
 role = "entry"
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -4,6 +4,7 @@
 use crate::http::{self, Head, Reader};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,17 +16,37 @@
     shared: Arc<(Mutex<Topics>, Condvar)>,
 }
 
+/// Whether the store turns a machine away.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<AtomicBool>);
+
+impl Gate {
+    pub fn close(&self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+
+    pub fn open(&self) {
+        self.0.store(false, Ordering::SeqCst);
+    }
+
+    fn is_closed(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
 impl Store {
-    /// Serves calls on an address.
-    pub fn serve(&self, address: SocketAddr) {
+    /// Serves the calls of one machine on an address. While the gate is closed, the machine is turned away.
+    pub fn serve(&self, address: SocketAddr) -> Gate {
         let listener = TcpListener::bind(address).expect("the store's address is free");
-        let store = self.clone();
+        let (store, gate) = (self.clone(), Gate::default());
+        let opened = gate.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = store.clone();
-                thread::spawn(move || store.connection(stream));
+                let (store, gate) = (store.clone(), opened.clone());
+                thread::spawn(move || store.connection(stream, &gate));
             }
         });
+        gate
     }
 
     /// Appends a record of a key.
@@ -45,20 +66,31 @@
             .collect()
     }
 
-    fn connection(&self, mut stream: TcpStream) {
+    fn connection(&self, mut stream: TcpStream, gate: &Gate) {
         let Ok(clone) = stream.try_clone() else {
             return;
         };
         let mut reader = Reader::new(clone);
         while let Ok(Some(head)) = reader.head() {
             let body = reader.request_body(&head);
-            if self.answer(&mut stream, &head, &body).is_err() {
+            if self.answer(&mut stream, &head, &body, gate).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, stream: &mut TcpStream, head: &Head, body: &[u8]) -> std::io::Result<()> {
+    fn answer(
+        &self,
+        stream: &mut TcpStream,
+        head: &Head,
+        body: &[u8],
+        gate: &Gate,
+    ) -> std::io::Result<()> {
+        let turn_away =
+            |stream: &mut TcpStream| http::answer(stream, "503 Service Unavailable", "", b"");
+        if gate.is_closed() {
+            return turn_away(stream);
+        }
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let value = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -76,7 +108,11 @@
             }
             "/-/log-read" => {
                 let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
-                match self.read(&topic, number("from").unwrap_or(0) as usize, wait) {
+                let page = self.read(&topic, number("from").unwrap_or(0) as usize, wait);
+                if gate.is_closed() {
+                    return turn_away(stream);
+                }
+                match page {
                     Some(page) => http::answer(stream, "200 OK", "", &page),
                     None => http::answer(stream, "410 Gone", json, br#"{"first":0}"#),
                 }
