Let the store return between two reads in the case of the revoked key

Change: the stand-in of the store returns right after it turned away a read of the operators' topic, within the 9 s that the site allows.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -449,7 +449,9 @@
             record.line("operator: a configuration without the passing key is acknowledged");
             step = 4;
         }
-        if step == 4 && age > TURNED_AWAY {
+        // The store returns between two reads of the operators' topic, so that another call comes first.
+        let is_between = age > EARLIEST_RETURN && system.gates[0].has_refused_a_read(ms(30));
+        if step == 4 && (is_between || age > TURNED_AWAY) {
             system.gates[0].open();
             record.line("store: serves the first node");
             step = 5;
@@ -489,5 +491,6 @@
     }
 }
 
-/// Time for which the store turns a machine away.
+/// Times between which the store serves the machine again.
+const EARLIEST_RETURN: Duration = Duration::from_millis(8200);
 const TURNED_AWAY: Duration = Duration::from_secs(9);
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -18,19 +18,29 @@
 
 /// Whether the store turns a machine away.
 #[derive(Clone, Default)]
-pub struct Gate(Arc<AtomicBool>);
+pub struct Gate {
+    closed: Arc<AtomicBool>,
+    /// When a read of the operators' topic was last turned away.
+    last_read: Arc<Mutex<Option<Instant>>>,
+}
 
 impl Gate {
     pub fn close(&self) {
-        self.0.store(true, Ordering::SeqCst);
+        self.closed.store(true, Ordering::SeqCst);
     }
 
     pub fn open(&self) {
-        self.0.store(false, Ordering::SeqCst);
+        self.closed.store(false, Ordering::SeqCst);
+    }
+
+    /// Returns whether a read of the operators' topic was turned away within a time.
+    pub fn has_refused_a_read(&self, within: Duration) -> bool {
+        let last = *self.last_read.lock().unwrap();
+        last.is_some_and(|last| last.elapsed() < within)
     }
 
     fn is_closed(&self) -> bool {
-        self.0.load(Ordering::SeqCst)
+        self.closed.load(Ordering::SeqCst)
     }
 }
 
@@ -89,6 +99,9 @@
         let turn_away =
             |stream: &mut TcpStream| http::answer(stream, "503 Service Unavailable", "", b"");
         if gate.is_closed() {
+            if head.target().starts_with("/-/log-read?topic=keyed.op&") {
+                *gate.last_read.lock().unwrap() = Some(Instant::now());
+            }
             return turn_away(stream);
         }
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
