Take only a marked end for the end of an answer that a peer carries

Cause: the tunnel carried the upstream's bytes as they are. When a carrier's process ends, the kernel closes its connections in order, and the asking instance took that for the end of the upstream's answer. Ruled out: a reset on the upstream's side, which the carrier passes on.

The carrier now sends the upstream's bytes in frames, and an empty frame marks the end of the upstream's connection; every other end is an error. Frames are asked for and confirmed in optional fields. A carrier of the build before marks nothing, so that its end is never that of an answer.

--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -331,6 +331,8 @@
 struct Tunnel {
   /** Address of the upstream. */
   1: required string upstream,
+  /** Whether the sender reads the upstream's bytes in frames. */
+  2: optional bool framed,
 }
 
 /** The answer to it. */
@@ -338,6 +340,9 @@
   /** Why the connection is not open: `refused` if the upstream refused it, `silent` if it didn't answer, else why the receiver did not try; empty if
       it is open. */
   1: required string failure,
+  /** Whether the upstream's bytes follow in frames, of which an empty one marks the end of the upstream's
+      connection. Without frames, the end of the connection doesn't tell whose end it is. */
+  2: optional bool framed,
 }
 
 struct Done {
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -3367,12 +3367,15 @@
 pub struct Tunnel {
   /// Address of the upstream.
   pub upstream: String,
+  /// Whether the sender reads the upstream's bytes in frames.
+  pub framed: Option<bool>,
 }
 
 impl Tunnel {
-  pub fn new(upstream: String) -> Tunnel {
+  pub fn new<F2>(upstream: String, framed: F2) -> Tunnel where F2: Into<Option<bool>> {
     Tunnel {
       upstream,
+      framed: framed.into(),
     }
   }
 }
@@ -3381,6 +3384,7 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Tunnel> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
+    let mut f_2: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3392,6 +3396,10 @@
           let val = i_prot.read_string()?;
           f_1 = Some(val);
         },
+        2 => {
+          let val = i_prot.read_bool()?;
+          f_2 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3402,6 +3410,7 @@
     verify_required_field_exists("Tunnel.upstream", &f_1)?;
     let ret = Tunnel {
       upstream: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      framed: f_2,
     };
     Ok(ret)
   }
@@ -3411,6 +3420,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("upstream", TType::String, 1))?;
     o_prot.write_string(&self.upstream)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.framed {
+      o_prot.write_field_begin(&TFieldIdentifier::new("framed", TType::Bool, 2))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -3426,12 +3440,16 @@
   /// Why the connection is not open: `refused` if the upstream refused it, `silent` if it didn't answer, else why the receiver did not try; empty if
   /// it is open.
   pub failure: String,
+  /// Whether the upstream's bytes follow in frames, of which an empty one marks the end of the upstream's
+  /// connection. Without frames, the end of the connection doesn't tell whose end it is.
+  pub framed: Option<bool>,
 }
 
 impl Opened {
-  pub fn new(failure: String) -> Opened {
+  pub fn new<F2>(failure: String, framed: F2) -> Opened where F2: Into<Option<bool>> {
     Opened {
       failure,
+      framed: framed.into(),
     }
   }
 }
@@ -3440,6 +3458,7 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Opened> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<String> = None;
+    let mut f_2: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -3451,6 +3470,10 @@
           let val = i_prot.read_string()?;
           f_1 = Some(val);
         },
+        2 => {
+          let val = i_prot.read_bool()?;
+          f_2 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -3461,6 +3484,7 @@
     verify_required_field_exists("Opened.failure", &f_1)?;
     let ret = Opened {
       failure: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      framed: f_2,
     };
     Ok(ret)
   }
@@ -3470,6 +3494,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("failure", TType::String, 1))?;
     o_prot.write_string(&self.failure)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.framed {
+      o_prot.write_field_begin(&TFieldIdentifier::new("framed", TType::Bool, 2))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -1,7 +1,13 @@
 //! Connections to upstreams that a peer carries over its own links.
 //!
 //! The question and its answer are each a length of two bytes and a Thrift struct in the compact protocol.
-//! After an answer that the connection is open, its bytes follow.
+//! After an answer that the connection is open, its bytes follow: those of the upstream in [`frames`], if
+//! both builds know them, and those of the peer as they are.
+
+mod carried;
+pub mod frames;
+
+pub use carried::Carried;
 
 use crate::compact;
 use crate::message::{Opened, Tunnel};
@@ -9,7 +15,7 @@
 use std::time::Duration;
 use thrift::TConfiguration;
 use thrift::protocol::{TCompactInputProtocol, TSerializable};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Largest length of a message.
@@ -84,18 +90,36 @@
     Ok(())
 }
 
+/// How a carrier forwards the bytes of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// In frames, of which an empty one marks the end of the upstream's connection.
+    Framed,
+    /// As they are, to a peer of a build that doesn't know frames.
+    Bare,
+}
+
 /// Carries the bytes of a connection between a peer and an upstream until one of them closes it.
 ///
 /// If the peer closes its side, so is the upstream's at once, as the caller has left. If the upstream's side
 /// is reset, the peer's is reset too: an answer whose end is the end of its connection must not look
 /// complete.
-pub async fn carry(mut peer: TcpStream, mut upstream: TcpStream) {
+pub async fn carry(
+    mut peer: TcpStream,
+    upstream: impl AsyncRead + AsyncWrite + Unpin,
+    framing: Framing,
+) {
     let is_whole = {
         let (mut from_peer, mut to_peer) = peer.split();
-        let (mut from_upstream, mut to_upstream) = upstream.split();
+        let (mut from_upstream, mut to_upstream) = tokio::io::split(upstream);
         tokio::select! {
             _ = copy(&mut from_peer, &mut to_upstream) => false,
-            copied = copy(&mut from_upstream, &mut to_peer) => copied.is_ok(),
+            copied = async {
+                match framing {
+                    Framing::Framed => copy_framed(&mut from_upstream, &mut to_peer).await,
+                    Framing::Bare => copy(&mut from_upstream, &mut to_peer).await,
+                }
+            } => copied.is_ok(),
         }
     };
     if !is_whole {
@@ -105,6 +129,24 @@
     let _ = peer.shutdown().await;
 }
 
+/// Copies bytes in frames, and marks their end.
+async fn copy_framed(
+    from: &mut (impl AsyncReadExt + Unpin),
+    to: &mut (impl AsyncWriteExt + Unpin),
+) -> io::Result<()> {
+    let mut buffer = vec![0; frames::HEADER_BYTES + BUFFER_BYTES];
+    loop {
+        let length = from.read(&mut buffer[frames::HEADER_BYTES..]).await?;
+        if length == 0 {
+            return to.write_all(&frames::END).await;
+        }
+        let header = frames::header(length).ok_or(io::ErrorKind::InvalidData)?;
+        buffer[..frames::HEADER_BYTES].copy_from_slice(&header);
+        to.write_all(&buffer[..frames::HEADER_BYTES + length])
+            .await?;
+    }
+}
+
 async fn copy(
     from: &mut (impl AsyncReadExt + Unpin),
     to: &mut (impl AsyncWriteExt + Unpin),
--- a/crates/peer/tests/recorded/messages.rs
+++ b/crates/peer/tests/recorded/messages.rs
@@ -108,12 +108,12 @@
 
 /// A request for a carried connection.
 pub fn tunnel() -> Tunnel {
-    Tunnel::new("10.0.1.4:8080".into())
+    Tunnel::new("10.0.1.4:8080".into(), None)
 }
 
 /// The answer to it.
 pub fn opened() -> Opened {
-    Opened::new("refused".into())
+    Opened::new("refused".into(), None)
 }
 
 /// One envelope with each body, in the order of their numbers.
--- a/crates/server/src/forward/paths.rs
+++ b/crates/server/src/forward/paths.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use entity::{Span, name};
 use peer::message::{Opened, Tunnel};
-use peer::tunnel;
+use peer::tunnel::{self, Carried};
 use rand::seq::IndexedRandom;
 use routing::path::{PeerResult, SHORT_PATIENCE, Way};
 use std::io;
@@ -13,7 +13,7 @@
 use timeline::{Counter, Kind, Metrics, Recorder};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use upstream::dial::{Dialer, Dialing, set_options};
+use upstream::dial::{Dialer, Dialing, Transport, set_options};
 
 /// Longest time for a peer to be connected to.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -110,7 +110,7 @@
     /// # Errors
     ///
     /// The link is known to be cut, or the connection can't be established.
-    pub async fn dial_for_peer(&self, address: SocketAddr) -> io::Result<TcpStream> {
+    pub async fn dial_for_peer(&self, address: SocketAddr) -> io::Result<Box<dyn Transport>> {
         if !lock(&self.known).can_carry(address) {
             return Err(io::Error::other("the own link is cut"));
         }
@@ -118,7 +118,11 @@
         self.dial_own(address, Some(SHORT_PATIENCE)).await
     }
 
-    async fn dial_own(&self, address: SocketAddr, patience: Option<Span>) -> io::Result<TcpStream> {
+    async fn dial_own(
+        &self,
+        address: SocketAddr,
+        patience: Option<Span>,
+    ) -> io::Result<Box<dyn Transport>> {
         let dialing = self.dialer.dial(address);
         let dialed = match patience {
             Some(patience) => match tokio::time::timeout(patience.duration(), dialing).await {
@@ -135,7 +139,7 @@
         dialed
     }
 
-    async fn dial_by_peer(&self, address: SocketAddr) -> Result<TcpStream, Failure> {
+    async fn dial_by_peer(&self, address: SocketAddr) -> Result<Box<dyn Transport>, Failure> {
         let mut failure = Failure::NoPeer;
         let mut asked = Vec::new();
         for _ in 0..MAX_PEERS {
@@ -147,7 +151,7 @@
                     // The links of those that were asked before are cut as well.
                     asked.into_iter().for_each(|peer| self.rest(peer));
                     self.record_carried(address, &carrier);
-                    return Ok(stream);
+                    return Ok(Box::new(stream));
                 }
                 // The own link of a peer may be cut too: another one tells.
                 Ok(Err(reason)) => failure = reason,
@@ -178,17 +182,17 @@
         &self,
         carrier: &Carrier,
         address: SocketAddr,
-    ) -> Result<Result<TcpStream, Failure>, tunnel::Error> {
+    ) -> Result<Result<Carried, Failure>, tunnel::Error> {
         let connect = TcpStream::connect(carrier.address);
         let connect = tokio::time::timeout(PEER_CONNECT_TIMEOUT, connect).await;
         let mut stream = connect.map_err(io::Error::from)??;
         set_options(&stream);
-        let question = Tunnel::new(address.to_string());
+        let question = Tunnel::new(address.to_string(), true);
         let answer = tunnel::open(&mut stream, &question);
         let answer = tokio::time::timeout(PEER_ANSWER_TIMEOUT, answer).await;
-        let Opened { failure } = answer.map_err(io::Error::from)??;
+        let Opened { failure, framed } = answer.map_err(io::Error::from)??;
         match failure.as_str() {
-            "" => Ok(Ok(stream)),
+            "" => Ok(Ok(Carried::new(stream, framed == Some(true)))),
             tunnel::REFUSED => Ok(Err(Failure::Refused)),
             tunnel::SILENT => Ok(Err(Failure::Silent)),
             _ => Err(io::Error::other(failure).into()),
--- a/crates/server/src/forward/tunnels.rs
+++ b/crates/server/src/forward/tunnels.rs
@@ -2,7 +2,7 @@
 
 use crate::forward::front::Shared;
 use peer::message::{Opened, Tunnel};
-use peer::tunnel;
+use peer::tunnel::{self, Framing};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
-use upstream::dial::set_options;
+use upstream::dial::{Transport, set_options};
 
 /// Largest number of connections that are carried at once.
 const MAX_CARRIED: usize = 256;
@@ -59,13 +59,14 @@
 /// Carries a connection for a peer, which has a place as long as the permit lasts.
 async fn serve(mut stream: TcpStream, shared: Arc<Shared>, _permit: OwnedSemaphorePermit) {
     set_options(&stream);
-    if let Some(upstream) = answer(&mut stream, &shared).await {
-        tunnel::carry(stream, upstream).await;
+    if let Some((upstream, framing)) = answer(&mut stream, &shared).await {
+        tunnel::carry(stream, upstream, framing).await;
     }
 }
 
-/// Answers the question of a peer. Returns the connection to the upstream if it is open.
-async fn answer(stream: &mut TcpStream, shared: &Shared) -> Option<TcpStream> {
+/// Answers the question of a peer. Returns the connection to the upstream if it is open, and how its bytes
+/// are handed on.
+async fn answer(stream: &mut TcpStream, shared: &Shared) -> Option<(Box<dyn Transport>, Framing)> {
     let question = tunnel::read::<Tunnel>(stream);
     let question = tokio::time::timeout(tunnel::QUESTION_TIMEOUT, question).await;
     let question = question.ok()?.ok()?;
@@ -78,12 +79,19 @@
         Err(error) if error.kind() == io::ErrorKind::TimedOut => tunnel::SILENT.to_owned(),
         Err(error) => error.to_string(),
     };
-    tunnel::write(stream, &Opened::new(failure)).await.ok()?;
-    opened.ok()
+    // A peer of a build without frames asks for none.
+    let framing = match question.framed {
+        Some(true) => Framing::Framed,
+        Some(false) | None => Framing::Bare,
+    };
+    let framed = (framing == Framing::Framed).then_some(true);
+    let answer = Opened::new(failure, framed);
+    tunnel::write(stream, &answer).await.ok()?;
+    Some((opened.ok()?, framing))
 }
 
 /// Connects to an upstream in force for a peer.
-async fn open(question: &Tunnel, shared: &Shared) -> io::Result<TcpStream> {
+async fn open(question: &Tunnel, shared: &Shared) -> io::Result<Box<dyn Transport>> {
     if shared.core.is_draining() {
         return Err(io::Error::other("this instance is being shut down"));
     }
--- a/crates/upstream/src/dial.rs
+++ b/crates/upstream/src/dial.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
 /// Longest time to establish a connection. Zones are a few milliseconds apart, and a lost packet is
@@ -13,8 +14,14 @@
 /// detected within this time.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A connection to an upstream. It ends where the upstream closed it; if it ends in any other way, a read
+/// fails.
+pub trait Transport: AsyncRead + AsyncWrite + Send + Unpin + 'static {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin + 'static> Transport for T {}
+
 /// A connection that is being established.
-pub type Dialing<'a> = Pin<Box<dyn Future<Output = io::Result<TcpStream>> + Send + 'a>>;
+pub type Dialing<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn Transport>>> + Send + 'a>>;
 
 /// Establishes connections to upstreams.
 pub trait Dialer: Send + Sync + 'static {
@@ -32,7 +39,7 @@
             let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
             let stream = connect.await.map_err(io::Error::from)??;
             set_options(&stream);
-            Ok(stream)
+            Ok(Box::new(stream) as Box<dyn Transport>)
         })
     }
 }
--- a/crates/upstream/src/meter.rs
+++ b/crates/upstream/src/meter.rs
@@ -1,12 +1,12 @@
 //! Connection from which only so many bytes are read until the head of an answer has arrived.
 
+use crate::dial::Transport;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// Bytes that may still be read from a connection.
 #[derive(Clone, Debug)]
@@ -35,15 +35,14 @@
 }
 
 /// A connection with an allowance, beyond which reads fail.
-#[derive(Debug)]
 pub(crate) struct Meter {
-    stream: TcpStream,
+    stream: Box<dyn Transport>,
     allowance: Allowance,
 }
 
 impl Meter {
     /// Meters a connection, which allows nothing at first.
-    pub(crate) fn new(stream: TcpStream) -> (Self, Allowance) {
+    pub(crate) fn new(stream: Box<dyn Transport>) -> (Self, Allowance) {
         let allowance = Allowance(Arc::default());
         let meter = Self {
             stream,
