Let a read confirm only the topic that was read

Cause: the freshness of the operators' topic also stood for the progress of orders. An instance that the store had turned away, and that had an order to ask about, listed the progress first; applying it confirmed the old configuration as read just now. Ruled out: reads dated by their answers, late reports of peers.

--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -12,11 +12,11 @@
 use caller::forward::{Content, Forwarded};
 use config::Forward;
 use entity::{Span, name};
+use forward::Followed;
 use forward::dialect::Order;
 use forward::events::Splitter;
 use forward::head::Request;
 use forward::hop;
-use forward::source::Topic;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use quality::governor::{Governor, Observation};
@@ -350,10 +350,10 @@
 
     async fn wait_for_state(&self) {
         let freshness = &self.run.shared.freshness;
-        if freshness.allows_dispatch(Topic::Upstreams) {
+        if freshness.allows_dispatch(Followed::Upstreams) {
             return;
         }
-        let age = freshness.age(Topic::Upstreams, boot_time());
+        let age = freshness.age(Followed::Upstreams, boot_time());
         let draft = self
             .core()
             .recorder
@@ -363,7 +363,7 @@
             .text("why", "the state of the upstreams is old")
             .text("age", age.unwrap_or_default())
             .record();
-        freshness.wait_for_dispatch(Topic::Upstreams).await;
+        freshness.wait_for_dispatch(Followed::Upstreams).await;
     }
 
     fn check(&self) -> Result<(), Refusal> {
--- a/crates/server/src/forward/feed.rs
+++ b/crates/server/src/forward/feed.rs
@@ -5,7 +5,6 @@
 
 use crate::clock::Clock;
 use crate::decider;
-use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::front::Shared;
 use crate::forward::key_validity::boot_time;
 use adoption::Snapshot;
@@ -14,7 +13,7 @@
 use entity::{Era, Generation, Moment, Offset, Span};
 use forward::cursor::{Coverage, Cursor};
 use forward::source::{Error, Item, Listing, Page, Topic};
-use forward::{Change, Fold, Source, ZoneRegions, resolve};
+use forward::{Change, Fold, Followed, Source, ZoneRegions, resolve};
 use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -118,7 +117,7 @@
 /// Starts the tasks.
 pub fn spawn(parts: Parts, source: impl Source, cancel: &CancellationToken) -> Handle {
     let (reads, received) = mpsc::channel(QUEUE_CAPACITY);
-    for topic in FOLLOWED_TOPICS {
+    for topic in Followed::ALL {
         let follower = Follower {
             topic,
             source: source.clone(),
@@ -133,7 +132,7 @@
             }
         });
     }
-    let lister = Follower {
+    let lister = Lister {
         topic: Topic::Progress,
         source,
         reads: reads.clone(),
@@ -165,9 +164,9 @@
     Handle { reads }
 }
 
-/// Reads one topic of the store.
+/// Reads one topic of the store all the time.
 struct Follower<S> {
-    topic: Topic,
+    topic: Followed,
     source: S,
     reads: mpsc::Sender<Read>,
     shared: Arc<Shared>,
@@ -235,7 +234,7 @@
                 );
             }
             let read = Read {
-                topic: self.topic,
+                topic: self.topic.topic(),
                 batch,
                 sent,
                 after_outage: freshness.record_read(self.topic, sent, boot_time()),
@@ -284,53 +283,20 @@
         }
     }
 
-    /// Lists a topic that instances write themselves, whenever notified. Peers tell its records in
-    /// datagrams too, but those may be lost, and an instance that starts has missed them.
-    async fn list_when(self, due: &Notify) {
-        loop {
-            due.notified().await;
-            let mut delay = RETRY_DELAY_RANGE.0;
-            while !self.list().await {
-                tokio::time::sleep(delay).await;
-                delay = (delay * 2).min(RETRY_DELAY_RANGE.1);
-            }
-        }
-    }
-
-    /// Lists the topic once. Returns whether the store answered.
-    async fn list(&self) -> bool {
-        let sent = boot_time();
-        let listing = match self.source.newest(self.topic).await {
-            Ok(listing) => listing,
-            Err(error) => {
-                self.record_event(Kind::Outage, &error.to_string());
-                return false;
-            }
-        };
-        let read = Read {
-            topic: self.topic,
-            batch: Batch::Listing(listing),
-            sent,
-            after_outage: false,
-            coverage: Coverage::Whole,
-        };
-        // The receiver is dropped only when the instance is closing.
-        let _ = self.reads.send(read).await;
-        true
-    }
-
     async fn read(&self, next: Option<Offset>, failing: bool) -> Result<Batch, Error> {
         let Some(from) = next else {
-            let listing = self.report_slow(Span::ZERO, self.source.newest(self.topic));
+            let listing = self.report_slow(Span::ZERO, self.source.newest(self.topic.topic()));
             return listing.await.map(Batch::Listing);
         };
         // During an outage a prompt confirmation matters more than saving a call, so the read does
         // not wait for records.
         let wait = match self.topic {
-            Topic::Operator if !failing && self.shared.freshness.is_reader() => OPERATOR_LONG_POLL,
+            Followed::Operator if !failing && self.shared.freshness.is_reader() => {
+                OPERATOR_LONG_POLL
+            }
             _ => Span::ZERO,
         };
-        let page = self.source.follow(self.topic, from, wait);
+        let page = self.source.follow(self.topic.topic(), from, wait);
         let page = self.report_slow(wait, page).await?;
         Ok(Batch::Page(page))
     }
@@ -367,12 +333,61 @@
     }
 
     fn record_event(&self, kind: Kind, text: &str) {
-        let recorder = &self.shared.core.recorder;
-        recorder
-            .event(kind)
-            .text("topic", format!("{:?}", self.topic))
-            .text("why", text)
-            .record();
+        record_event(&self.shared, self.topic.topic(), kind, text);
+    }
+}
+
+fn record_event(shared: &Shared, topic: Topic, kind: Kind, text: &str) {
+    let recorder = &shared.core.recorder;
+    recorder
+        .event(kind)
+        .text("topic", format!("{topic:?}"))
+        .text("why", text)
+        .record();
+}
+
+/// Lists one topic of the store on occasion. What it lists says nothing of the age of other topics.
+struct Lister<S> {
+    topic: Topic,
+    source: S,
+    reads: mpsc::Sender<Read>,
+    shared: Arc<Shared>,
+}
+
+impl<S: Source> Lister<S> {
+    /// Lists a topic that instances write themselves, whenever notified. Peers tell its records in
+    /// datagrams too, but those may be lost, and an instance that starts has missed them.
+    async fn list_when(self, due: &Notify) {
+        loop {
+            due.notified().await;
+            let mut delay = RETRY_DELAY_RANGE.0;
+            while !self.list().await {
+                tokio::time::sleep(delay).await;
+                delay = (delay * 2).min(RETRY_DELAY_RANGE.1);
+            }
+        }
+    }
+
+    /// Lists the topic once. Returns whether the store answered.
+    async fn list(&self) -> bool {
+        let sent = boot_time();
+        let listing = match self.source.newest(self.topic).await {
+            Ok(listing) => listing,
+            Err(error) => {
+                record_event(&self.shared, self.topic, Kind::Outage, &error.to_string());
+                return false;
+            }
+        };
+        let read = Read {
+            topic: self.topic,
+            batch: Batch::Listing(listing),
+            sent,
+            after_outage: false,
+            coverage: Coverage::Whole,
+        };
+        // The receiver is dropped only when the instance is closing.
+        let _ = self.reads.send(read).await;
+        true
     }
 }
 
@@ -431,14 +446,12 @@
             }
         };
         let freshness = &self.parts.shared.freshness;
-        freshness.set_digest(read.topic, self.fold.digest(read.topic));
+        let digest = self.fold.digest(read.topic);
+        freshness.record_applied(read.topic, digest, (read.sent, read.coverage));
         // The receiver is dropped only when the instance is closing.
         if let Some(applied) = relayed {
             let _ = applied.send(());
         }
-        if read.coverage == Coverage::Whole {
-            freshness.confirm(read.topic, read.sent);
-        }
         // The first read of a topic may complete the fold without changing its routing.
         let first = self.generation == Generation(0);
         Change {
@@ -451,7 +464,7 @@
         let change = self.fold.expire(self.parts.clock.now());
         let digest = self.fold.digest(Topic::Upstreams);
         let freshness = &self.parts.shared.freshness;
-        freshness.set_digest(Topic::Upstreams, digest);
+        freshness.set_digest(Followed::Upstreams, digest);
         change
     }
 
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -11,7 +11,7 @@
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
 use config::Move;
-use forward::source::Topic;
+use forward::Followed;
 use quarantine::Part;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -73,7 +73,7 @@
         if !self.is_introduced() && snapshot.config.moves.iter().any(Move::is_under_way) {
             return Err("no peer has told the age of an order yet");
         }
-        let age = self.freshness.age(Topic::Operator, boot_time());
+        let age = self.freshness.age(Followed::Operator, boot_time());
         if self.freshness.key_validity.is_near_expiry(age) {
             return Err("the keys in force have not been confirmed recently");
         }
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -1,9 +1,9 @@
 //! Conversions between the messages in beacons and the router's own types.
 
-use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::holds::News;
 use entity::unit::{Frequency, Share};
 use entity::{Era, Moment, Offset, Span, name};
+use forward::Followed;
 use forward::delta::Delta;
 use forward::source::{Position, Topic};
 use forward::updates::{AnnouncedRecord, Content};
@@ -77,9 +77,8 @@
 
 /// Decodes a record that a peer relayed; `None` if its topic is not followed.
 pub fn decode_update(record: &message::Told) -> Option<AnnouncedRecord> {
-    let topic = FOLLOWED_TOPICS
-        .iter()
-        .find(|topic| topic_number(**topic) == record.topic);
+    let mut topics = Followed::ALL.into_iter().map(Followed::topic);
+    let topic = topics.find(|topic| topic_number(*topic) == record.topic);
     let bytes: Box<[u8]> = record.value.clone().into();
     let content = match (record.base, record.length) {
         (Some(base), length) => Content::Delta(Delta {
@@ -90,7 +89,7 @@
         (None, _) => Content::Whole(bytes),
     };
     Some(AnnouncedRecord {
-        topic: *topic?,
+        topic: topic?,
         key: record.key.as_str().into(),
         position: Position {
             era: decode_era(record.era),
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -11,7 +11,6 @@
 use crate::forward::builds::Builds;
 use crate::forward::evidence;
 use crate::forward::feed;
-use crate::forward::freshness::FOLLOWED_TOPICS;
 use crate::forward::front::Shared;
 use crate::forward::key_validity::boot_time;
 use crate::forward::paths::Carrier;
@@ -29,7 +28,7 @@
 use forward::clocks::{Clocks, Run, Stamp};
 use forward::source::Topic;
 use forward::updates::AnnouncedRecord;
-use forward::{Source, ZoneRegions};
+use forward::{Followed, Source, ZoneRegions};
 use peer::beacon::{self, Datagram, Socket};
 use peer::message::{self, Beacon};
 use quality::release::Report;
@@ -508,13 +507,13 @@
     fn topic_ages(&self, now: Moment) -> Vec<message::Sight> {
         let freshness = &self.parts.shared.freshness;
         let mut ages = Vec::new();
-        for topic in FOLLOWED_TOPICS {
+        for topic in Followed::ALL {
             let Some(age) = freshness.age(topic, now) else {
                 continue;
             };
             ages.push(message::Sight {
                 era: Some(freshness.era().0 as i64),
-                topic: topic_number(topic),
+                topic: topic_number(topic.topic()),
                 digest: freshness.digest(topic) as i64,
                 age_us: age.as_micros() as i64,
             });
@@ -533,7 +532,7 @@
     async fn receive_updates(&self, beacon: &Beacon, sent: Option<Moment>) {
         let updates: Vec<AnnouncedRecord> = beacon.told.iter().filter_map(decode_update).collect();
         let values = self.parts.shared.freshness.updates().decode(&updates);
-        for topic in FOLLOWED_TOPICS {
+        for topic in Followed::ALL.map(Followed::topic) {
             let mut items = Vec::new();
             for value in &values {
                 match value {
@@ -554,10 +553,9 @@
         };
         let now = boot_time();
         for sight in &beacon.sights {
-            let found = FOLLOWED_TOPICS
-                .iter()
-                .find(|topic| topic_number(**topic) == sight.topic);
-            let Some(&topic) = found else {
+            let mut topics = Followed::ALL.into_iter();
+            let found = topics.find(|topic| topic_number(topic.topic()) == sight.topic);
+            let Some(topic) = found else {
                 continue;
             };
             let read = sent - Span::from_micros(sight.age_us.max(0) as u64);
--- a/crates/server/src/forward/probe.rs
+++ b/crates/server/src/forward/probe.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use caller::connection;
 use entity::Span;
-use forward::source::Topic;
+use forward::Followed;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -68,9 +68,9 @@
         age.map_or(f64::NAN, Span::as_secs_f64)
     };
     core.metric
-        .set_gauge("config_age_seconds", age(Topic::Operator));
+        .set_gauge("config_age_seconds", age(Followed::Operator));
     core.metric
-        .set_gauge("upstreams_age_seconds", age(Topic::Upstreams));
+        .set_gauge("upstreams_age_seconds", age(Followed::Upstreams));
     let displaced = shared.freshness.updates().displaced();
     core.metric.set_gauge("displaced_updates", displaced as f64);
     core.metric
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -18,8 +18,8 @@
 use entity::request::{self, Ran};
 use entity::unit::Bytes;
 use entity::{Moment, Span, id, name};
+use forward::Followed;
 use forward::head::Model;
-use forward::source::Topic;
 use hyper::StatusCode;
 use quality::escalation;
 use quality::governor::Governor;
@@ -205,7 +205,7 @@
             ));
         };
         let freshness = &self.shared.freshness;
-        let age = freshness.age(Topic::Operator, boot_time());
+        let age = freshness.age(Followed::Operator, boot_time());
         let current = age.is_some_and(|age| age < MAX_CURRENT_AGE);
         let head = &self.arrival.request.head;
         let config = &snapshot.config;
@@ -478,8 +478,8 @@
         let config = &resolved.snapshot.config;
         let freshness = &self.shared.freshness;
         let now = boot_time();
-        let age = freshness.age(Topic::Operator, now);
-        let upstreams_age = freshness.age(Topic::Upstreams, now);
+        let age = freshness.age(Followed::Operator, now);
+        let upstreams_age = freshness.age(Followed::Upstreams, now);
         let release = resolved
             .version
             .map(|version| &config.versions[version].name);
