Write one ruling on an order, by recent evidence and under a condition

Cause: the instance acted by the evidence that it had before the pause, its write had no condition, and the others could not follow a completion once they had found the release bad.

A completion, and the steps after the first, need messages that peers have sent within the last second (quality::hearing). A ruling is written only after the store was asked, and only if nothing was written since (quality::ruling). A completion in the store outranks what an instance found itself.

--- a/crates/forward/src/source.rs
+++ b/crates/forward/src/source.rs
@@ -60,6 +60,18 @@
             offset: self.end,
         }
     }
+
+    /// Returns the final progress of a service's rollout to a release; `None` if it isn't final.
+    pub fn ruling(&self, service: &name::Service, release: &str) -> Option<Progress> {
+        self.items.iter().find_map(|item| match &item.entry {
+            Ok(Some(Entry::Progress(of, target, progress)))
+                if of == service && **target == *release && *progress != Progress::Running =>
+            {
+                Some(*progress)
+            }
+            _ => None,
+        })
+    }
 }
 
 /// Consecutive records of a topic.
@@ -87,6 +99,9 @@
     /// The requested records are no longer retained.
     #[error("the records were deleted")]
     Expired,
+    /// Records were written since the end that the write names.
+    #[error("other records were written first")]
+    Conflict,
     /// The store answered from an earlier era than before.
     #[error("the store fell back to era {0}")]
     Outdated(Era),
@@ -111,12 +126,14 @@
         wait: Span,
     ) -> impl Future<Output = Result<Page, Error>> + Send;
 
-    /// Writes the progress of a service's rollout.
+    /// Writes the progress of a service's rollout if the topic of progress still ends at `end`. A write that
+    /// isn't answered may still be done, at any later time, if the topic ends there then.
     fn report(
         &self,
         service: &name::Service,
         target: &str,
         progress: Progress,
+        end: Offset,
     ) -> impl Future<Output = Result<(), Error>> + Send;
 
     /// Writes the entry of an instance; `None` deletes it.
--- a/crates/quality/src/release.rs
+++ b/crates/quality/src/release.rs
@@ -4,6 +4,7 @@
 //! its current release. The release of a session depends on its position in the split and on the
 //! [`Trial`], not on what is known of its earlier requests: another instance may have served these.
 
+use crate::hearing::Heard;
 use crate::trial::{Answer, Evidence, Measure, Ruling, Side, Tally, Trial};
 use config::{Config, Move, Progress};
 use entity::id;
@@ -231,15 +232,22 @@
     }
 
     /// Returns the reports on all trials, to be sent to peers, and announces steps that are due, `lead`
-    /// ahead. `lead` is a time within which a report reaches all instances.
-    pub fn reports(&mut self, config: &Config, lead: Span, now: Moment) -> Vec<Report> {
+    /// ahead. `lead` is a time within which a report reaches all instances, and `heard` what the messages of
+    /// peers show.
+    pub fn reports(
+        &mut self,
+        config: &Config,
+        lead: Span,
+        heard: Heard,
+        now: Moment,
+    ) -> Vec<Report> {
         let mut reports = Vec::new();
         for service in &mut self.services {
             let Some(trial) = &mut service.trial else {
                 continue;
             };
             let is_served = has_upstream(config, &trial.new, Some(now));
-            trial.announce_steps(lead, is_served, now);
+            trial.announce_steps(lead, is_served, heard, now);
             let evidence = trial.evidence(&self.own, REPORTED_PEER_COUNT);
             reports.push(Report {
                 service: service.name.clone(),
@@ -249,7 +257,7 @@
                 ruling_era: trial.ruling_era,
                 evidence,
                 schedule: trial.schedule().ages().to_vec(),
-                can_complete: trial.can_complete(now),
+                can_complete: trial.can_complete(heard, now),
                 share: trial.session_share(now),
                 sum: trial.sum(),
             });
@@ -257,8 +265,7 @@
         reports
     }
 
-    /// Records that the ruling on a service's trial has been written to the store in an era, and ends
-    /// the trial.
+    /// Records that the ruling on a service's trial is in the store in an era, and ends the trial.
     pub fn record_written_ruling(
         &mut self,
         service: &name::Service,
@@ -269,7 +276,7 @@
         if let Some(trial) = self.trial(service)
             && trial.new == *target
         {
-            trial.set_ruling(ruling);
+            trial.adopt(ruling);
             trial.ruling_era = trial.ruling_era.max(Some(era));
         }
     }
@@ -309,8 +316,9 @@
         }
     }
     trial.ruling_era = trial.ruling_era.max(report.ruling_era);
+    // A good ruling is told only once it is in the store.
     if let Some(ruling) = report.ruling {
-        has_news |= trial.set_ruling(ruling);
+        has_news |= trial.adopt(ruling);
     }
     if trial.is_bad() {
         has_news |= trial.set_ruling(Ruling::Bad);
@@ -438,7 +446,7 @@
         if let Some(trial) = &mut self.trial
             && trial.new == *target
         {
-            trial.set_ruling(ruling);
+            trial.adopt(ruling);
         }
     }
 
--- a/crates/quality/src/trial.rs
+++ b/crates/quality/src/trial.rs
@@ -10,6 +10,7 @@
 //! between two events. The former depends mostly on the work that waits at an engine, which differs
 //! between the releases; the latter on the release.
 
+use crate::hearing::Heard;
 use crate::schedule::{STEP_COUNT, Schedule};
 use entity::unit::Share;
 use entity::{Era, Moment, Span, name, sorted, work};
@@ -260,6 +261,17 @@
         is_first
     }
 
+    /// Ends the trial by a ruling that is in the store. A completion there stops the old release, whatever
+    /// was found here. Returns whether that changes the ruling.
+    pub fn adopt(&mut self, ruling: Ruling) -> bool {
+        let before = self.ruling;
+        match ruling {
+            Ruling::Good => self.ruling = Some(ruling),
+            Ruling::Bad => _ = self.ruling.get_or_insert(ruling),
+        }
+        self.ruling != before
+    }
+
     /// Returns the share of requests without a session that go to the new release.
     pub fn share(&self, now: Moment) -> Share {
         match self.held(now) {
@@ -312,9 +324,10 @@
     }
 
     /// Announces the steps that are due, `lead` ahead. `is_served` states whether the new release has a
-    /// warm upstream. Sessions that have not moved by the end of the order lose their release without
-    /// an alternative, so that the last steps follow each other soon.
-    pub fn announce_steps(&mut self, lead: Span, is_served: bool, now: Moment) {
+    /// warm upstream, and `heard` whether the recent evidence is known. Sessions that have not moved by the
+    /// end of the order lose their release without an alternative, so that the last steps follow each other
+    /// soon.
+    pub fn announce_steps(&mut self, lead: Span, is_served: bool, heard: Heard, now: Moment) {
         let age = self.age(now);
         if self.ruling.is_some() || age >= self.duration {
             return;
@@ -323,7 +336,7 @@
             [] if is_served && age + lead + lead >= self.half() => {
                 self.schedule.announce(self.half().max(age + lead));
             }
-            [first] if self.is_proved() && age >= first => {
+            [first] if age >= first && self.is_proved() && heard.is_current(age) => {
                 self.schedule.announce(age + lead);
                 self.schedule.announce(age + lead + self.second_step());
             }
@@ -437,8 +450,9 @@
         of_kind || self.sum.is_worse(MIN_BAD_OVERALL)
     }
 
-    /// Returns whether the trial can be completed, so that the old release may be stopped.
-    pub fn can_complete(&self, now: Moment) -> bool {
+    /// Returns whether the trial can be completed, so that the old release may be stopped. `heard` states
+    /// whether the recent evidence is known.
+    pub fn can_complete(&self, heard: Heard, now: Moment) -> bool {
         let age = self.age(now);
         let [_, _, last] = *self.schedule.ages() else {
             return false;
@@ -446,7 +460,8 @@
         let is_settled = age >= last + SETTLING_TIME;
         let is_late = age >= last && age + LAST_COMPLETION_MARGIN >= self.duration;
         let is_near_end = age + COMPLETION_MARGIN >= self.duration;
-        self.ruling.is_none() && is_near_end && (is_settled || is_late)
+        let is_due = is_near_end && (is_settled || is_late);
+        self.ruling.is_none() && is_due && heard.is_current(age)
     }
 
     fn is_slow(&self, kind: (u64, Measure), time: Span) -> bool {
--- a/crates/quality/tests/agreement.rs
+++ b/crates/quality/tests/agreement.rs
@@ -10,6 +10,7 @@
 use entity::unit::Share;
 use entity::{Moment, Span, name};
 use googletest::prelude::*;
+use quality::hearing::Heard;
 use quality::release::{AnswerOutcome, Query, Releases, Report};
 use quality::trial::{Measure, Ruling};
 use rand::seq::IndexedRandom;
@@ -241,7 +242,7 @@
         let Instance {
             releases, config, ..
         } = &mut self.instances[index];
-        let mut reports = releases.reports(config, lead, at(now));
+        let mut reports = releases.reports(config, lead, Heard::default(), at(now));
         for report in &mut reports {
             match self.mutation {
                 Some(Mutation::Steps) => report.schedule.clear(),
--- a/crates/quality/tests/succession.rs
+++ b/crates/quality/tests/succession.rs
@@ -8,6 +8,7 @@
 use entity::id::{self, Id};
 use entity::unit::Share;
 use googletest::prelude::*;
+use quality::hearing::Heard;
 use quality::release::{Query, Releases};
 use quality::trial::Ruling;
 use support::{Fleet, START, fleet};
@@ -34,6 +35,7 @@
     let mut reports = releases.reports(
         &support::config(None),
         Span::ZERO,
+        Heard::default(),
         START + Span::from_secs(14),
     );
     reports[0].ruling = Some(Ruling::Good);
--- a/crates/quality/tests/trial.rs
+++ b/crates/quality/tests/trial.rs
@@ -9,6 +9,7 @@
 use entity::{Era, Moment, Span, name};
 use googletest::prelude::*;
 use quality::governor::{Governor, Observation};
+use quality::hearing::Heard;
 use quality::release::{AnswerOutcome, Query, Releases};
 use quality::trial::{Answer, Measure, Ruling, Side, Trial};
 use support::{DURATION, START, before_the_order, config};
@@ -33,7 +34,7 @@
 /// Announces steps that are due, every 100 ms.
 fn announce_until(trial: &mut Trial, millis: u64) {
     for millis in (0..=millis).step_by(100) {
-        trial.announce_steps(LEAD, true, after(millis));
+        trial.announce_steps(LEAD, true, Heard::default(), after(millis));
     }
 }
 
@@ -66,7 +67,7 @@
     let mut trial = trial();
     record_answers(&mut trial, 2000, |_| false);
     for millis in (0..12_000).step_by(500) {
-        trial.announce_steps(LEAD, true, after(millis));
+        trial.announce_steps(LEAD, true, Heard::default(), after(millis));
         expect_that!(trial.share(after(millis)), lt(exposure()));
         expect_that!(trial.session_share(after(millis)), eq(Share::NONE));
     }
@@ -87,8 +88,8 @@
     expect_that!(trial.session_share(after(12_600)), lt(Share::WHOLE));
     // Sessions move soon: the next order may come right after this one.
     expect_that!(trial.session_share(after(14_500)), eq(Share::WHOLE));
-    expect_false!(trial.can_complete(after(15_000)));
-    expect_true!(trial.can_complete(after(22_000)));
+    expect_false!(trial.can_complete(Heard::default(), after(15_000)));
+    expect_true!(trial.can_complete(Heard::default(), after(22_000)));
 }
 
 #[gtest]
@@ -99,7 +100,7 @@
     let share = trial.session_share(after(20_000)).fraction();
     expect_that!(share, lt(2.0 * exposure().fraction()));
     expect_that!(trial.share(after(20_000)), lt(exposure()));
-    expect_false!(trial.can_complete(after(23_000)));
+    expect_false!(trial.can_complete(Heard::default(), after(23_000)));
 }
 
 #[gtest]
@@ -207,7 +208,7 @@
     }
     expect_false!(trial.is_bad());
     expect_that!(trial.share(late), eq(Share::WHOLE));
-    expect_true!(trial.can_complete(START + DURATION));
+    expect_true!(trial.can_complete(Heard::default(), START + DURATION));
 }
 
 /// A release was completed although a third more of its answers were bad than of the old one's.
@@ -231,7 +232,7 @@
     expect_that!(trial.share(end), lt(exposure()));
     let sessions = trial.session_share(end).fraction();
     expect_that!(sessions, lt(2.0 * exposure().fraction()));
-    expect_false!(trial.can_complete(end));
+    expect_false!(trial.can_complete(Heard::default(), end));
     expect_that!(trial.share(end + Span::from_secs(1)), eq(Share::NONE));
 }
 
@@ -397,7 +398,7 @@
         };
         first.record_answer(&service, &version, outcome);
     }
-    let reports = first.reports(&config(None), LEAD, after(3000));
+    let reports = first.reports(&config(None), LEAD, Heard::default(), after(3000));
     expect_that!(reports[0].ruling, some(eq(Ruling::Bad)));
     second.receive(reports, after(3000));
     expect_that!(
@@ -416,22 +417,22 @@
     let (service, version): (name::Service, name::Version) =
         ("advice".parse().unwrap(), "advice/v2".parse().unwrap());
     expect_that!(
-        releases.reports(&config(None), LEAD, after(0))[0].ruling_era,
+        releases.reports(&config(None), LEAD, Heard::default(), after(0))[0].ruling_era,
         none()
     );
     releases.record_written_ruling(&service, &version, Ruling::Good, Era(1));
-    let mut older = releases.reports(&config(None), LEAD, after(0));
+    let mut older = releases.reports(&config(None), LEAD, Heard::default(), after(0));
     expect_that!(older[0].ruling_era, some(eq(Era(1))));
     releases.record_written_ruling(&service, &version, Ruling::Good, Era(2));
     releases.receive(older.clone(), after(0));
     expect_that!(
-        releases.reports(&config(None), LEAD, after(0))[0].ruling_era,
+        releases.reports(&config(None), LEAD, Heard::default(), after(0))[0].ruling_era,
         some(eq(Era(2)))
     );
     older[0].ruling_era = Some(Era(3));
     releases.receive(older, after(0));
     expect_that!(
-        releases.reports(&config(None), LEAD, after(0))[0].ruling_era,
+        releases.reports(&config(None), LEAD, Heard::default(), after(0))[0].ruling_era,
         some(eq(Era(3)))
     );
 }
@@ -600,7 +601,7 @@
     informed.configure(&ordered, START);
     // The other knows no service yet.
     started.receive(
-        informed.reports(&ordered, LEAD, after(11_600)),
+        informed.reports(&ordered, LEAD, Heard::default(), after(11_600)),
         after(11_600),
     );
     let read_late = Config {
--- a/crates/quality/tests/work.rs
+++ b/crates/quality/tests/work.rs
@@ -7,6 +7,7 @@
 use entity::unit::Share;
 use entity::{Moment, Span, name, work};
 use googletest::prelude::*;
+use quality::hearing::Heard;
 use quality::release::{AnswerOutcome, Query, Releases, Report};
 use quality::trial::{Measure, Tally};
 use support::{START, before_the_order, config};
@@ -110,8 +111,9 @@
     let mut steps = Vec::new();
     for instances in SIZES {
         let mut releases = releases(instances);
-        let (reports, taken) =
-            work::measure(|| releases.reports(&config(None), LEAD, after(15_000)));
+        let (reports, taken) = work::measure(|| {
+            releases.reports(&config(None), LEAD, Heard::default(), after(15_000))
+        });
         expect_that!(reports.len(), eq(1));
         steps.push(taken);
     }
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -11,6 +11,7 @@
 use entity::unit::{Bytes, Share, Tokens};
 use entity::{Era, Generation, Moment, Span, id, name, sorted};
 use quality::governor::{Governor, Observation};
+use quality::hearing::Heard;
 use quality::release::{self, Releases};
 use quality::totals::TotalsUpdate;
 use quality::trial::Ruling;
@@ -174,7 +175,7 @@
         Box<UpstreamQuery>,
         oneshot::Sender<Result<f64, routing::Refusal>>,
     ),
-    Reports(Span, oneshot::Sender<Vec<release::Report>>),
+    Reports(Span, Heard, oneshot::Sender<Vec<release::Report>>),
     MergeReports(Vec<release::Report>, oneshot::Sender<bool>),
     EndTrial(name::Service, name::Version, Ruling, Era),
     RecordRequest(name::Service),
@@ -411,8 +412,8 @@
             ForwardMessage::Governor(service, reply) => {
                 let _ = reply.send(self.governor(&service, now).clone());
             }
-            ForwardMessage::Reports(lead, reply) => {
-                let _ = reply.send(self.release_reports(lead, now));
+            ForwardMessage::Reports(lead, heard, reply) => {
+                let _ = reply.send(self.release_reports(lead, heard, now));
             }
             ForwardMessage::MergeReports(reports, reply) => {
                 let _ = reply.send(self.releases.receive(reports, now));
@@ -484,11 +485,11 @@
         Ok(Assignment { version, basis })
     }
 
-    fn release_reports(&mut self, lead: Span, now: Moment) -> Vec<release::Report> {
+    fn release_reports(&mut self, lead: Span, heard: Heard, now: Moment) -> Vec<release::Report> {
         let Some(snapshot) = &self.snapshot else {
             return Vec::new();
         };
-        self.releases.reports(&snapshot.config, lead, now)
+        self.releases.reports(&snapshot.config, lead, heard, now)
     }
 
     fn set_members(&mut self, members: Members, begun: Moment, ended: Moment) {
--- a/crates/server/src/decider/handle.rs
+++ b/crates/server/src/decider/handle.rs
@@ -254,13 +254,13 @@
     }
 
     /// Returns reports on trials of releases, to be sent to peers. They reach all instances within
-    /// `lead`.
+    /// `lead`; `heard` is what the messages of peers show.
     ///
     /// # Errors
     ///
     /// The instance is shutting down.
-    pub async fn reports(&self, lead: Span) -> Result<Vec<release::Report>, Closed> {
-        self.ask(|reply| Message::Forward(ForwardMessage::Reports(lead, reply)))
+    pub async fn reports(&self, lead: Span, heard: Heard) -> Result<Vec<release::Report>, Closed> {
+        self.ask(|reply| Message::Forward(ForwardMessage::Reports(lead, heard, reply)))
             .await
     }
 
@@ -273,7 +273,7 @@
         merged.unwrap_or_default()
     }
 
-    /// Ends the trial of a release once its ruling is in the store, in an era of it.
+    /// Ends the trial of a release by the ruling that is in the store, in an era of it.
     pub async fn record_written_ruling(
         &self,
         service: name::Service,
--- a/crates/server/src/forward/peers.rs
+++ b/crates/server/src/forward/peers.rs
@@ -6,6 +6,8 @@
 //! ruling from the same evidence. The first in a rendezvous order writes it; the others write it
 //! only if it is not written in time.
 
+mod rulings;
+
 use crate::build;
 use crate::decider::Closed;
 use crate::forward::builds::Builds;
@@ -31,8 +33,9 @@
 use forward::{Followed, Source, ZoneRegions};
 use peer::beacon::{self, Datagram, Socket};
 use peer::message::{self, Beacon};
+use quality::hearing::Hearing;
 use quality::release::Report;
-use quality::trial::Ruling;
+use quality::ruling;
 use routing::Members;
 use routing::membership::{Membership, Peer};
 use std::net::SocketAddr;
@@ -59,8 +62,6 @@
 /// Number of peers that one beacon mentions; the beacons of a round mention each peer several
 /// times.
 const PEERS_PER_BEACON: usize = 8;
-/// Time that each instance in the rendezvous order waits for the one before it to write a ruling.
-const RANK_DELAY: Span = Span::from_millis(500);
 /// Number of instances that read the store for all.
 const READER_COUNT: usize = 2;
 /// Rendezvous key by which the readers of the store, and the instances that try held requests again,
@@ -89,22 +90,13 @@
     pub feed: feed::Handle,
 }
 
-/// A ruling that waits to be written.
-#[derive(Clone, Debug)]
-struct PendingRuling {
-    service: name::Service,
-    /// Era of the store in which it is to be written.
-    era: Era,
-    target: name::Version,
-    since: Moment,
-}
-
 struct Task<S> {
     parts: Parts,
     source: S,
     socket: Socket,
     peers: Membership,
-    pending: Vec<PendingRuling>,
+    rulings: ruling::Writer,
+    hearing: Hearing,
     trials: trial_log::Log,
     version: u64,
     /// This run of the process, as its messages name it.
@@ -137,7 +129,8 @@
         parts,
         source,
         socket,
-        pending: Vec::new(),
+        rulings: ruling::Writer::default(),
+        hearing: Hearing::default(),
         trials: trial_log::Log::default(),
         version: 0,
         run: Run(rand::random()),
@@ -196,8 +189,11 @@
     }
 
     /// Returns reports on trials, for the peers.
-    async fn reports(&self) -> Result<Vec<Report>, Closed> {
-        self.parts.shared.core.decider.reports(STEP_LEAD).await
+    async fn reports(&mut self) -> Result<Vec<Report>, Closed> {
+        let live = self.peers.live_peers(self.now()).count();
+        let heard = self.hearing.heard(live, boot_time());
+        let decider = &self.parts.shared.core.decider;
+        decider.reports(STEP_LEAD, heard).await
     }
 
     /// Writes this instance's entry, then reads those of its peers: of two instances that join at
@@ -298,6 +294,9 @@
             }
         }
         let sent = self.sending_time(beacon, &name, address).await;
+        if let Some(sent) = sent {
+            self.hearing.record(&name, sent);
+        }
         let shared = &self.parts.shared;
         let age = sent.map(|sent| boot_time().since(sent));
         evidence::receive(&shared.core, &name, beacon, age).await;
@@ -345,7 +344,7 @@
 
     /// Sends the state to an instance that has started: it doesn't know the age of an order that is
     /// under way.
-    async fn answer_newcomer(&self, beacon: &Beacon, address: SocketAddr) {
+    async fn answer_newcomer(&mut self, beacon: &Beacon, address: SocketAddr) {
         let Some((near, far)) = self.payloads(beacon.run).await else {
             return;
         };
@@ -356,7 +355,7 @@
     }
 
     /// Sends news of a trial to peers without waiting for the next round.
-    async fn pass_on(&self) {
+    async fn pass_on(&mut self) {
         if let Some(payloads) = self.payloads(None).await {
             self.send(payloads).await;
         }
@@ -364,7 +363,7 @@
 
     /// Encodes what this instance tells its peers in their own zone and in other ones, or a newcomer of
     /// this run.
-    async fn payloads(&self, answered_run: Option<i64>) -> Option<(Vec<u8>, Vec<u8>)> {
+    async fn payloads(&mut self, answered_run: Option<i64>) -> Option<(Vec<u8>, Vec<u8>)> {
         // The decider ends only when the instance is closing.
         let reports = self.reports().await.ok()?;
         let beacon = Beacon {
@@ -672,74 +671,6 @@
         decider.set_members(members, now, now).await;
     }
 
-    /// Writes rulings whose waiting time for this instance's rank has passed.
-    async fn write_due_rulings(&mut self, reports: &[Report]) {
-        let now = self.now();
-        for report in reports {
-            let era = self.parts.shared.freshness.era();
-            let due = match report.ruling {
-                Some(_) if report.ruling_era.is_some_and(|written| written >= era) => None,
-                None if report.can_complete => Some(Ruling::Good),
-                ruling => ruling,
-            };
-            let Some(ruling) = due else {
-                continue;
-            };
-            let wait =
-                Span::from_micros(RANK_DELAY.as_micros() * self.rank(report.service.as_str(), now));
-            if now.since(self.pending_since(report, era, now)) < wait {
-                continue;
-            }
-            self.write_ruling(report, ruling, era).await;
-        }
-    }
-
-    async fn write_ruling(&mut self, report: &Report, ruling: Ruling, era: Era) {
-        let progress = match ruling {
-            Ruling::Good => config::Progress::Completed,
-            Ruling::Bad => config::Progress::RolledBack,
-        };
-        let release = report.target.as_str();
-        let release = release.rsplit_once('/').map_or(release, |(_, last)| last);
-        let written = self.source.report(&report.service, release, progress);
-        if let Err(error) = written.await {
-            // The next round retries.
-            self.record_outage("store", &error.to_string());
-            return;
-        }
-        let core = &self.parts.shared.core;
-        core.recorder
-            .event(Kind::Judged)
-            .text("service", &report.service)
-            .text("target", &report.target)
-            .text("ruling", format!("{ruling:?}"))
-            .text("age", report.age)
-            .text("evidence", trial_log::evidence(report.sum))
-            .record();
-        core.decider
-            .record_written_ruling(report.service.clone(), report.target.clone(), ruling, era)
-            .await;
-    }
-
-    /// Returns the time since which a ruling has been waiting to be written in an era.
-    fn pending_since(&mut self, report: &Report, era: Era, now: Moment) -> Moment {
-        let found = self.pending.iter().find(|pending| {
-            pending.service == report.service
-                && pending.target == report.target
-                && pending.era == era
-        });
-        if let Some(pending) = found {
-            return pending.since;
-        }
-        self.pending.push(PendingRuling {
-            service: report.service.clone(),
-            target: report.target.clone(),
-            era,
-            since: now,
-        });
-        now
-    }
-
     /// Returns the rank of this instance in the rendezvous order of a key.
     fn rank(&self, key: &str, now: Moment) -> u64 {
         self.own_rank(key, now).unwrap_or_default() as u64
