Refuse what waits at a shutdown, and answer what still runs at its end

Cause: only the resolution of a request asked whether the instance closes. Queues went on until the process ended, and the runtime dropped the rest before it could answer. Ruled out: refusals that were lost.

The phases of a shutdown follow from the grace period. After the notice to the load balancer, at most half of the period, the queues are closed: what waits is refused with 503 and Retry-After, and nothing waits any more. At the end, requests without the beginning of an answer get 502.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod hop;
 mod positions;
 mod resolve;
+pub mod shutdown;
 pub mod source;
 pub mod updates;
 
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -49,6 +49,9 @@
     /// The request would not be served before its deadline.
     #[error("it would wait beyond its deadline")]
     Late,
+    /// The queue is closed.
+    #[error("no request waits any more")]
+    Closed,
 }
 
 /// A request that is rejected at once, without being run.
@@ -109,6 +112,7 @@
     learned_at: Option<Moment>,
     /// Least time between two served requests that the upstreams allow, in seconds.
     pace: f64,
+    is_closed: bool,
 }
 
 impl<T> Queue<T> {
@@ -122,6 +126,7 @@
             interval: 0.0,
             learned_at: None,
             pace: 0.0,
+            is_closed: false,
         }
     }
 
@@ -204,6 +209,9 @@
         now: Moment,
     ) -> Option<Shed<T>> {
         debug_assert!(entry.cost > 0);
+        if self.is_closed {
+            return Some(self.shed(entry, Cause::Closed, MIN_RETRY_AFTER));
+        }
         let is_old = |at: &Moment| now.since(*at) >= INTERVAL_TTL;
         if self.learned_at.take_if(|at| is_old(at)).is_some() {
             self.interval = 0.0;
@@ -261,6 +269,16 @@
         None
     }
 
+    /// Closes the queue: no request waits any more. Returns those that did.
+    pub fn close(&mut self) -> Vec<Shed<T>> {
+        self.is_closed = true;
+        let flows = self.flows.iter_mut();
+        let waiting: Vec<_> = flows.flat_map(|flow| flow.entries.drain(..)).collect();
+        let shed = waiting.into_iter();
+        shed.map(|entry| self.shed(entry, Cause::Closed, MIN_RETRY_AFTER))
+            .collect()
+    }
+
     /// Removes and returns the requests whose deadline has passed.
     pub fn expire(&mut self, now: Moment) -> Vec<Shed<T>> {
         let mut expired = Vec::new();
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -588,7 +588,7 @@
         | Reason::NotServed
         | Reason::Region
         | Reason::Deadline => None,
-        Reason::Generation => Some(Span::ZERO),
+        Reason::Generation | Reason::Closing => Some(Span::ZERO),
         Reason::Excluded | Reason::Late | Reason::Full | Reason::Resting | Reason::Limited => {
             Some(CAPACITY_RETRY_AFTER)
         }
--- a/crates/routing/src/filter.rs
+++ b/crates/routing/src/filter.rs
@@ -85,6 +85,9 @@
     /// The upstream is at its limit.
     #[error("the upstream is at its limit")]
     Full,
+    /// The instance is being shut down, so that the request can't wait for an upstream.
+    #[error("this instance is being shut down; another one serves")]
+    Closing,
 }
 
 /// The properties of a request that the filter uses.
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -370,3 +370,23 @@
         assert_eq!(queue.len() + shed, pushed);
     }
 }
+
+/// Guards against requests that wait in an instance until it ends: none waits any more in a closed queue.
+#[gtest]
+fn closed_queue_sheds_all_requests() {
+    let mut queue = Queue::new(1000);
+    let (one, two) = (organisation("one"), organisation("two"));
+    for item in 0..3 {
+        expect_that!(queue.push(&one, entry(item), START), none());
+        expect_that!(queue.push(&two, entry(10 + item), START), none());
+    }
+    let shed = queue.close();
+    expect_true!(shed.iter().all(|one| one.cause == Cause::Closed));
+    let mut items: Vec<u32> = shed.iter().map(|one| one.entry.item).collect();
+    items.sort_unstable();
+    expect_that!(items, eq(&vec![0, 1, 2, 10, 11, 12]));
+    expect_true!(queue.is_empty());
+    let late = queue.push(&one, entry(20), START);
+    expect_that!(late.map(|shed| shed.cause), some(eq(Cause::Closed)));
+    expect_true!(queue.is_empty());
+}
--- a/crates/server/src/core.rs
+++ b/crates/server/src/core.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use timeline::{Metrics, Recorder};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Longest wait for a configuration that the decider has applied before it is in force here.
@@ -34,6 +35,8 @@
     pub draining: AtomicBool,
     /// Set when no new request is accepted any more.
     pub closing: AtomicBool,
+    /// Cancelled when requests that still run are given up.
+    pub giving_up: CancellationToken,
 }
 
 impl Core {
@@ -55,6 +58,7 @@
             metric,
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            giving_up: CancellationToken::new(),
         }
     }
 
--- a/crates/server/src/decider.rs
+++ b/crates/server/src/decider.rs
@@ -158,6 +158,7 @@
     TakeUnsentTotals(oneshot::Sender<Vec<TotalsUpdate>>),
     Reserves(oneshot::Sender<Vec<reserve::Usage>>),
     Leave,
+    Close,
     Forward(ForwardMessage),
 }
 
@@ -389,6 +390,7 @@
             }
             Message::Forward(message) => self.handle_forward(message, now),
             Message::Leave => self.balancer.leave(now),
+            Message::Close => self.waiting.close(),
         }
     }
 
--- a/crates/server/src/decider/handle.rs
+++ b/crates/server/src/decider/handle.rs
@@ -380,4 +380,9 @@
     pub async fn leave(&self) {
         self.send(Message::Leave).await;
     }
+
+    /// Refuses all requests that wait for an upstream, and those that would have to from now on.
+    pub async fn close(&self) {
+        self.send(Message::Close).await;
+    }
 }
--- a/crates/server/src/forward/front.rs
+++ b/crates/server/src/forward/front.rs
@@ -7,10 +7,12 @@
 use crate::forward::key_validity::boot_time;
 use crate::forward::notices::Notices;
 use crate::forward::paths::Paths;
-use crate::forward::run::{Run, timeline_id};
+use crate::forward::run::{Run, align_status, timeline_id};
+use crate::tries;
 use caller::Refusal;
 use caller::forward::{Arrival, Handler, Reply};
 use config::Move;
+use entity::request::Ran;
 use forward::Followed;
 use quarantine::Part;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -99,7 +101,13 @@
             id: timeline_id(&arrival.request.head.id),
             arrival,
         });
-        let answer = run.run().await;
+        let answer = tokio::select! {
+            biased;
+            answer = run.run() => answer,
+            () = core.giving_up.cancelled() => {
+                Err(align_status(tries::closing(Ran::Maybe), Ran::Maybe))
+            }
+        };
         run.record_result(&answer);
         answer.unwrap_or_else(Reply::Refused)
     }
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -18,6 +18,7 @@
 use config::forward::Limits;
 use entity::Span;
 use entity::unit::Share;
+use forward::shutdown::Phases;
 use forward::{Dialect, Source, ZoneRegions};
 use rand::Rng;
 use routing::Bounds;
@@ -43,11 +44,6 @@
 /// Repeats that each instance may send beyond the share. The configured extra is divided without
 /// knowledge of the number of instances.
 const EXTRA_REPEATS: u32 = 1;
-/// Time for which an instance that is being shut down goes on as before: the load balancer probes
-/// it once a second and takes it out after two failures.
-const READINESS_NOTICE: Duration = Duration::from_millis(2700);
-/// Time before the end of the grace period at which remaining requests are aborted.
-const ABORT_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which the shutdown checks whether every stream has ended.
 const STREAMS_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -188,21 +184,29 @@
             .record();
     }
 
-    /// Shuts down: reports that it is not ready while it still serves every connection, then closes
-    /// idle connections. Returns whether every request was answered within the grace period.
+    /// Shuts down: reports that it is not ready while it still serves every connection, then refuses
+    /// what waits and closes idle connections, and at last gives up what still runs. Returns whether every
+    /// request came to its own end within the grace period.
     pub async fn shutdown(self) -> bool {
         let begun = Instant::now();
-        let end = begun + self.grace.duration().saturating_sub(ABORT_MARGIN);
+        let phases = Phases::within(self.grace);
         let core = &self.shared.core;
         core.draining.store(true, Ordering::Relaxed);
         core.recorder.event(Kind::Draining).record();
         self.shutdown.leaving.cancel();
-        let notice = (begun + READINESS_NOTICE).min(end);
-        tokio::time::sleep_until(notice).await;
+        tokio::time::sleep_until(begun + phases.closing.duration()).await;
         core.closing.store(true, Ordering::Relaxed);
+        core.decider.close().await;
         self.shutdown.closing.cancel();
-        let closed = tokio::time::timeout_at(end, self.closed()).await;
+        let given_up = begun + phases.giving_up.duration();
+        let closed = tokio::time::timeout_at(given_up, self.closed()).await;
         let whole = closed.is_ok();
+        if !whole {
+            core.giving_up.cancel();
+            // Callers whose answers have not begun get one; streams end visibly incomplete.
+            let exit = begun + phases.exit.duration();
+            let _ = tokio::time::timeout_at(exit, self.front.closed()).await;
+        }
         core.recorder
             .event(Kind::Stopped)
             .flag("whole", whole)
--- a/crates/server/src/instance.rs
+++ b/crates/server/src/instance.rs
@@ -156,6 +156,7 @@
         self.context.core.decider.leave().await;
         // Load balancers can see that the instance is not ready before it refuses connections.
         tokio::time::sleep(READINESS_NOTICE).await;
+        self.context.core.decider.close().await;
         self.closing.cancel();
         let answered = async {
             self.front.closed().await;
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -502,6 +502,7 @@
         Why::Full => (StatusCode::TOO_MANY_REQUESTS, "overloaded"),
         Why::Late => (StatusCode::TOO_MANY_REQUESTS, "late"),
         Why::Generation => (StatusCode::SERVICE_UNAVAILABLE, "configuration-changed"),
+        Why::Closing => (StatusCode::SERVICE_UNAVAILABLE, "closing"),
     };
     let refused = Refusal::not_run(status, code, refusal.reason.to_string());
     match refusal.retry_after {
--- a/crates/server/src/waiting.rs
+++ b/crates/server/src/waiting.rs
@@ -48,6 +48,7 @@
     live: Arc<[name::Instance]>,
     /// Record of how much reserved capacity is used, lent and idle.
     ledger: reserve::Ledger,
+    is_closed: bool,
 }
 
 impl WaitQueues {
@@ -61,6 +62,7 @@
             own,
             live,
             ledger: reserve::Ledger::new(0, Moment(0)),
+            is_closed: false,
         }
     }
 
@@ -153,6 +155,17 @@
         match shed.cause {
             Cause::Late => refuse(shed, Reason::Late),
             Cause::Full => refuse(shed, Reason::Full),
+            Cause::Closed => refuse(shed, Reason::Closing),
+        }
+    }
+
+    /// Refuses all requests that wait, and those that would have to from now on.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+        for (_, queue) in &mut self.queues {
+            for shed in queue.close() {
+                refuse(shed, Reason::Closing);
+            }
         }
     }
 
@@ -252,6 +265,9 @@
     fn queue(&mut self, pool: &Pool) -> &mut Queue<PendingRequest> {
         sorted::entry(&mut self.queues, pool, || {
             let mut queue = Queue::new(self.bound);
+            if self.is_closed {
+                queue.close();
+            }
             set_shares(&mut queue, &self.config, &self.own, &self.live);
             queue
         })
