Keep a silent stream until another upstream has a place for it

Cause: a run was ended for its silence before it was known that another one can follow: with all tries used, the bound on repeats used up, no place at another upstream, or the instance closing. Ruled out: changes of the configuration, as many are cut without them.

A place is sought first: a try that is left, a choice, a permission to repeat.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod fold;
 pub mod follow;
 mod followed;
+pub mod handover;
 pub mod head;
 pub mod hop;
 mod positions;
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -17,6 +17,7 @@
 mod paths;
 mod payload;
 mod peers;
+mod place;
 mod probe;
 pub mod reach;
 mod relay;
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -29,7 +29,6 @@
 use routing::estimate::length::Claim;
 use routing::{Choice, Outcome, Priority, hash};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
 use timeline::{Counter, Kind, Timer};
 use tokio::sync::mpsc;
 
@@ -51,8 +50,9 @@
 /// Share of the latency objective after which a try times out that has not given its whole answer,
 /// so that a second try can still meet the objective.
 const WHOLE_ANSWER_TIMEOUT_SHARE: f64 = 0.6;
-/// Number of the route's longest permitted pauses after which a silent stream is resumed elsewhere.
-const STALL_PAUSE_COUNT: u32 = 2;
+/// Number of the route's longest permitted pauses after which a silent stream is handed over to another
+/// upstream.
+const PATIENCE_GAP_COUNT: f64 = 2.0;
 /// Number of pieces of a stream that are buffered for a slow caller.
 const PIECE_BUFFER_CAPACITY: usize = 8;
 /// Age of the configuration from which a route or key that is not found may exist in a newer one.
@@ -410,7 +410,7 @@
             repeat: resolved.route.repeat,
             history: std::mem::take(history),
             last_event: self.arrival.request.head.last_event,
-            stall_timeout: stall_timeout(&resolved.route),
+            patience: patience(&resolved.route),
             kind: request_kind(&resolved.route, model.as_ref()),
             model,
             pieces,
@@ -609,13 +609,12 @@
     Some(regions.into())
 }
 
-/// Returns the longest time without a whole event from an upstream within its answer. A stream that
-/// can't be resumed is waited for up to the route's timeout.
-fn stall_timeout(route: &Forward) -> Duration {
-    match (route.repeat, route.max_event_gap) {
-        (Repeat::Resumable, Some(max_event_gap)) => max_event_gap.duration() * STALL_PAUSE_COUNT,
-        _ => route.timeout.duration(),
-    }
+/// Returns the time without a whole event after which a stream is handed over to another upstream; `None`
+/// if it can't be resumed.
+fn patience(route: &Forward) -> Option<Span> {
+    let gap = route.max_event_gap?;
+    let is_resumable = route.repeat == Repeat::Resumable;
+    is_resumable.then(|| gap.scaled(PATIENCE_GAP_COUNT))
 }
 
 /// Returns the refusal with a status that agrees with what is known about the request. A status
--- a/crates/server/src/tries.rs
+++ b/crates/server/src/tries.rs
@@ -58,7 +58,7 @@
 }
 
 /// The outcomes of the tries of a request so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct History {
     /// Upstreams that were tried.
     excluded: Vec<name::Upstream>,
@@ -116,7 +116,7 @@
     }
 
     /// Returns whether another try of a job is allowed.
-    fn can_try(&self, job: &Job) -> bool {
+    pub fn can_try(&self, job: &Job) -> bool {
         let again = job.repeatable || self.runs == 0;
         again && self.runs < job.max_runs && self.tries() < job.max_tries
     }
@@ -262,19 +262,40 @@
     job: &Job,
     history: &mut History,
     dispatch: &D,
+) -> Result<Accepted<D::Value>, Abort> {
+    resume_with(core, job, history, dispatch, None).await
+}
+
+/// Dispatches a job like [`resume`], the first time to an upstream that was chosen before.
+///
+/// # Errors
+///
+/// See [`resume`].
+pub async fn resume_with<D: Dispatch>(
+    core: &Core,
+    job: &Job,
+    history: &mut History,
+    dispatch: &D,
+    mut chosen: Option<Choice>,
 ) -> Result<Accepted<D::Value>, Abort> {
     let held = |refusal: Refusal, ran| {
         let ran = refusal.ran.max(ran);
         Abort::Refused(Refusal { ran, ..refusal })
     };
     while history.can_try(job) {
-        dispatch
-            .check()
-            .map_err(|refusal| held(refusal, history.ran()))?;
-        let choice = tokio::select! {
-            biased;
-            chosen = choose(core, job, history) => chosen?,
-            refusal = dispatch.wait_for_hold() => return Err(held(refusal, history.ran())),
+        if let Err(refusal) = dispatch.check() {
+            if let Some(choice) = chosen.take() {
+                core.decider.finish(choice, Outcome::Cancelled).await;
+            }
+            return Err(held(refusal, history.ran()));
+        }
+        let choice = match chosen.take() {
+            Some(choice) => choice,
+            None => tokio::select! {
+                biased;
+                chosen = choose(core, job, history) => chosen?,
+                refusal = dispatch.wait_for_hold() => return Err(held(refusal, history.ran())),
+            },
         };
         dispatch.wait_for_state().await;
         if let Err(refusal) = dispatch.check() {
@@ -366,7 +387,13 @@
     }
 }
 
-async fn choose(core: &Core, job: &Job, history: &History) -> Result<Choice, Abort> {
+/// Chooses an upstream for the next try of a job, and waits for a place where none is free. The choice must be
+/// finished.
+///
+/// # Errors
+///
+/// The configuration changed, or the balancer refuses the job.
+pub async fn choose(core: &Core, job: &Job, history: &History) -> Result<Choice, Abort> {
     let ran = history.ran();
     let chosen = tokio::select! {
         biased;
