Take an empty rest for the end of a stream only where it shows its end

Cause: a resumed run without events counted as the end, since the last event may have come before. Without a length or chunks that is only the end of a connection. The next upstream is asked now, or the stream ends visibly incomplete.

--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -262,8 +262,9 @@
             if first.is_none() && !ended {
                 continue;
             }
-            // A stream that was resumed may have had its last event before.
-            let is_missing = first.is_none() && self.last_event.is_none();
+            // A stream that was resumed may have had its last event before, if its end shows.
+            let may_be_empty = self.last_event.is_some() && response.is_delimited();
+            let is_missing = first.is_none() && !may_be_empty;
             if ended && (is_missing || !splitter.is_empty()) {
                 return Err(Failure::may_have_run(Reason::Truncated));
             }
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
@@ -333,6 +333,13 @@
 }
 
 impl IncomingAnswer {
+    /// Returns whether the body shows its own end. Otherwise it ends with the connection, which also ends with
+    /// the process of the upstream.
+    pub fn is_delimited(&self) -> bool {
+        let has = |name| self.headers.contains_key(name);
+        has(CONTENT_LENGTH) || has(TRANSFER_ENCODING)
+    }
+
     /// Returns the next piece of the body, or `None` at its end.
     ///
     /// # Errors
