Record the messages about frames as the build before reads them

A question that asks for frames and an answer that confirms them, as this build encodes them. Build has read these bytes (in a scratch copy of it); what it writes was recorded before and has neither field. No code is changed.

--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -12,6 +12,7 @@
 use peer::tunnel;
 use recorded::definition::{self, Member};
 use recorded::messages;
+use thrift::protocol::{TCompactOutputProtocol, TSerializable};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -19,6 +20,8 @@
 const MESSAGES: &str = include_str!("recorded/041d6c8.hex");
 /// A beacon as build 984ea69 encoded it, and one of this build that it has read.
 const LATER_MESSAGES: &str = include_str!("recorded/984ea69.hex");
+/// A question for a connection and its answer as this build encodes them, which build 01c4e79 has read.
+const FRAMED_MESSAGES: &str = include_str!("recorded/01c4e79.hex");
 /// Members of the structs, unions and enums in that build's `fellow.thrift`.
 const DEFINITION: &str = include_str!("recorded/041d6c8.fields");
 const CURRENT: &str = include_str!("../fellow.thrift");
@@ -38,6 +41,14 @@
         .collect()
 }
 
+/// Encodes a message in the compact protocol.
+fn encode(message: &impl TSerializable) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut protocol = TCompactOutputProtocol::new(&mut bytes);
+    message.write_to_out_protocol(&mut protocol).unwrap();
+    bytes
+}
+
 #[gtest]
 fn recorded_datagrams_are_read_and_written_alike() {
     let bare = messages::bare_beacon();
@@ -109,6 +120,24 @@
     assert_eq!(answer, messages::opened());
 }
 
+/// The build before frames skips the fields that ask for them and confirm them. What it writes itself is
+/// recorded above: it neither asks nor confirms.
+#[gtest]
+fn build_01c4e79_reads_messages_about_frames() {
+    let question = Tunnel::new("10.0.1.4:8080".to_owned(), true);
+    expect_that!(
+        encode(&question),
+        eq(&bytes_of(FRAMED_MESSAGES, "framed-tunnel"))
+    );
+    let answer = Opened::new(String::new(), true);
+    expect_that!(
+        encode(&answer),
+        eq(&bytes_of(FRAMED_MESSAGES, "framed-opened"))
+    );
+    expect_that!(messages::tunnel().framed, none());
+    expect_that!(messages::opened().framed, none());
+}
+
 #[gtest]
 fn definitions_only_grow_by_optional_fields() {
     let recorded = definition::read_table(DEFINITION);
