--- /dev/null
+++ b/tests/deadly_parts/upstream.rs
@@ -0,0 +1,204 @@
+//! Upstreams of one service that end, with all their connections, at a moment of each run of a prompt with a
+//! certain part, and return under another id at another address.
+
+use crate::support::store::FakeStore;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// Part that ends upstreams.
+pub const DEADLY_PART: &str = "bad1:300";
+/// Time from the end of an upstream to its return.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+/// Time from a request to the head of its answer.
+const HEAD_TIME: Duration = Duration::from_millis(50);
+/// Time from the head of an answer, or from an event, to the next event.
+const EVENT_TIME: Duration = Duration::from_millis(150);
+/// Time from what precedes the end of an upstream to the end.
+const END_TIME: Duration = Duration::from_millis(30);
+
+/// What an upstream has sent of an answer when it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing.
+    Waiting,
+    /// The head.
+    Head,
+    /// So many events.
+    Events(u32),
+    /// The whole answer.
+    Whole,
+}
+
+/// The upstreams, and what they received.
+#[derive(Clone)]
+pub struct Upstreams {
+    store: FakeStore,
+    stage: Stage,
+    /// Number of events of an answer.
+    event_count: u32,
+    /// Arrivals of prompts with the part.
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    ends: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl Upstreams {
+    /// Starts upstreams and registers them in a store.
+    pub async fn spawn(count: usize, stage: Stage, event_count: u32, store: FakeStore) -> Self {
+        let upstreams = Self {
+            store,
+            stage,
+            event_count,
+            arrivals: Arc::default(),
+            ends: Arc::default(),
+        };
+        for number in 0..count {
+            let listener = upstreams.register(number, 0).await;
+            tokio::spawn(upstreams.clone().run(number, listener));
+        }
+        upstreams
+    }
+
+    /// Returns the number of ends.
+    pub fn end_count(&self) -> usize {
+        self.ends.lock().unwrap().len()
+    }
+
+    /// Returns the number of arrivals of the part later than `grace` after the end numbered `number`.
+    pub fn arrivals_after(&self, number: usize, grace: Duration) -> usize {
+        let ends = self.ends.lock().unwrap();
+        let Some(&end) = ends.get(number - 1) else {
+            return 0;
+        };
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals.iter().filter(|&&at| at > end + grace).count()
+    }
+
+    async fn register(&self, number: usize, life: u32) -> TcpListener {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let entry = format!(
+            r#"{{"service":"llm","address":"{}","zone":"a","version":"v1","slots":16,"state":"ready","born":{}}}"#,
+            listener.local_addr().unwrap(),
+            life + 1
+        );
+        self.store.put("keyed.servers", &id(number, life), &entry);
+        listener
+    }
+
+    async fn run(self, number: usize, mut listener: TcpListener) {
+        for life in 0.. {
+            self.live(listener).await;
+            self.ends.lock().unwrap().push(Instant::now());
+            sleep(RESTART_TIME).await;
+            self.store.drop_key("keyed.servers", &id(number, life));
+            listener = self.register(number, life + 1).await;
+        }
+    }
+
+    /// Serves until a prompt with the part has come as far as the stage.
+    async fn live(&self, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let (stream, _) = accepted.unwrap();
+                    connections.spawn(self.clone().serve(stream));
+                }
+                Some(is_end) = connections.join_next() => if is_end.unwrap() {
+                    return;
+                },
+            }
+        }
+    }
+
+    /// Serves a connection. Returns whether the upstream ends.
+    async fn serve(self, mut stream: TcpStream) -> bool {
+        while let Some(head) = read_head(&mut stream).await {
+            let is_deadly = head.contains(DEADLY_PART);
+            if is_deadly {
+                self.arrivals.lock().unwrap().push(Instant::now());
+            }
+            match self.answer(&mut stream, &head, is_deadly).await {
+                Ok(true) => return true,
+                Ok(false) => {}
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    /// Streams an answer. Returns whether the upstream ends.
+    async fn answer(
+        &self,
+        stream: &mut TcpStream,
+        head: &str,
+        is_deadly: bool,
+    ) -> std::io::Result<bool> {
+        let ends_at = |stage| is_deadly && stage == self.stage;
+        if ends_at(Stage::Waiting) {
+            sleep(END_TIME).await;
+            return Ok(true);
+        }
+        sleep(HEAD_TIME).await;
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {}\r\nserver-seal: 3e1b\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            value(head, "request-id")
+        );
+        stream.write_all(answer.as_bytes()).await?;
+        if ends_at(Stage::Head) {
+            sleep(END_TIME).await;
+            return Ok(true);
+        }
+        let last: u32 = value(head, "last-event-id").parse().unwrap_or(0);
+        for event in last + 1..=self.event_count {
+            sleep(EVENT_TIME).await;
+            let data = format!("id: {event}\ndata: e{event}\n\n");
+            let chunk = format!("{:x}\r\n{data}\r\n", data.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            if ends_at(Stage::Events(event)) {
+                sleep(END_TIME).await;
+                return Ok(true);
+            }
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+        if ends_at(Stage::Whole) {
+            sleep(END_TIME).await;
+            return Ok(true);
+        }
+        Ok(false)
+    }
+}
+
+fn id(number: usize, life: u32) -> String {
+    format!("i-{number}-{life}")
+}
+
+/// Reads the lower-case head of a request, and skips its body; none at the end of the connection.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut buffer = Vec::new();
+    loop {
+        if let Some(end) = buffer.windows(4).position(|end| end == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).to_lowercase();
+            let length: usize = value(&head, "content-length").parse().unwrap_or(0);
+            if buffer.len() >= end + 4 + length {
+                return Some(head);
+            }
+        }
+        let mut piece = [0; 4096];
+        match stream.read(&mut piece).await {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => buffer.extend_from_slice(&piece[..count]),
+        }
+    }
+}
+
+/// Returns the value of a header in a lower-case head; empty if it is missing.
+fn value<'a>(head: &'a str, name: &str) -> &'a str {
+    let mut lines = head.lines();
+    let found = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+    found.unwrap_or_default()
+}
