Log upstreams that end right after a whole answer

Connections are watched for a second after a whole answer; one for which the pool has no room is closed only then. A line lost with "after" says that the upstream closed it without notice. No decision changes.

--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use crate::core::Core;
 use crate::decider::Closed;
+use crate::forward::aftermath;
 use crate::forward::key_validity::boot_time;
 use crate::forward::run::{self, Resolved, Run};
 use crate::tries::{Dispatch, TryLimits};
@@ -148,10 +149,17 @@
         urgency::of(self.route().priority, LEAST_URGENT_PRIORITY, work)
     }
 
-    async fn read_whole(&self, response: IncomingAnswer, end: Instant) -> Result<Answer, Failure> {
+    async fn read_whole(
+        &self,
+        choice: &Choice,
+        response: IncomingAnswer,
+        end: Instant,
+    ) -> Result<Answer, Failure> {
         let status = response.status;
         let headers = end_to_end_headers(&response.headers);
+        let watch = response.watch();
         let body = response.collect(end).await?;
+        aftermath::follow(self.run, &choice.upstream, watch);
         let forwarded = Forwarded {
             status,
             headers,
@@ -414,7 +422,7 @@
                 self.read_first_events(response, is_droppable, try_deadline)
                     .await
             }
-            Ok(response) => self.read_whole(response, try_deadline).await,
+            Ok(response) => self.read_whole(choice, response, try_deadline).await,
             Err(failure) => Err(failure),
         };
         self.record_lost(choice, &answer, (sent, begun));
--- a/crates/server/src/forward/mod.rs
+++ b/crates/server/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! It uses the same decider and the same tries as the chat front. Its configuration and the set of
 //! upstreams come from a store instead of the log.
 
+mod aftermath;
 pub mod builds;
 mod dispatcher;
 mod evidence;
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a stream from an upstream to the caller.
 
+use crate::forward::aftermath;
 use crate::forward::dispatcher::{Answer, OpenStream};
 use crate::forward::holds;
 use crate::forward::place::{self, Place, Sought};
@@ -113,6 +114,7 @@
         let outcome = Outcome::Done { first_token: None };
         core.decider.finish(choice, outcome).await;
         self.record_sound();
+        aftermath::follow(&self.run, &upstream, stream.response.watch());
         core.recorder
             .event(Kind::Answered)
             .request(self.run.id)
--- a/crates/upstream/src/forward.rs
+++ b/crates/upstream/src/forward.rs
@@ -3,6 +3,7 @@
 //! A connection carries one request at a time. It is reused only after a complete answer, so that stray
 //! bytes are dropped together with their connection.
 
+use crate::close::{self, Watch};
 use crate::dial::Dialer;
 use crate::failure::{Failure, Reason};
 use crate::meter::{Allowance, Meter};
@@ -15,8 +16,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, StatusCode};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Request, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -87,6 +88,7 @@
     pub headers: HeaderMap,
     /// Values that the dialect parsed from the headers.
     pub head: Answer,
+    version: Version,
     body: Incoming,
     connection: Connection,
     pool: Pool,
@@ -118,6 +120,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
+    watch: Watch,
     task: AbortHandle,
 }
 
@@ -189,6 +192,7 @@
             status: parts.status,
             headers: parts.headers,
             head,
+            version: parts.version,
             body,
             connection,
             pool: self.clone(),
@@ -212,14 +216,17 @@
             .handshake(TokioIo::new(meter))
             .await
             .map_err(|_| refused())?;
+        let (signal, watch) = Watch::new();
         let task = tokio::spawn(async move {
             // The task that waits for the answer gets the error as well.
             let _ = connection.await;
+            signal.record_closed();
         });
         Ok(Connection {
             address,
             sender,
             allowance,
+            watch,
             task: task.abort_handle(),
         })
     }
@@ -265,7 +272,7 @@
     }
 
     /// Returns a connection to the pool after a complete answer, once the upstream has read the whole
-    /// request.
+    /// request. One for which there is no room is closed after the time in which it is watched.
     async fn keep(&self, mut connection: Connection, keep_alive: Option<Span>) {
         let limit = match keep_alive {
             Some(span) => span
@@ -279,12 +286,22 @@
         if !matches!(ready, Ok(Ok(()))) {
             return;
         }
+        let Some(connection) = self.put_idle(connection, until) else {
+            return;
+        };
+        tokio::time::sleep(close::WATCH_TIME).await;
+        drop(connection);
+    }
+
+    /// Adds an idle connection. Returns it if there is no room for it.
+    fn put_idle(&self, connection: Connection, until: Instant) -> Option<Connection> {
         let mut idle = self.idle();
-        let address = connection.address;
-        let connections = sorted::entry(&mut idle, &address, Vec::new);
-        if connections.len() < MAX_IDLE_PER_UPSTREAM {
-            connections.push(Idle { connection, until });
+        let connections = sorted::entry(&mut idle, &connection.address, Vec::new);
+        if connections.len() == MAX_IDLE_PER_UPSTREAM {
+            return Some(connection);
         }
+        connections.push(Idle { connection, until });
+        None
     }
 }
 
@@ -340,6 +357,15 @@
         has(CONTENT_LENGTH) || has(TRANSFER_ENCODING)
     }
 
+    /// Returns a watch over the connection for the time after the answer.
+    pub fn watch(&self) -> Watch {
+        let connection = self.headers.get_all(CONNECTION).iter();
+        let mut options = connection.filter_map(|value| value.to_str().ok());
+        let says_close = options.any(|value| value.to_ascii_lowercase().contains("close"));
+        let lasts = self.version == Version::HTTP_11 && self.is_delimited() && !says_close;
+        self.connection.watch.clone().announced(!lasts)
+    }
+
     /// Returns the next piece of the body, or `None` at its end.
     ///
     /// # Errors
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,6 +4,7 @@
 //! whether the request may have run.
 
 mod chat;
+pub mod close;
 pub mod dial;
 mod failure;
 pub mod forward;
