Hold a part of prompts whenever it ends upstreams

Callers saw requests with a part of the prompt that crashes servers passed on long after the fifth crash, on real processes; sound requests beside them were lost.

Cause: evidence was filed by the moment of the end. Only an end between the head of an answer and 0.25 s after it counted against a part, so that one that ends its upstream before a head, later, or after the answer was never a suspect. Besides, an answer that went on for 2 s or to its end cleared its parts for 10 s at all instances, although its upstream ended by it; and so did the rest of an answer that was resumed elsewhere. Evidence: lines lost name the part at each end and no line quarantined does; lines with "after" show the ends after whole answers.

Now each end of an upstream counts against all prompts that it had, also those whose whole answer it had given within the last second. An answer that only goes on voids ends early in an answer; one that its upstream outlived for a second voids all. Sound parts are soon in such an answer, a bad one never is. A closed idle connection counts once the upstream is known to have ended, as others close idle connections too. The rest of an answer that broke off clears nothing.

Messages have two optional fields; build read the recorded bytes of a beacon with them.

--- a/crates/peer/fellow.thrift
+++ b/crates/peer/fellow.thrift
@@ -210,7 +210,7 @@
   4: required i64 age_us,
 }
 
-/** The end of an upstream soon after it began an answer, or while it had a request. */
+/** The end of an upstream while it had a request, or right after its whole answer. */
 struct Crash {
   /** Hash of the incarnation that ended. */
   1: required i64 victim,
@@ -220,6 +220,8 @@
   3: required bool strong,
   /** Time from the head of the answer to the end, in microseconds; from the dispatch where no head had arrived. */
   4: required i64 since_head_us,
+  /** Whether it came late in the answer or after it, so that an answer that only goes on doesn't void it. */
+  5: optional bool late,
 }
 
 /** A part of prompts, or a request by its fingerprint, that may end upstreams. */
@@ -235,6 +237,8 @@
   1: required i64 part,
   /** How long ago, in microseconds. */
   2: required i64 age_us,
+  /** Whether the upstream outlived the whole answer. */
+  3: optional bool outlived,
 }
 
 /** How tries of the sender ended lately at an upstream. */
--- a/crates/peer/src/gen/fellow.rs
+++ b/crates/peer/src/gen/fellow.rs
@@ -2258,7 +2258,7 @@
 // Crash
 //
 
-/// The end of an upstream soon after it began an answer, or while it had a request.
+/// The end of an upstream while it had a request, or right after its whole answer.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Crash {
   /// Hash of the incarnation that ended.
@@ -2269,15 +2269,18 @@
   pub strong: bool,
   /// Time from the head of the answer to the end, in microseconds; from the dispatch where no head had arrived.
   pub since_head_us: i64,
+  /// Whether it came late in the answer or after it, so that an answer that only goes on doesn't void it.
+  pub late: Option<bool>,
 }
 
 impl Crash {
-  pub fn new(victim: i64, age_us: i64, strong: bool, since_head_us: i64) -> Crash {
+  pub fn new<F5>(victim: i64, age_us: i64, strong: bool, since_head_us: i64, late: F5) -> Crash where F5: Into<Option<bool>> {
     Crash {
       victim,
       age_us,
       strong,
       since_head_us,
+      late: late.into(),
     }
   }
 }
@@ -2289,6 +2292,7 @@
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<bool> = None;
     let mut f_4: Option<i64> = None;
+    let mut f_5: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2312,6 +2316,10 @@
           let val = i_prot.read_i64()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_bool()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2328,6 +2336,7 @@
       age_us: f_2.expect("auto-generated code should have checked for presence of required fields"),
       strong: f_3.expect("auto-generated code should have checked for presence of required fields"),
       since_head_us: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      late: f_5,
     };
     Ok(ret)
   }
@@ -2346,6 +2355,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("since_head_us", TType::I64, 4))?;
     o_prot.write_i64(self.since_head_us)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.late {
+      o_prot.write_field_begin(&TFieldIdentifier::new("late", TType::Bool, 5))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2454,13 +2468,16 @@
   pub part: i64,
   /// How long ago, in microseconds.
   pub age_us: i64,
+  /// Whether the upstream outlived the whole answer.
+  pub outlived: Option<bool>,
 }
 
 impl Rebuttal {
-  pub fn new(part: i64, age_us: i64) -> Rebuttal {
+  pub fn new<F3>(part: i64, age_us: i64, outlived: F3) -> Rebuttal where F3: Into<Option<bool>> {
     Rebuttal {
       part,
       age_us,
+      outlived: outlived.into(),
     }
   }
 }
@@ -2470,6 +2487,7 @@
     i_prot.read_struct_begin()?;
     let mut f_1: Option<i64> = None;
     let mut f_2: Option<i64> = None;
+    let mut f_3: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2485,6 +2503,10 @@
           let val = i_prot.read_i64()?;
           f_2 = Some(val);
         },
+        3 => {
+          let val = i_prot.read_bool()?;
+          f_3 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2497,6 +2519,7 @@
     let ret = Rebuttal {
       part: f_1.expect("auto-generated code should have checked for presence of required fields"),
       age_us: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      outlived: f_3,
     };
     Ok(ret)
   }
@@ -2509,6 +2532,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("age_us", TType::I64, 2))?;
     o_prot.write_i64(self.age_us)?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.outlived {
+      o_prot.write_field_begin(&TFieldIdentifier::new("outlived", TType::Bool, 3))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/peer/tests/builds.rs
+++ b/crates/peer/tests/builds.rs
@@ -22,6 +22,8 @@
 const LATER_MESSAGES: &str = include_str!("recorded/984ea69.hex");
 /// A question for a connection and its answer as this build encodes them, which build 01c4e79 has read.
 const FRAMED_MESSAGES: &str = include_str!("recorded/01c4e79.hex");
+/// A beacon with evidence against parts as this build encodes it, which build 843b588 has read.
+const EVIDENCE_MESSAGES: &str = include_str!("recorded/843b588.hex");
 /// Members of the structs, unions and enums in that build's `fellow.thrift`.
 const DEFINITION: &str = include_str!("recorded/041d6c8.fields");
 const CURRENT: &str = include_str!("../fellow.thrift");
@@ -89,6 +91,17 @@
     expect_that!(beacon::encode(&next).unwrap(), eq(&next_bytes));
 }
 
+/// The build before late ends of upstreams and answers that an upstream outlived were told skips what it doesn't know
+/// of them.
+#[gtest]
+fn build_843b588_reads_evidence() {
+    let recorded = bytes_of(EVIDENCE_MESSAGES, "evidence-beacon");
+    let beacon = messages::evidence_beacon();
+    expect_that!(beacon::encode(&beacon).unwrap(), eq(&recorded));
+    let expected = Datagram::Beacon(Box::new(beacon));
+    expect_that!(beacon::decode(&recorded).unwrap(), eq(&expected));
+}
+
 #[gtest]
 fn recorded_envelopes_are_read_and_written_alike() {
     let envelopes = messages::envelopes();
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -10,10 +10,9 @@
 const HOLD_FACTOR: u32 = 3;
 /// Largest number of times that the hold time is lengthened.
 const MAX_LENGTHENINGS: u32 = 5;
-/// Time after the head of an answer in which it only begins.
-const BEGINNING_TIME: Span = Span::from_millis(250);
 
-/// Time after the head of an answer from which it has gone on, so that its prompt is sound.
+/// Time after the head of an answer from which it has gone on, so that its prompt doesn't end upstreams early
+/// in the answer.
 pub const SOUND_TIME: Span = Span::from_secs(2);
 
 /// A hash of one incarnation of an upstream that ended.
@@ -37,6 +36,11 @@
         /// Whether anything of the body had arrived.
         delivered: bool,
     },
+    /// The whole answer had arrived, and the upstream ended right after it.
+    Whole {
+        /// Time since the head.
+        since_head: Span,
+    },
 }
 
 impl Progress {
@@ -44,7 +48,17 @@
     pub fn elapsed(self) -> Span {
         match self {
             Self::Waiting { since_sent, .. } => since_sent,
-            Self::Begun { since_head, .. } => since_head,
+            Self::Begun { since_head, .. } | Self::Whole { since_head } => since_head,
+        }
+    }
+
+    /// Returns whether the end came late in the answer or after it, so that another answer that only goes on
+    /// doesn't show its prompt to be sound.
+    pub fn is_late(self) -> bool {
+        match self {
+            Self::Waiting { .. } => false,
+            Self::Begun { since_head, .. } => since_head >= SOUND_TIME,
+            Self::Whole { .. } => true,
         }
     }
 }
@@ -54,33 +68,21 @@
 pub struct Weight(u32);
 
 impl Weight {
-    /// The answer had delivered something.
+    /// Many requests that have nothing to do with the end are as far as that.
     pub const WEAK: Self = Self(1);
-    /// Nothing of the answer had arrived, or only its head.
+    /// Few requests are as far as that at a time.
     pub const STRONG: Self = Self(2);
     /// Sum from which a part is held back.
     pub(crate) const ENOUGH: Self = Self(4);
 
-    /// Returns the weight of an upstream's end at a time after the head of an answer; none if the
-    /// answer had gone on for too long. `delivered` says whether anything of its body had arrived.
-    pub fn of(since_head: Span, delivered: bool) -> Option<Self> {
-        if !delivered {
-            return Some(Self::STRONG);
-        }
-        (since_head < BEGINNING_TIME).then_some(Self::WEAK)
-    }
-
-    /// Returns the weight of an upstream's end against a request as a whole. A plain request is run and
-    /// answered at once, so that it has no head before the end; one with a streamed answer may have
-    /// waited all the while.
-    pub fn of_request(progress: Progress) -> Option<Self> {
+    /// Returns the weight of an upstream's end at a moment of a run. A plain request is run and answered at
+    /// once, so that it has no head before the end; one with a streamed answer may have waited all the while.
+    pub fn of(progress: Progress) -> Self {
         match progress {
-            Progress::Waiting { is_stream, .. } if is_stream => Some(Self::WEAK),
-            Progress::Waiting { .. } => Some(Self::STRONG),
-            Progress::Begun {
-                since_head,
-                delivered,
-            } => Self::of(since_head, delivered),
+            Progress::Waiting { is_stream, .. } if is_stream => Self::WEAK,
+            Progress::Begun { delivered, .. } if delivered => Self::WEAK,
+            Progress::Whole { .. } => Self::WEAK,
+            Progress::Waiting { .. } | Progress::Begun { .. } => Self::STRONG,
         }
     }
 }
@@ -98,6 +100,8 @@
     pub at: Moment,
     /// Time from the head of the answer to the end; from the dispatch where no head had arrived.
     pub since_begun: Span,
+    /// Whether it came late in the answer or after it.
+    pub is_late: bool,
 }
 
 /// A request with a held part that was sent nevertheless, to find out whether it still ends upstreams.
@@ -109,13 +113,31 @@
     pub at: Moment,
 }
 
-/// An answer to a request with the part that went on.
+/// How far an answer came, of which the upstream didn't end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Extent {
+    /// It went on for [`SOUND_TIME`], or to its end.
+    Begun,
+    /// It came to its end, and the upstream outlived it.
+    Outlived,
+}
+
+impl Extent {
+    /// Returns whether such an answer voids a crash.
+    pub(crate) fn refutes(self, crash: &Crash) -> bool {
+        self == Self::Outlived || !crash.is_late
+    }
+}
+
+/// An answer to a request with the part of which the upstream didn't end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rebuttal {
     /// The part.
     pub part: Part,
-    /// When the answer had gone on, on the clock of this instance.
+    /// When the answer had come that far, on the clock of this instance.
     pub at: Moment,
+    /// How far it came.
+    pub extent: Extent,
 }
 
 /// The crashes of one part.
@@ -167,9 +189,10 @@
         true
     }
 
-    /// Drops the crashes up to a time.
-    pub fn clear_until(&mut self, end: Moment) {
-        self.crashes.retain(|crash| crash.at > end);
+    /// Drops the crashes up to a time that an answer voids.
+    pub fn clear_until(&mut self, end: Moment, extent: Extent) {
+        self.crashes
+            .retain(|crash| crash.at > end || !extent.refutes(crash));
     }
 
     /// Returns the crashes, sorted by victim.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -2,13 +2,12 @@
 //!
 //! A part is a part of a prompt or a whole request, by the policy.
 
-use crate::evidence::{Crash, Evidence, Probe, Progress, Rebuttal, Victim, Weight};
+use crate::evidence::{Crash, Evidence, Extent, Probe, Progress, Rebuttal, Victim, Weight};
 use crate::part::Part;
 use crate::policy::Policy;
+use crate::soundness::{SOUND_TTL, Soundness};
 use entity::{Moment, Span, sorted, work};
 
-/// Time after an answer that went on for which ends of upstreams don't tell against its parts.
-const SOUND_TTL: Span = Span::from_secs(10);
 /// Time after the last crash for which evidence that is not enough is kept.
 const SUSPICION_TTL: Span = Span::from_secs(600);
 /// Time after which twice as many instances may probe a part as before.
@@ -93,8 +92,8 @@
     policy: Policy,
     /// Sorted by part.
     suspects: Vec<(Part, Suspect)>,
-    /// When an answer to a prompt with the part last went on, sorted by part.
-    sound: Vec<(Part, Moment)>,
+    /// What answers to prompts with the part show, sorted by part.
+    sound: Vec<(Part, Soundness)>,
     /// Rebuttals to tell, and since when, sorted by part.
     rebuttals: Vec<(Part, (Rebuttal, Moment))>,
     /// Rank of this instance among those that probe held parts; none if it isn't known.
@@ -122,42 +121,30 @@
         progress: Progress,
         now: Moment,
     ) -> bool {
-        let Some(weight) = Weight::of_request(progress) else {
-            return false;
-        };
-        self.expire(now);
-        let crash = Crash {
-            part: request,
-            victim,
-            weight,
-            at: now,
-            since_begun: progress.elapsed(),
-        };
-        self.add(crash, now)
+        !self
+            .record_crash(&[request], victim, progress, now)
+            .is_empty()
     }
 
-    /// Records that an upstream ended a time after the head of its answer to a prompt with the shared
-    /// `parts`; `delivered` says whether anything of the body had arrived. Returns the parts that are
+    /// Records that an upstream ended which had a prompt with the shared `parts`. Returns the parts that are
     /// held back by it and were not before.
     pub fn record_crash(
         &mut self,
         parts: &[Part],
         victim: Victim,
-        (since_head, delivered): (Span, bool),
+        progress: Progress,
         now: Moment,
     ) -> Vec<Part> {
-        let Some(weight) = Weight::of(since_head, delivered) else {
-            return Vec::new();
-        };
         self.expire(now);
         let mut held = Vec::new();
         for &part in parts {
             let crash = Crash {
                 part,
                 victim,
-                weight,
+                weight: Weight::of(progress),
                 at: now,
-                since_begun: since_head,
+                since_begun: progress.elapsed(),
+                is_late: progress.is_late(),
             };
             if self.add(crash, now) {
                 held.push(part);
@@ -166,12 +153,13 @@
         held
     }
 
-    /// Records that an answer to a prompt with these parts went on. Returns the parts that are no
-    /// longer held back.
-    pub fn record_sound(&mut self, parts: &[Part], now: Moment) -> Vec<Part> {
+    /// Records how far an answer to a prompt with these parts came, of which the upstream didn't end. Returns
+    /// the parts that are no longer held back.
+    pub fn record_sound(&mut self, parts: &[Part], extent: Extent, now: Moment) -> Vec<Part> {
         let mut cleared = Vec::new();
         for &part in parts {
-            if self.rebut(Rebuttal { part, at: now }, now) {
+            let at = now;
+            if self.rebut(Rebuttal { part, at, extent }, now) {
                 cleared.push(part);
             }
         }
@@ -184,13 +172,12 @@
         self.expire(now);
         let mut held = Vec::new();
         for &crash in crashes {
-            let part = crash.part;
-            if let Some(at) = self.rebutted_at(crash) {
-                self.tell_rebuttal(Rebuttal { part, at }, now);
+            if let Some(rebuttal) = self.rebuttal(&crash) {
+                self.tell_rebuttal(rebuttal, now);
                 continue;
             }
             if self.add(crash, now) {
-                held.push(part);
+                held.push(crash.part);
             }
         }
         held
@@ -336,7 +323,7 @@
     /// Adds a crash, unless the part is known to be sound. Returns whether the part is held back by
     /// it and was not before.
     fn add(&mut self, crash: Crash, now: Moment) -> bool {
-        if self.rebutted_at(crash).is_some() {
+        if self.rebuttal(&crash).is_some() {
             return false;
         }
         self.make_room(crash.part);
@@ -363,21 +350,21 @@
         self.suspects.remove(index);
     }
 
-    /// Records that a part is sound, which voids the crashes up to a while later. Returns whether the
-    /// part is no longer held back by it.
+    /// Records that a part is sound, which voids crashes up to a while later. Returns whether the part is no
+    /// longer held back by it.
     fn rebut(&mut self, rebuttal: Rebuttal, now: Moment) -> bool {
-        let Rebuttal { part, at } = rebuttal;
+        let Rebuttal { part, at, extent } = rebuttal;
         if self.sound.len() >= MAX_SOUND {
             self.forget_half_of_sound();
         }
-        let known = sorted::entry(&mut self.sound, &part, || at);
-        *known = (*known).max(at);
+        let new = || Soundness::new(rebuttal);
+        sorted::entry(&mut self.sound, &part, new).add(rebuttal);
         let Some(index) = self.position(part) else {
             return false;
         };
         let evidence = &mut self.suspects[index].1.evidence;
         let (before, was_enough) = (evidence.crashes().len(), evidence.is_enough());
-        evidence.clear_until(at + SOUND_TTL);
+        evidence.clear_until(at + SOUND_TTL, extent);
         let is_news = evidence.crashes().len() < before;
         let is_released = was_enough && !evidence.is_enough();
         if evidence.crashes().is_empty() {
@@ -391,11 +378,11 @@
 
     /// Drops the half of the sound parts that was sound longest ago.
     fn forget_half_of_sound(&mut self) {
-        let mut times: Vec<Moment> = self.sound.iter().map(|(_, at)| *at).collect();
+        let mut times: Vec<Moment> = self.sound.iter().map(|(_, sound)| sound.last()).collect();
         let middle = times.len() / 2;
         let (_, median, _) = times.select_nth_unstable(middle);
         let median = *median;
-        self.sound.retain(|(_, at)| *at > median);
+        self.sound.retain(|(_, sound)| sound.last() > median);
     }
 
     fn tell_rebuttal(&mut self, rebuttal: Rebuttal, now: Moment) {
@@ -405,16 +392,17 @@
             return;
         }
         let told = sorted::entry(&mut self.rebuttals, &rebuttal.part, || (rebuttal, now));
-        *told = (rebuttal, now);
+        if rebuttal.extent >= told.0.extent {
+            *told = (rebuttal, now);
+        }
     }
 
-    /// Returns when an answer went on that voids a crash; none if there was none.
-    fn rebutted_at(&self, crash: Crash) -> Option<Moment> {
+    /// Returns the answer that voids a crash; none if there was none.
+    fn rebuttal(&self, crash: &Crash) -> Option<Rebuttal> {
         let found = self
             .sound
             .binary_search_by_key(&crash.part, |(known, _)| *known);
-        let at = found.ok().map(|index| self.sound[index].1);
-        at.filter(|at| crash.at <= *at + SOUND_TTL)
+        self.sound[found.ok()?].1.rebuttal(crash)
     }
 
     fn expire(&mut self, now: Moment) {
--- a/crates/server/src/forward/dispatcher.rs
+++ b/crates/server/src/forward/dispatcher.rs
@@ -12,7 +12,7 @@
 use caller::Refusal;
 use caller::forward::{Content, Forwarded};
 use config::Forward;
-use entity::{Span, name};
+use entity::{Moment, Span, name};
 use forward::Followed;
 use forward::dialect::Order;
 use forward::events::Splitter;
@@ -157,9 +157,9 @@
     ) -> Result<Answer, Failure> {
         let status = response.status;
         let headers = end_to_end_headers(&response.headers);
-        let watch = response.watch();
+        let (begun, watch) = (Instant::now(), response.watch());
         let body = response.collect(end).await?;
-        aftermath::follow(self.run, &choice.upstream, watch);
+        aftermath::follow(self.run, choice, begun, watch);
         let forwarded = Forwarded {
             status,
             headers,
@@ -287,6 +287,27 @@
         }
     }
 
+    /// Records whether an upstream is still there.
+    fn record_contact(
+        &self,
+        choice: &Choice,
+        sent_to: &Result<IncomingAnswer, Failure>,
+        is_misdirected: bool,
+        sent_at: Moment,
+    ) {
+        let Some(incarnation) = choice.incarnation() else {
+            return;
+        };
+        let (core, holds) = (self.core(), &self.run.shared.holds);
+        let reason = sent_to.as_ref().err().map(|failure| failure.reason);
+        match reason {
+            Some(Reason::Connect) => holds.record_gone(core, &incarnation),
+            Some(Reason::Refused) if is_misdirected => holds.record_gone(core, &incarnation),
+            None | Some(Reason::Refused) => holds.record_alive(core, &incarnation, sent_at),
+            Some(_) => {}
+        }
+    }
+
     /// Records a failure by which the upstream may have ended. `sent` is when the request was, and `begun`
     /// when the head of the answer arrived.
     fn record_lost(
@@ -409,6 +430,7 @@
         let mut notice = Notice::default();
         let sent_to = self.run.shared.pool.send(&sending, &mut notice).await;
         let names_limit = notice.limit.is_some();
+        self.record_contact(choice, &sent_to, notice.misdirected, sent_at);
         if notice != Notice::default() {
             self.run.shared.record_notice(choice, notice).await;
         }
--- a/crates/server/src/forward/holds.rs
+++ b/crates/server/src/forward/holds.rs
@@ -6,7 +6,8 @@
 use entity::{Moment, Span};
 use hyper::StatusCode;
 use quarantine::{
-    Crash, Hold, Part, Policy, Probe, Progress, Quarantine, Rebuttal, SOUND_TIME, Victim,
+    Closing, Closings, Crash, Extent, Hold, Part, Policy, Probe, Progress, Quarantine, Rebuttal,
+    SOUND_TIME, Victim,
 };
 use routing::hash;
 use routing::restriction::Incarnation;
@@ -27,6 +28,42 @@
 struct Known {
     parts: Quarantine,
     requests: Quarantine,
+    closings: Closings,
+}
+
+impl Known {
+    /// Records that an upstream ended. Returns what is held back by it and was not before.
+    fn record_end(
+        &mut self,
+        subject: Subject<'_>,
+        victim: Victim,
+        progress: Progress,
+        now: Moment,
+    ) -> Vec<(Held, Part)> {
+        let requests = &mut self.requests;
+        let request = subject
+            .fingerprint
+            .filter(|&one| requests.record_end(one, victim, progress, now));
+        let parts = self
+            .parts
+            .record_crash(subject.parts, victim, progress, now);
+        let request = request.map(|one| (Held::Request, one));
+        let parts = parts.into_iter().map(|part| (Held::Part, part));
+        request.into_iter().chain(parts).collect()
+    }
+
+    /// Records that closings by an upstream were part of its end. Returns what is held back by it and was not
+    /// before.
+    fn confirm_closings(&mut self, victim: Victim, now: Moment) -> Vec<(Held, Part)> {
+        let mut held = Vec::new();
+        for closing in self.closings.record_end(victim, now) {
+            let since_head = closing.since_head;
+            let progress = Progress::Whole { since_head };
+            let subject = Subject::of(&closing);
+            held.extend(self.record_end(subject, victim, progress, closing.at));
+        }
+        held
+    }
 }
 
 /// By what a request may be held back.
@@ -38,7 +75,14 @@
     pub fingerprint: Option<Part>,
 }
 
-impl Subject<'_> {
+impl<'a> Subject<'a> {
+    fn of(closing: &'a Closing) -> Self {
+        Self {
+            parts: &closing.parts,
+            fingerprint: closing.fingerprint,
+        }
+    }
+
     fn request(&self) -> &[Part] {
         self.fingerprint.as_slice()
     }
@@ -87,6 +131,7 @@
         let known = Known {
             parts: Quarantine::new(Policy::PARTS),
             requests: Quarantine::new(Policy::REQUESTS),
+            closings: Closings::default(),
         };
         Self {
             known: Mutex::new(known),
@@ -147,37 +192,45 @@
         incarnation: &Incarnation,
         progress: Progress,
     ) {
-        let name = hash::text(incarnation.upstream.as_str());
-        let victim = Victim(hash::part(name, incarnation.number));
+        let victim = victim(incarnation);
         let now = core.clock.now();
         let mut known = self.known();
-        let fingerprint = subject.fingerprint;
-        let held = fingerprint.filter(|&one| known.requests.record_end(one, victim, progress, now));
-        let mut parts = Vec::new();
-        if let Progress::Begun {
-            since_head,
-            delivered,
-        } = progress
-        {
-            let beginning = (since_head, delivered);
-            let shared = subject.parts;
-            parts = known.parts.record_crash(shared, victim, beginning, now);
-        }
+        let mut held = known.record_end(subject, victim, progress, now);
+        held.extend(known.confirm_closings(victim, now));
         drop(known);
-        if let Some(request) = held {
-            self.record_hold(core, Held::Request, request, "answer");
-        }
-        for part in parts {
-            self.record_hold(core, Held::Part, part, "answer");
+        self.record_holds(core, &held, "answer");
+    }
+
+    /// Records that an upstream closed its connection right after a whole answer, which is evidence once it is
+    /// known that it ended.
+    pub fn record_closing(&self, closing: Closing) {
+        self.known().closings.add(closing);
+    }
+
+    /// Records that an upstream has ended, as nothing or another one is at its address.
+    pub fn record_gone(&self, core: &Core, incarnation: &Incarnation) {
+        let now = core.clock.now();
+        let held = self.known().confirm_closings(victim(incarnation), now);
+        self.record_holds(core, &held, "end of the upstream");
+    }
+
+    /// Records that an upstream answered a request that was sent at `sent_at`.
+    pub fn record_alive(&self, core: &Core, incarnation: &Incarnation, sent_at: Moment) {
+        let mut known = self.known();
+        let outlived = known.closings.record_answer(victim(incarnation), sent_at);
+        drop(known);
+        for closing in outlived {
+            self.record_sound(core, Subject::of(&closing), Extent::Outlived);
         }
     }
 
-    /// Records that the answer to a request went on.
-    pub fn record_sound(&self, core: &Core, subject: Subject<'_>) {
+    /// Records how far the answer to a request came, of which the upstream didn't end.
+    pub fn record_sound(&self, core: &Core, subject: Subject<'_>, extent: Extent) {
         let now = core.clock.now();
         let mut known = self.known();
-        let requests = known.requests.record_sound(subject.request(), now);
-        let parts = known.parts.record_sound(subject.parts, now);
+        let requests = subject.request();
+        let requests = known.requests.record_sound(requests, extent, now);
+        let parts = known.parts.record_sound(subject.parts, extent, now);
         drop(known);
         for request in requests {
             record_release(core, Held::Request, request, "answer");
@@ -210,13 +263,15 @@
         for probe in &news.probes {
             quarantine.receive_probe(*probe);
         }
+        let mut held: Vec<(Held, Part)> = held.into_iter().map(|part| (kind, part)).collect();
+        for crash in &news.crashes {
+            held.extend(known.confirm_closings(crash.victim, now));
+        }
         drop(known);
         for part in cleared {
             record_release(core, kind, part, "peer");
         }
-        for part in held {
-            self.record_hold(core, kind, part, "peer");
-        }
+        self.record_holds(core, &held, "peer");
     }
 
     /// Returns what is to be told to peers of parts of prompts, and of requests.
@@ -233,6 +288,12 @@
         known.requests.set_rank(rank);
     }
 
+    fn record_holds(&self, core: &Core, held: &[(Held, Part)], by: &'static str) {
+        for (kind, part) in held {
+            self.record_hold(core, *kind, *part, by);
+        }
+    }
+
     fn record_hold(&self, core: &Core, kind: Held, part: Part, by: &'static str) {
         core.metric.count(match kind {
             Held::Part => Counter::HeldParts,
@@ -248,6 +309,12 @@
     }
 }
 
+/// Returns the hash of an incarnation of an upstream.
+pub fn victim(incarnation: &Incarnation) -> Victim {
+    let name = hash::text(incarnation.upstream.as_str());
+    Victim(hash::part(name, incarnation.number))
+}
+
 fn record_release(core: &Core, kind: Held, part: Part, by: &'static str) {
     let draft = core.recorder.event(Kind::Quarantined);
     draft
--- a/crates/server/src/forward/payload.rs
+++ b/crates/server/src/forward/payload.rs
@@ -11,7 +11,7 @@
 use quality::release::Report;
 use quality::schedule::STEP_COUNT;
 use quality::trial::{Ruling, Tally};
-use quarantine::{Crash, Part, Probe, Rebuttal, Victim, Weight};
+use quarantine::{Crash, Extent, Part, Probe, Rebuttal, Victim, Weight};
 use routing::demand::Work;
 use routing::estimate::pace::Pace;
 use routing::limit::Limit;
@@ -125,6 +125,7 @@
             age_us: now.since(crash.at).as_micros() as i64,
             strong: crash.weight == Weight::STRONG,
             since_head_us: crash.since_begun.as_micros() as i64,
+            late: crash.is_late.then_some(true),
         };
         match suspects.last_mut() {
             Some(suspect) if suspect.part == part => suspect.crashes.push(told),
@@ -167,6 +168,7 @@
                 weight: if strong { Weight::STRONG } else { Weight::WEAK },
                 at: now - decode_age(crash.age_us),
                 since_begun: decode_age(crash.since_head_us),
+                is_late: crash.late.unwrap_or_default(),
             });
         }
     }
@@ -191,15 +193,20 @@
     let encode = |rebuttal: &Rebuttal| message::Rebuttal {
         part: rebuttal.part.0 as i64,
         age_us: now.since(rebuttal.at).as_micros() as i64,
+        outlived: (rebuttal.extent == Extent::Outlived).then_some(true),
     };
     rebuttals.iter().map(encode).collect()
 }
 
-/// Decodes a part that is sound.
+/// Decodes a part that is sound. A peer of an earlier build doesn't tell how far the answer came.
 fn decode_rebuttal(rebuttal: &message::Rebuttal, now: Moment) -> Rebuttal {
     Rebuttal {
         part: Part(rebuttal.part as u64),
         at: now - decode_age(rebuttal.age_us),
+        extent: match rebuttal.outlived {
+            Some(true) => Extent::Outlived,
+            _ => Extent::Begun,
+        },
     }
 }
 
--- a/crates/server/src/forward/relay.rs
+++ b/crates/server/src/forward/relay.rs
@@ -14,7 +14,7 @@
 use quality::pace::Pace;
 use quality::release::AnswerOutcome;
 use quality::trial::Measure;
-use quarantine::Progress;
+use quarantine::{Extent, Progress};
 use routing::{Choice, Outcome};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -104,17 +104,22 @@
     /// Ends a stream of which the caller was sent everything.
     async fn finish(self, active: Active) {
         let Active {
-            stream, mut choice, ..
+            stream,
+            mut choice,
+            is_rest,
+            ..
         } = active;
-        if !active.is_rest {
+        if !is_rest {
             choice.generated = u32::try_from(stream.splitter.count()).ok();
         }
         let core = &self.run.shared.core;
         let upstream = choice.upstream.clone();
         let outcome = Outcome::Done { first_token: None };
+        if !is_rest {
+            self.record_sound();
+            aftermath::follow(&self.run, &choice, stream.begun, stream.response.watch());
+        }
         core.decider.finish(choice, outcome).await;
-        self.record_sound();
-        aftermath::follow(&self.run, &upstream, stream.response.watch());
         core.recorder
             .event(Kind::Answered)
             .request(self.run.id)
@@ -166,7 +171,7 @@
             stream,
             choice,
             silence,
-            is_rest: _,
+            is_rest,
         } = active;
         if let Err(ended) = self.send(std::mem::take(&mut stream.first)).await {
             return ended;
@@ -225,7 +230,7 @@
             }
             self.last_event = stream.splitter.last_event_id().or(self.last_event);
             silence.record_event(self.now());
-            if !stream.is_sound && holds::is_sound(stream.begun) {
+            if !*is_rest && !stream.is_sound && holds::is_sound(stream.begun) {
                 stream.is_sound = true;
                 self.record_sound();
             }
@@ -318,10 +323,12 @@
             .await;
     }
 
-    /// Records that the answer went on, so that its request doesn't end upstreams.
+    /// Records that an answer went on from its beginning, so that its request doesn't end upstreams. The rest of
+    /// one that broke off may lack what ended the upstream.
     fn record_sound(&self) {
         let shared = &self.run.shared;
-        shared.holds.record_sound(&shared.core, self.run.subject());
+        let (subject, extent) = (self.run.subject(), Extent::Begun);
+        shared.holds.record_sound(&shared.core, subject, extent);
     }
 
     async fn send(&self, bytes: Bytes) -> Result<(), StreamEnd> {
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -24,7 +24,7 @@
 use quality::escalation;
 use quality::governor::Governor;
 use quality::release;
-use quarantine::{Part, Progress};
+use quarantine::{Extent, Part, Progress};
 use routing::demand::Demand;
 use routing::estimate::length::Claim;
 use routing::{Choice, Outcome, Priority, hash};
@@ -375,7 +375,8 @@
         let first_token = Some(Span::from(sent.elapsed()));
         match value {
             Answer::Whole(answer) => {
-                self.shared.holds.record_sound(core, self.subject());
+                let (holds, subject) = (&self.shared.holds, self.subject());
+                holds.record_sound(core, subject, Extent::Begun);
                 let outcome = if answer.status.is_server_error() {
                     Outcome::ErrorStatus { first_token }
                 } else {
@@ -547,6 +548,7 @@
                 since_head,
                 delivered,
             } => draft.text("begun", since_head).text("delivered", delivered),
+            Progress::Whole { since_head } => draft.text("begun", since_head),
         };
         draft.record();
         if let Some(incarnation) = choice.incarnation() {
--- a/tests/deadly_parts.rs
+++ b/tests/deadly_parts.rs
@@ -100,6 +100,14 @@
     check(&run("within", Stage::Events(2), 4).await);
 }
 
+/// A part went on to end upstreams in the middle of its answer, as the rest of the answer, at another upstream, showed
+/// it to be sound.
+#[gtest]
+#[tokio::test]
+async fn part_whose_answers_are_resumed_is_held() {
+    check(&run("resumed", Stage::Event(2), 4).await);
+}
+
 /// A part went on to end upstreams that had answered it for more than 2 s, as that showed it to be sound.
 #[gtest]
 #[tokio::test]
