--- a/tests/deadly_parts.rs
+++ b/tests/deadly_parts.rs
@@ -5,18 +5,24 @@
 mod process;
 #[path = "../platform/tests/support/mod.rs"]
 mod support;
-#[path = "deadly_parts/system.rs"]
+#[path = "instances/system.rs"]
 mod system;
 #[path = "deadly_parts/upstream.rs"]
 mod upstream;
 
 use googletest::prelude::*;
+use std::net::SocketAddr;
 use std::time::Duration;
 use support::store::FakeStore;
-use system::{System, draft};
+use system::{Setup, System, call};
 use tokio::task::JoinSet;
 use upstream::{DEADLY_PART, Stage, Upstreams};
 
+const CONFIG: &str = r#"{"version":1,"routes":[
+ {"name":"draft","host":"a.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":8000,
+  "targetLatencyMs":2000,"service":"llm","maxAttempts":3,"resumable":true,"gapAimMs":800}],
+ "services":[{"name":"llm"}],
+ "tenants":[{"name":"clinics","apiKeys":["secret"]}]}"#;
 const INSTANCE_COUNT: usize = 3;
 const UPSTREAM_COUNT: usize = 12;
 const DRAFT_COUNT: usize = 230;
@@ -40,10 +46,31 @@
     served: usize,
 }
 
+/// Sends a draft whose prompt has shared parts and one of its own. Returns the whole answer, up to the end of the
+/// connection.
+async fn draft(caller: SocketAddr, shared: &str, own: usize) -> String {
+    let body = format!("draft {own}");
+    let head = format!(
+        "POST /draft/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {own:016x}\r\n\
+         Deadline-Ms: 8000\r\nAuthorization: Bearer secret\r\n\
+         Token-Counts: 700,80\r\nPrompt-Prefix: {shared},{:x}:50\r\nContent-Length: {}\r\n",
+        0x1000 + own,
+        body.len()
+    );
+    call(caller, &head, &body).await
+}
+
 async fn run(test: &str, stage: Stage, event_count: u32) -> Outcome {
     let store = FakeStore::default();
     let upstreams = Upstreams::spawn(UPSTREAM_COUNT, stage, event_count, store.clone()).await;
-    let system = System::spawn(test, INSTANCE_COUNT, store).await;
+    let setup = Setup {
+        test,
+        count: INSTANCE_COUNT,
+        config: CONFIG,
+        limits: "",
+        descriptors: None,
+    };
+    let system = System::spawn(&setup, store).await;
     let mut drafts = JoinSet::new();
     for number in 0..DRAFT_COUNT {
         let caller = system.callers[number % INSTANCE_COUNT];
--- a/tests/forward_soak/process.rs
+++ b/tests/forward_soak/process.rs
@@ -1,4 +1,5 @@
 //! Instances as processes, with their ports.
+#![allow(dead_code, reason = "each test binary uses only some of the items")]
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -27,9 +28,16 @@
 
 /// Starts an instance whose output is appended to a file.
 pub fn spawn(settings: &Path, log: &Path) -> Child {
+    spawn_limited(settings, log, None)
+}
+
+/// Starts an instance that may open so many descriptors; none leaves the system's own limit.
+pub fn spawn_limited(settings: &Path, log: &Path, descriptors: Option<u32>) -> Child {
     let log = File::options().create(true).append(true).open(log).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_citrontrack"))
-        .args(["forward", "--settings"])
+    let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count}; "));
+    Command::new("sh")
+        .args(["-c", &format!("{limit}exec \"$@\""), "sh"])
+        .args([env!("CARGO_BIN_EXE_citrontrack"), "forward", "--settings"])
         .arg(settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone().unwrap())
--- a/tests/deadly_parts/system.rs
+++ b/tests/instances/system.rs
@@ -1,4 +1,5 @@
-//! Instances as processes, and their callers.
+//! Instances as processes.
+#![allow(dead_code, reason = "each test binary uses only some of the items")]
 
 use crate::process;
 use crate::support::store::FakeStore;
@@ -10,11 +11,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const CONFIG: &str = r#"{"version":1,"routes":[
- {"name":"draft","host":"a.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":8000,
-  "targetLatencyMs":2000,"service":"llm","maxAttempts":3,"resumable":true,"gapAimMs":800}],
- "services":[{"name":"llm"}],
- "tenants":[{"name":"clinics","apiKeys":["secret"]}]}"#;
 /// Longest time from the start of an instance to its readiness.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time between two polls of the readiness.
@@ -22,9 +18,23 @@
 /// Time in which instances that are ready find each other.
 const MEETING_TIME: Duration = Duration::from_millis(1500);
 
+/// What the instances of a test are like.
+pub struct Setup<'a> {
+    /// Name of the test.
+    pub test: &'a str,
+    /// Number of instances.
+    pub count: usize,
+    /// Configuration of the operators.
+    pub config: &'a str,
+    /// Section `limits` of the settings; empty if there is none.
+    pub limits: &'a str,
+    /// Largest number of descriptors of an instance; none if the system's own holds.
+    pub descriptors: Option<u32>,
+}
+
 /// Instances that share a store.
 pub struct System {
-    children: Vec<Child>,
+    pub children: Vec<Child>,
     /// Addresses of the instances for callers.
     pub callers: Vec<SocketAddr>,
     directory: PathBuf,
@@ -38,18 +48,18 @@
 impl System {
     /// Starts instances, with their settings and logs in a directory that is named after the process and the
     /// test.
-    pub async fn spawn(test: &str, count: usize, store: FakeStore) -> Self {
-        let directory = format!("deadly-parts-{}-{test}", std::process::id());
+    pub async fn spawn(setup: &Setup<'_>, store: FakeStore) -> Self {
+        let directory = format!("citrontrack-{}-{}", std::process::id(), setup.test);
         let mut system = Self {
             children: Vec::new(),
             callers: Vec::new(),
             directory: std::env::temp_dir().join(directory),
         };
         std::fs::create_dir_all(&system.directory).unwrap();
-        store.put("keyed.op", "config", CONFIG);
+        store.put("keyed.op", "config", setup.config);
         let address = store.open().await;
-        for number in 0..count {
-            let ready = system.spawn_instance(number, address);
+        for number in 0..setup.count {
+            let ready = system.spawn_instance(setup, number, address);
             wait_until_ready(ready).await;
         }
         tokio::time::sleep(MEETING_TIME).await;
@@ -57,7 +67,13 @@
     }
 
     /// Starts an instance and returns its address for readiness probes.
-    fn spawn_instance(&mut self, number: usize, store: SocketAddr) -> SocketAddr {
+    fn spawn_instance(
+        &mut self,
+        setup: &Setup<'_>,
+        number: usize,
+        store: SocketAddr,
+    ) -> SocketAddr {
+        let limits = setup.limits;
         let caller = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let internal = process::free_lasting_port();
@@ -66,12 +82,13 @@
              internalPorts = [{internal},{internal}]\nheartbeatMs = 1200\n[zones]\na = \"r\"\n\
              [listen]\nfront = \"{caller}\"\nready = \"{ready}\"\n\
              [bounds]\ngraceS = 4\nrevokeFailClosed = true\nrevokeMs = 5000\nbudgetRatio = 0.9\n\
-             budgetWindowS = 10\n[platform]\naddress = \"{store}\"\n"
+             budgetWindowS = 10\n{limits}[platform]\naddress = \"{store}\"\n"
         );
         let settings = self.directory.join(format!("front-{number}.toml"));
         std::fs::write(&settings, text).unwrap();
         let log = self.directory.join(format!("front-{number}.jsonl"));
-        self.children.push(process::spawn(&settings, &log));
+        let child = process::spawn_limited(&settings, &log, setup.descriptors);
+        self.children.push(child);
         self.callers.push(caller);
         ready
     }
@@ -104,21 +121,8 @@
     panic!("the instance is not ready");
 }
 
-/// Sends a draft whose prompt has shared parts and one of its own. Returns the whole answer, up to the end of the
-/// connection.
-pub async fn draft(caller: SocketAddr, shared: &str, own: usize) -> String {
-    let body = format!("draft {own}");
-    let head = format!(
-        "POST /draft/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {own:016x}\r\n\
-         Deadline-Ms: 8000\r\nAuthorization: Bearer secret\r\n\
-         Token-Counts: 700,80\r\nPrompt-Prefix: {shared},{:x}:50\r\nContent-Length: {}\r\n",
-        0x1000 + own,
-        body.len()
-    );
-    call(caller, &head, &body).await
-}
-
-async fn call(address: SocketAddr, head: &str, body: &str) -> String {
+/// Sends a request and returns the whole answer, up to the end of the connection.
+pub async fn call(address: SocketAddr, head: &str, body: &str) -> String {
     let Ok(mut stream) = TcpStream::connect(address).await else {
         return String::new();
     };
