Bound the memory that the bodies of all callers take together

Callers who sent many bodies of legal size at once, most of them stopping short of their end, ended a process: it ran out of memory.

Cause: each body was bounded by maxBodyBytes, and nothing bounded all of them; the memory of the settings was read nowhere. A body was kept as a list of pieces, and a piece of one byte keeps the buffer that it was read into. A body that announces too much was read up to the limit.

Where there is no room, the largest body that has stalled for a second makes some; else the new one is refused as not run, with a Retry-After, and its connection is closed. Pieces are copied as they come. An announced length beyond the limit is refused at once.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -1,19 +1,19 @@
 //! Bodies of requests and answers.
 
+use crate::bodies::Lease;
 use crate::parse::bad;
 use crate::reply::{Event, Refusal};
 use bytes::{Bytes, BytesMut};
-use entity::{request, unit};
+use entity::{Span, request, unit};
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::StatusCode;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use std::borrow::Cow;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::error::Elapsed;
 
 /// The body of an answer.
 pub(crate) type Body = BoxBody<Bytes, io::Error>;
@@ -44,28 +44,69 @@
     Parts::new(pieces, part).boxed()
 }
 
-/// Reads a caller's whole body, of at most `limit` bytes.
+/// Delay that a caller is told whose body can't be held now.
+const RETRY_AFTER: Span = Span::from_secs(1);
+
+/// Limits on the body of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// Largest size.
+    pub size: unit::Bytes,
+    /// Longest time to arrive.
+    pub time: Span,
+}
+
+/// Reads a caller's whole body into memory that it has on lease.
 ///
 /// # Errors
 ///
-/// The outer error means that the body did not arrive within `timeout`; the inner one is the refusal of a
-/// body that is too large or malformed.
-pub(crate) async fn read(
-    body: Incoming,
-    limit: unit::Bytes,
-    timeout: Duration,
-) -> Result<Result<Bytes, Refusal>, Elapsed> {
-    let size = usize::try_from(limit.0).unwrap_or(usize::MAX);
-    let collected = tokio::time::timeout(timeout, Limited::new(body, size).collect()).await?;
-    Ok(match collected {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let message = format!("the body has more than {limit}");
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Refusal::not_run(status, "body-too-large", message))
+/// Returns the refusal of a body that is too large, too slow or malformed, or for which there is no memory.
+pub(crate) async fn read(body: Incoming, limits: Limits, lease: &Lease) -> Result<Bytes, Refusal> {
+    if body.size_hint().lower() > limits.size.0 {
+        return Err(too_large(limits.size));
+    }
+    let end = tokio::time::Instant::now() + limits.time.duration();
+    tokio::select! {
+        read = read_pieces(body, limits.size, lease) => read,
+        () = lease.evicted() => Err(slow("the body stalled while others needed its memory")),
+        () = tokio::time::sleep_until(end) => {
+            Err(slow(format!("the body did not arrive within {}", limits.time)))
+        }
+    }
+}
+
+/// Copies each piece, as a piece keeps the buffer that it was read into.
+async fn read_pieces(
+    mut body: Incoming,
+    size: unit::Bytes,
+    lease: &Lease,
+) -> Result<Bytes, Refusal> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| bad("bad-body", error.to_string()))?;
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        if (whole.len() + piece.len()) as u64 > size.0 {
+            return Err(too_large(size));
         }
-        Err(error) => Err(bad("bad-body", error.to_string())),
-    })
+        lease.grow(piece.len(), size).map_err(|full| {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Refusal::not_run(status, "bodies-full", full.to_string()).with_retry_after(RETRY_AFTER)
+        })?;
+        whole.extend_from_slice(&piece);
+    }
+    lease.complete();
+    Ok(whole.freeze())
+}
+
+fn too_large(limit: unit::Bytes) -> Refusal {
+    let message = format!("the body has more than {limit}");
+    Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", message)
+}
+
+fn slow(message: impl Into<Cow<'static, str>>) -> Refusal {
+    Refusal::not_run(StatusCode::REQUEST_TIMEOUT, "slow-body", message)
 }
 
 /// Item of a body that is forwarded unchanged.
--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -2,6 +2,7 @@
 //!
 //! The [`Dialect`] parses heads; the [`Handler`] decides what a request may do and where it runs.
 
+use crate::bodies::{Bodies, Lease};
 use crate::body::{self, Body};
 use crate::connection;
 use crate::framing::Framing;
@@ -16,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
+use settings::forward::Capacity;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -31,7 +33,9 @@
 
 /// Longest time for a body to arrive. Callers abandon a request that is not read within a second or a
 /// third of their time budget.
-const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
+const BODY_READ_TIMEOUT: Span = Span::from_secs(10);
+/// Codes of refusals of a body that could not be read or held.
+const UNREADABLE_CODES: [&str; 3] = ["body-too-large", "bodies-full", "slow-body"];
 /// TCP user timeout of callers' connections: a connection whose sent bytes stay unacknowledged for
 /// this long is closed, which bounds the time until a lost caller is noticed.
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -45,6 +49,8 @@
     pub at: Instant,
     /// Cancelled when the caller disconnects.
     pub disconnected: CancellationToken,
+    /// Memory of the body.
+    pub lease: Lease,
 }
 
 /// Answer of an upstream that is forwarded to the caller.
@@ -98,6 +104,7 @@
     handler: H,
     dialect: Arc<dyn Dialect>,
     limits: Arc<ArcSwap<Limits>>,
+    bodies: Bodies,
     /// Cancelled when answers start to carry `Connection: close`.
     leaving: CancellationToken,
     /// Cancelled when idle connections are closed.
@@ -125,6 +132,7 @@
         address: SocketAddr,
         dialect: Arc<dyn Dialect>,
         limits: Arc<ArcSwap<Limits>>,
+        capacity: Capacity,
         handler: H,
         shutdown: Shutdown,
     ) -> io::Result<Self> {
@@ -135,6 +143,7 @@
             handler,
             dialect,
             limits,
+            bodies: Bodies::new(capacity.bodies()),
             leaving: shutdown.leaving,
             closing: shutdown.closing,
             tasks: connections.clone(),
@@ -194,7 +203,12 @@
         Err(refusal) => return refuse(shared, &refusal, None, true),
     };
     let id = head.id.clone();
-    let body = match collect(body, **shared.limits.load()).await {
+    let lease = shared.bodies.open();
+    let limits = body::Limits {
+        size: shared.limits.load().body,
+        time: BODY_READ_TIMEOUT,
+    };
+    let body = match body::read(body, limits, &lease).await {
         Ok(body) => body,
         Err(refusal) => return refuse(shared, &refusal, Some(&id), true),
     };
@@ -204,6 +218,7 @@
         request: Request { head, body },
         at,
         disconnected,
+        lease,
     };
     let task = {
         let shared = shared.clone();
@@ -255,7 +270,7 @@
     id: Option<&str>,
     leaving: bool,
 ) -> Response<Body> {
-    if id.is_none() || refusal.code == "body-too-large" {
+    if id.is_none() || UNREADABLE_CODES.contains(&refusal.code) {
         shared.handler.record_unreadable(refusal);
     }
     let mut response = Response::new(body::full(refusal.json(request::Id(0))));
@@ -277,15 +292,3 @@
         response.headers_mut().insert(CONNECTION, close);
     }
 }
-
-async fn collect(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
-    let read = body::read(body, limits.body, BODY_READ_TIMEOUT).await;
-    read.unwrap_or_else(|_| {
-        let status = StatusCode::REQUEST_TIMEOUT;
-        let message = format!(
-            "the body did not arrive within {}",
-            Span::from(BODY_READ_TIMEOUT)
-        );
-        Err(Refusal::not_run(status, "slow-body", message))
-    })
-}
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -3,6 +3,7 @@
 //! Parses HTTP requests into typed requests and encodes typed replies as HTTP. The [`Handler`]
 //! decides what a request may do and where it runs.
 
+pub mod bodies;
 mod body;
 pub mod connection;
 pub mod forward;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,5 +1,6 @@
 //! HTTP server that runs each request in a task of its own.
 
+use crate::bodies::Bodies;
 use crate::body::{self, Body};
 use crate::connection;
 use crate::framing::Framing;
@@ -40,6 +41,9 @@
     }
 }
 
+/// Memory for all bodies that are arriving.
+const MAX_BODIES: unit::Bytes = unit::Bytes(64 << 20);
+
 /// Limits on the requests of callers.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -66,6 +70,7 @@
 struct Shared<H> {
     handler: H,
     limits: Limits,
+    bodies: Bodies,
     requests: TaskTracker,
 }
 
@@ -88,6 +93,7 @@
         let shared = Arc::new(Shared {
             handler,
             limits,
+            bodies: Bodies::new(MAX_BODIES),
             requests: requests.clone(),
         });
         let tasks = connections.clone();
@@ -238,15 +244,11 @@
     parts: &Parts,
     body: Incoming,
 ) -> Result<Target, Refusal> {
-    let body = collect(body, shared.limits).await?;
+    let limits = body::Limits {
+        size: shared.limits.body,
+        time: shared.limits.body_timeout,
+    };
+    // Its memory is counted until the whole body has arrived.
+    let body = body::read(body, limits, &shared.bodies.open()).await?;
     parse::target(parts, body)
 }
-
-async fn collect(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
-    let read = body::read(body, limits.body, limits.body_timeout.duration()).await;
-    read.unwrap_or_else(|_| {
-        let message = "the body did not arrive in time";
-        let status = StatusCode::REQUEST_TIMEOUT;
-        Err(Refusal::not_run(status, "slow-body", message))
-    })
-}
--- a/crates/server/src/forward/instance.rs
+++ b/crates/server/src/forward/instance.rs
@@ -144,7 +144,8 @@
             shared: shared.clone(),
         };
         let address = settings.caller_address;
-        let front = Server::bind(address, dialect, limits, front, shutdown.clone()).await;
+        let capacity = settings.capacity;
+        let front = Server::bind(address, dialect, limits, capacity, front, shutdown.clone()).await;
         let front = front.with_context(|| format!("caller address {address}"))?;
         let address = settings.readiness_address;
         let readiness = probe::bind(address, shared.clone(), stopping.clone()).await;
--- a/crates/settings/src/forward.rs
+++ b/crates/settings/src/forward.rs
@@ -1,10 +1,18 @@
 //! Settings of an instance that forwards requests unchanged.
 
+use entity::unit::Bytes;
 use entity::{Span, name};
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+/// One of so many parts of the memory is for the bodies of requests.
+const BODIES_PARTS: u64 = 4;
+/// One of so many parts of the sockets is for callers.
+const CALLERS_PARTS: u32 = 2;
+/// Descriptors that are reserved for files.
+const FILE_DESCRIPTORS: u32 = 200;
+
 /// Time limits and shares that are fixed for the deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -32,6 +40,39 @@
     pub exposure_extra_requests: u32,
 }
 
+/// What one machine has for an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Memory.
+    pub memory: Bytes,
+    /// Descriptors, those that are reserved for files among them.
+    pub descriptors: u32,
+}
+
+impl Default for Capacity {
+    /// Returns the capacity that is assumed where the settings name none.
+    fn default() -> Self {
+        Self {
+            memory: Bytes(256 << 20),
+            descriptors: 4096,
+        }
+    }
+}
+
+impl Capacity {
+    /// Returns the memory for the bodies of all requests together.
+    pub fn bodies(&self) -> Bytes {
+        Bytes(self.memory.0 / BODIES_PARTS)
+    }
+
+    /// Returns the number of callers' connections that are kept open. The other sockets are those to upstreams, to
+    /// the store, and of peers.
+    pub fn callers(&self) -> usize {
+        let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
+        (sockets / CALLERS_PARTS).max(1) as usize
+    }
+}
+
 /// By what engines are compared for a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Placement {
@@ -101,6 +142,8 @@
     pub placement: Placement,
     /// Whether the whole system starts for the first time, as opposed to a restart after an outage.
     pub first_start: bool,
+    /// What the machine has for the instance.
+    pub capacity: Capacity,
     /// Time limits and shares that are fixed for the deployment.
     pub bounds: Bounds,
 }
