Bound the connections of callers by the descriptors of the machine

Ordinary callers could not connect while others kept connections open on which they sent nothing, or a head without its end; upstreams, the store and peers use the same descriptors.

Cause: connections were accepted without a bound; maxFds of the settings was read nowhere.

Where a new connection finds no place, the one that has gone longest without a whole request is closed for it, so that a caller who sends a request at once is served. A connection with a request in progress is never closed for another.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -44,6 +44,36 @@
     Parts::new(pieces, part).boxed()
 }
 
+/// A body that keeps a value until it has been sent or is given up.
+pub(crate) fn keeping<T: Send + Sync + Unpin + 'static>(body: Body, kept: T) -> Body {
+    BodyExt::boxed(Keeping { body, _kept: kept })
+}
+
+struct Keeping<T> {
+    body: Body,
+    _kept: T,
+}
+
+impl<T: Unpin> HttpBody for Keeping<T> {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Delay that a caller is told whose body can't be held now.
 const RETRY_AFTER: Span = Span::from_secs(1);
 
--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -5,6 +5,7 @@
 use crate::bodies::{Bodies, Lease};
 use crate::body::{self, Body};
 use crate::connection;
+use crate::connections::{Connections, Place};
 use crate::framing::Framing;
 use crate::reply::Refusal;
 use arc_swap::ArcSwap;
@@ -105,6 +106,7 @@
     dialect: Arc<dyn Dialect>,
     limits: Arc<ArcSwap<Limits>>,
     bodies: Bodies,
+    places: Connections,
     /// Cancelled when answers start to carry `Connection: close`.
     leaving: CancellationToken,
     /// Cancelled when idle connections are closed.
@@ -144,6 +146,7 @@
             dialect,
             limits,
             bodies: Bodies::new(capacity.bodies()),
+            places: Connections::new(capacity.callers()),
             leaving: shutdown.leaving,
             closing: shutdown.closing,
             tasks: connections.clone(),
@@ -176,23 +179,31 @@
     // Both options are optimisations; the connection works without them.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let Some(place) = shared.places.open() else {
+        return;
+    };
+    let place = Arc::new(place);
     let limits = **shared.limits.load();
     let closing = shared.closing.clone();
     let answer = |request, framing| {
-        let shared = shared.clone();
-        async move { answer(&shared, request, framing).await }
+        let (shared, place) = (shared.clone(), place.clone());
+        async move { answer(&shared, &place, request, framing).await }
     };
-    connection::serve(
+    let served = connection::serve(
         stream,
         (limits.header, limits.idle_timeout),
         &closing,
         answer,
-    )
-    .await;
+    );
+    tokio::select! {
+        () = served => {}
+        () = place.evicted() => {}
+    }
 }
 
 async fn answer<H: Handler>(
     shared: &Arc<Shared<H>>,
+    place: &Arc<Place>,
     request: hyper::Request<Incoming>,
     framing: Framing,
 ) -> Response<Body> {
@@ -212,6 +223,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse(shared, &refusal, Some(&id), true),
     };
+    let in_progress = place.begin_request();
     let disconnected = CancellationToken::new();
     let guard = disconnected.clone().drop_guard();
     let arrival = Arrival {
@@ -228,7 +240,7 @@
     let reply = task.await;
     guard.disarm();
     let leaving = shared.leaving.is_cancelled();
-    match reply {
+    let response = match reply {
         Ok(Reply::Forwarded(answer)) => respond(answer, leaving),
         Ok(Reply::Refused(refusal)) => refuse(shared, &refusal, Some(&id), leaving),
         Err(error) => {
@@ -237,7 +249,8 @@
             let refusal = Refusal::may_have_run(status, "internal", message);
             refuse(shared, &refusal, Some(&id), leaving)
         }
-    }
+    };
+    response.map(|body| body::keeping(body, in_progress))
 }
 
 fn read_head<H: Handler>(
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bodies;
 mod body;
 pub mod connection;
+mod connections;
 pub mod forward;
 pub mod framing;
 pub mod headers;
