Let no stalled body make room in vain

Found on reading the bound on bodies: where the stalled bodies were not enough for another one, some had been taken out of the ledger before it was refused, without being told. They kept their memory uncounted until their time was over. Likewise a request could begin in the moment in which its connection was closed for another one, and end without an answer; it is refused as not run now.

The ledger looks at what all stalled bodies hold before it takes one out. The test no_body_makes_room_in_vain failed before; the second fault is by reading only.

--- a/crates/caller/src/bodies/ledger.rs
+++ b/crates/caller/src/bodies/ledger.rs
@@ -82,18 +82,31 @@
         let index = self.index(id).ok_or(Full)?;
         let held = self.entries[index].held + bytes;
         let limit = self.limit_of(held, largest);
+        if self.used + bytes <= limit {
+            self.add(index, bytes, now);
+            return Ok(Vec::new());
+        }
+        let mut stalled = self.stalled(id, now);
+        let stalled_bytes: u64 = stalled.iter().map(|(held, _)| held).sum();
+        if self.used - stalled_bytes + bytes > limit {
+            return Err(Full);
+        }
         let mut evicted = Vec::new();
         while self.used + bytes > limit {
-            let stalled = self.stalled(id, now).ok_or(Full)?;
-            self.close(stalled);
-            evicted.push(stalled);
+            let (_, largest) = stalled.pop().ok_or(Full)?;
+            self.close(largest);
+            evicted.push(largest);
         }
         // The position may have changed with the bodies that were dropped.
         let index = self.index(id).ok_or(Full)?;
+        self.add(index, bytes, now);
+        Ok(evicted)
+    }
+
+    fn add(&mut self, index: usize, bytes: u64, now: Moment) {
         self.used += bytes;
-        self.entries[index].held = held;
+        self.entries[index].held += bytes;
         self.entries[index].active_at = now;
-        Ok(evicted)
     }
 
     /// Records that a body is whole, so that it stays until it is closed.
@@ -120,13 +133,15 @@
         (all - all / RESERVED_PARTS).max(largest.0)
     }
 
-    /// Returns the largest body but one that has stalled.
-    fn stalled(&self, but: Id, now: Moment) -> Option<Id> {
+    /// Returns the bodies but one that have stalled, with what they hold, the largest one last.
+    fn stalled(&self, but: Id, now: Moment) -> Vec<(u64, Id)> {
         let entries = self.entries.iter().filter(|entry| {
             let has_stalled = now.since(entry.active_at) >= STALL_TIME;
-            entry.id != but && !entry.is_whole && entry.held > 0 && has_stalled
+            entry.id != but && !entry.is_whole && has_stalled
         });
-        entries.max_by_key(|entry| entry.held).map(|entry| entry.id)
+        let mut stalled: Vec<(u64, Id)> = entries.map(|entry| (entry.held, entry.id)).collect();
+        stalled.sort_unstable();
+        stalled
     }
 
     fn index(&self, id: Id) -> Option<usize> {
--- a/crates/caller/src/connections.rs
+++ b/crates/caller/src/connections.rs
@@ -96,13 +96,12 @@
 }
 
 impl Place {
-    /// Records that a whole request was read.
-    pub(crate) fn begin_request(self: &Arc<Self>) -> Request {
+    /// Records that a whole request was read. Returns none if the connection is being closed for another one.
+    pub(crate) fn begin_request(self: &Arc<Self>) -> Option<Request> {
         let mut state = self.connections.state();
-        if let Some(index) = state.position(self.id) {
-            state.entries[index].requests += 1;
-        }
-        Request(self.clone())
+        let index = state.position(self.id)?;
+        state.entries[index].requests += 1;
+        Some(Request(self.clone()))
     }
 
     /// Waits until the connection has to be closed for another one.
--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -223,7 +223,9 @@
         Ok(body) => body,
         Err(refusal) => return refuse(shared, &refusal, Some(&id), true),
     };
-    let in_progress = place.begin_request();
+    let Some(in_progress) = place.begin_request() else {
+        return refuse(shared, &closed_for_another(), Some(&id), true);
+    };
     let disconnected = CancellationToken::new();
     let guard = disconnected.clone().drop_guard();
     let arrival = Arrival {
@@ -253,6 +255,13 @@
     response.map(|body| body::keeping(body, in_progress))
 }
 
+/// Returns the refusal of a request whose connection is closed for another one.
+fn closed_for_another() -> Refusal {
+    let message = "the connection is closed for another one";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Refusal::not_run(status, "connections-full", message).with_retry_after(Span::ZERO)
+}
+
 fn read_head<H: Handler>(
     shared: &Shared<H>,
     parts: &hyper::http::request::Parts,
--- a/crates/caller/tests/bodies.rs
+++ b/crates/caller/tests/bodies.rs
@@ -72,6 +72,25 @@
     expect_that!(ledger.grow(asks, MIB, LARGEST, at(3000)), ok(is_empty()));
 }
 
+/// A stalled body was forgotten, though it kept its memory, when its bytes were not enough for another one.
+#[gtest]
+fn no_body_makes_room_in_vain() {
+    let (mut ledger, ids) = after(3, 4 * MIB);
+    ledger.complete(ids[0]);
+    ledger.complete(ids[1]);
+    ledger.close(ids[2]);
+    let stalls = ledger.open(at(0));
+    ledger.grow(stalls, MIB, LARGEST, at(0)).unwrap();
+    let asks = ledger.open(at(2000));
+    ledger.grow(asks, 3 * MIB, LARGEST, at(2000)).unwrap();
+    let used = ledger.used();
+    expect_that!(
+        ledger.grow(asks, 2 * MIB, LARGEST, at(2000)),
+        err(eq(&Full))
+    );
+    expect_that!(ledger.used(), eq(used));
+}
+
 /// Bodies that begin, grow, stall, end and leave in any order never hold more than the limit, and all is free
 /// once they have left.
 #[gtest]
