Count connections of callers until they are closed

Cause: a connection that made room for another was counted as closed when it was told so, and many more were accepted before its task closed it.

Connections are counted until they are closed, and none is accepted while one that has to make room is still open.

--- a/crates/caller/src/connection.rs
+++ b/crates/caller/src/connection.rs
@@ -23,13 +23,27 @@
 pub async fn accept(
     listener: TcpListener,
     cancel: &CancellationToken,
+    handle: impl FnMut(TcpStream),
+) {
+    accept_when(listener, cancel, || std::future::ready(()), handle).await;
+}
+
+/// Accepts connections as [`accept`] does, each once `room` is ready.
+pub(crate) async fn accept_when<F: Future<Output = ()>>(
+    listener: TcpListener,
+    cancel: &CancellationToken,
+    mut room: impl FnMut() -> F,
     mut handle: impl FnMut(TcpStream),
 ) {
     loop {
+        let accepted = async {
+            room().await;
+            listener.accept().await
+        };
         let accepted = tokio::select! {
             // Pending connections are accepted before a shutdown, so that it aborts none of them.
             biased;
-            accepted = listener.accept() => accepted,
+            accepted = accepted => accepted,
             () = cancel.cancelled() => return,
         };
         let Ok((stream, _)) = accepted else {
--- a/crates/caller/src/connections.rs
+++ b/crates/caller/src/connections.rs
@@ -1,6 +1,7 @@
 //! Bound on the callers' connections that are kept open.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -9,12 +10,16 @@
 pub(crate) struct Connections {
     limit: usize,
     state: Arc<Mutex<State>>,
+    /// Notified when a connection has been closed.
+    closed: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     next: u64,
-    /// Sorted by id.
+    /// Number of connections that are open, those that are being closed for others among them.
+    open: usize,
+    /// Connections that stay open, sorted by id.
     entries: Vec<Entry>,
 }
 
@@ -46,6 +51,18 @@
         Self {
             limit,
             state: Arc::default(),
+            closed: Arc::default(),
+        }
+    }
+
+    /// Waits until the connections that are being closed for others are closed.
+    pub(crate) async fn wait_for_closed(&self) {
+        loop {
+            let closed = self.closed.notified();
+            if self.state().open <= self.limit {
+                return;
+            }
+            closed.await;
         }
     }
 
@@ -58,6 +75,7 @@
         }
         let (id, evicted) = (state.next, CancellationToken::new());
         state.next += 1;
+        state.open += 1;
         state.entries.push(Entry {
             id,
             waits_since: Instant::now(),
@@ -113,9 +131,12 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let mut state = self.connections.state();
+        state.open -= 1;
         if let Some(index) = state.position(self.id) {
             state.entries.remove(index);
         }
+        drop(state);
+        self.connections.closed.notify_waiters();
     }
 }
 
--- a/crates/caller/src/forward.rs
+++ b/crates/caller/src/forward.rs
@@ -154,8 +154,15 @@
         let tasks = connections.clone();
         connections.spawn(async move {
             let closing = shared.closing.clone();
-            let handle = |stream| drop(tasks.spawn(serve(stream, shared.clone())));
-            connection::accept(listener, &closing, handle).await;
+            let places = shared.places.clone();
+            let room = || places.wait_for_closed();
+            let handle = |stream| {
+                // Without a place the connection is closed at once.
+                if let Some(place) = shared.places.open() {
+                    tasks.spawn(serve(stream, place, shared.clone()));
+                }
+            };
+            connection::accept_when(listener, &closing, room, handle).await;
         });
         Ok(Self {
             address,
@@ -175,13 +182,10 @@
     }
 }
 
-async fn serve<H: Handler>(stream: TcpStream, shared: Arc<Shared<H>>) {
+async fn serve<H: Handler>(stream: TcpStream, place: Place, shared: Arc<Shared<H>>) {
     // Both options are optimisations; the connection works without them.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-    let Some(place) = shared.places.open() else {
-        return;
-    };
     let place = Arc::new(place);
     let limits = **shared.limits.load();
     let closing = shared.closing.clone();
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -40,6 +40,9 @@
 const ORDINARY_TRIES: usize = 60;
 const ORDINARY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time for which the crowd stays at least.
+const STAY_TIME: Duration = Duration::from_secs(2);
+
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
 /// Sends ordinary requests until one is answered. Returns whether one was.
@@ -86,6 +89,8 @@
     let usage = Usage::watch(system.children[0].id());
     let crowd = crowd.send(system.callers[0]).await;
     expect_true!(is_ordinary_served(&system).await, "beside the crowd");
+    tokio::time::sleep(STAY_TIME).await;
+    expect_true!(is_ordinary_served(&system).await, "after some time");
     crowd.leave().await;
     expect_true!(is_ordinary_served(&system).await, "after the crowd");
     let (memory, sockets) = usage.largest().await;
--- a/tests/crowds/usage.rs
+++ b/tests/crowds/usage.rs
@@ -7,7 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time between two counts.
-const COUNT_INTERVAL: Duration = Duration::from_millis(50);
+const COUNT_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Watch over a process.
 pub struct Usage {
