Describe the subject of a request only where it is logged

The parts and the fingerprint of each answered request were written out as text when its upstream began to be followed, though only the line of a closing needs them.

Change: the subject describes itself where the line is written; the type Labels is gone. The tokens of bodies are looked up in one place. Behaviour and log lines stay as they are.

--- a/crates/caller/src/bodies.rs
+++ b/crates/caller/src/bodies.rs
@@ -74,6 +74,15 @@
     }
 }
 
+impl State {
+    fn position(&self, id: Id) -> Option<usize> {
+        let found = self
+            .evictions
+            .binary_search_by_key(&id, |(known, _)| *known);
+        found.ok()
+    }
+}
+
 impl Lease {
     /// Takes memory for more bytes of the body, of which the configuration allows `largest` in all.
     ///
@@ -85,7 +94,7 @@
         let mut state = self.bodies.state();
         let evicted = state.ledger.grow(self.id, bytes as u64, largest, now)?;
         for id in evicted {
-            if let Ok(index) = state.evictions.binary_search_by_key(&id, |(id, _)| *id) {
+            if let Some(index) = state.position(id) {
                 state.evictions[index].1.cancel();
             }
         }
@@ -107,10 +116,7 @@
     fn drop(&mut self) {
         let mut state = self.bodies.state();
         state.ledger.close(self.id);
-        if let Ok(index) = state
-            .evictions
-            .binary_search_by_key(&self.id, |(id, _)| *id)
-        {
+        if let Some(index) = state.position(self.id) {
             state.evictions.remove(index);
         }
     }
--- a/crates/server/src/forward/aftermath.rs
+++ b/crates/server/src/forward/aftermath.rs
@@ -12,22 +12,22 @@
 /// Follows the upstream of a choice over the connection on which it has just given a whole answer, whose head had
 /// arrived at `begun`.
 pub fn follow(run: &Run, choice: &Choice, begun: Instant, watch: Watch) {
-    let (shared, id, labels) = (run.shared.clone(), run.id, run.labels());
+    let (shared, id) = (run.shared.clone(), run.id);
     let (parts, fingerprint) = (run.parts.clone(), run.fingerprint.get().copied());
     let (ended, upstream) = (Instant::now(), choice.upstream.clone());
     let victim = choice.incarnation().map(|one| holds::victim(&one));
     tokio::spawn(async move {
         let (core, holds) = (&shared.core, &shared.holds);
+        let subject = Subject {
+            parts: &parts,
+            fingerprint,
+        };
         match watch.wait().await {
             Fate::Unknown => {}
-            Fate::Open => {
-                let parts = &parts;
-                let subject = Subject { parts, fingerprint };
-                holds.record_sound(core, subject, Extent::Outlived);
-            }
+            Fate::Open => holds.record_sound(core, subject, Extent::Outlived),
             Fate::Closed => {
                 let draft = core.recorder.event(Kind::Lost).request(id);
-                let draft = labels.describe(draft.text("upstream", &upstream));
+                let draft = subject.describe(draft.text("upstream", &upstream));
                 draft.text("after", Span::from(ended.elapsed())).record();
                 let Some(victim) = victim else {
                     return;
--- a/crates/server/src/forward/holds.rs
+++ b/crates/server/src/forward/holds.rs
@@ -12,7 +12,7 @@
 use routing::hash;
 use routing::restriction::Incarnation;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use timeline::{Counter, Kind};
+use timeline::{Counter, EventBuilder, Kind};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Adds the subject to an event.
+    pub fn describe(self, draft: EventBuilder<'_>) -> EventBuilder<'_> {
+        let parts: Vec<String> = self.parts.iter().map(Part::to_string).collect();
+        let fingerprint = self.fingerprint.map(|one| one.to_string());
+        draft
+            .text("fingerprint", fingerprint.unwrap_or_default())
+            .text("parts", parts.join(","))
+    }
+
     fn request(&self) -> &[Part] {
         self.fingerprint.as_slice()
     }
--- a/crates/server/src/forward/run.rs
+++ b/crates/server/src/forward/run.rs
@@ -29,7 +29,7 @@
 use routing::estimate::length::Claim;
 use routing::{Choice, Outcome, Priority, hash};
 use std::sync::{Arc, Mutex, OnceLock};
-use timeline::{Counter, EventBuilder, Kind, Timer};
+use timeline::{Counter, Kind, Timer};
 use tokio::sync::mpsc;
 
 /// Largest number of times that a request is resolved because the configuration changed meanwhile.
@@ -72,21 +72,6 @@
     pub id: request::Id,
 }
 
-/// What the log says of by what a request may be held back.
-pub struct Labels {
-    fingerprint: Box<str>,
-    parts: Box<str>,
-}
-
-impl Labels {
-    /// Adds the labels to an event.
-    pub fn describe<'a>(&self, draft: EventBuilder<'a>) -> EventBuilder<'a> {
-        draft
-            .text("fingerprint", &self.fingerprint)
-            .text("parts", &self.parts)
-    }
-}
-
 /// Result of resolving a request against one configuration.
 pub struct Resolved {
     /// Configuration that the ids belong to.
@@ -526,22 +511,12 @@
         }
     }
 
-    /// Returns what the log says of by what the request may be held back.
-    pub fn labels(&self) -> Labels {
-        let parts: Vec<String> = self.parts.iter().map(Part::to_string).collect();
-        let fingerprint = self.fingerprint.get().map(Part::to_string);
-        Labels {
-            fingerprint: fingerprint.unwrap_or_default().into(),
-            parts: parts.join(",").into(),
-        }
-    }
-
     /// Records that the upstream of a choice closed its connection before the answer was complete.
     pub fn record_lost_answer(&self, choice: &Choice, progress: Progress) {
         let core = &self.shared.core;
         let draft = core.recorder.event(Kind::Lost);
         let draft = draft.request(self.id).text("upstream", &choice.upstream);
-        let draft = self.labels().describe(draft);
+        let draft = self.subject().describe(draft);
         let draft = match progress {
             Progress::Waiting { since_sent, .. } => draft.text("sent", since_sent),
             Progress::Begun {
