Read requests of fakes that end in one place

The upstreams of deadly_parts read requests by a copy of the reader of platform/tests/support/fragile.rs, which dropped what followed a request; the exploration asked twice in the same words whether only a head had arrived.

Change: support::wire reads for both, and is_at_head is a function.

--- a/crates/quarantine/tests/exploration/world.rs
+++ b/crates/quarantine/tests/exploration/world.rs
@@ -486,14 +486,7 @@
             }
             for (prompt, victim, progress) in std::mem::take(&mut self.instances[index].lost) {
                 self.record_crash(index, &prompt.parts, victim, progress);
-                let is_at_head = matches!(
-                    progress,
-                    Progress::Begun {
-                        delivered: false,
-                        ..
-                    }
-                );
-                if prompt.runs < MAX_RUNS && is_at_head {
+                if prompt.runs < MAX_RUNS && is_at_head(progress) {
                     self.send(index, prompt);
                 }
             }
@@ -501,14 +494,7 @@
     }
 
     fn record_crash(&mut self, index: usize, parts: &[Part], victim: u64, progress: Progress) {
-        let is_at_head = matches!(
-            progress,
-            Progress::Begun {
-                delivered: false,
-                ..
-            }
-        );
-        if self.mutation == Mutation::HeadsOnly && !is_at_head {
+        if self.mutation == Mutation::HeadsOnly && !is_at_head(progress) {
             return;
         }
         let instance = &mut self.instances[index];
@@ -567,3 +553,14 @@
         }
     }
 }
+
+/// Returns whether the head of an answer had arrived, and nothing else.
+fn is_at_head(progress: Progress) -> bool {
+    matches!(
+        progress,
+        Progress::Begun {
+            delivered: false,
+            ..
+        }
+    )
+}
--- a/tests/deadly_parts/upstream.rs
+++ b/tests/deadly_parts/upstream.rs
@@ -2,9 +2,10 @@
 //! certain part, and return under another id at another address.
 
 use crate::support::store::FakeStore;
+use crate::support::wire;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -118,7 +119,8 @@
 
     /// Serves a connection. Returns whether the upstream ends.
     async fn serve(self, mut stream: TcpStream) -> bool {
-        while let Some(head) = read_head(&mut stream).await {
+        let mut buffer = Vec::new();
+        while let Some((head, _)) = wire::read_request(&mut stream, &mut buffer).await {
             let is_deadly = head.contains(DEADLY_PART);
             if is_deadly {
                 self.arrivals.lock().unwrap().push(Instant::now());
@@ -148,14 +150,14 @@
         let answer = format!(
             "HTTP/1.1 200 OK\r\nrequest-id: {}\r\nserver-seal: 3e1b\r\n\
              content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-            value(head, "request-id")
+            wire::value(head, "request-id")
         );
         stream.write_all(answer.as_bytes()).await?;
         if ends_at(Stage::Head) {
             sleep(END_TIME).await;
             return Ok(true);
         }
-        let last: u32 = value(head, "last-event-id").parse().unwrap_or(0);
+        let last: u32 = wire::value(head, "last-event-id").parse().unwrap();
         for event in last + 1..=self.event_count {
             sleep(EVENT_TIME).await;
             let data = format!("id: {event}\ndata: e{event}\n\n");
@@ -178,29 +180,3 @@
 fn id(number: usize, life: u32) -> String {
     format!("i-{number}-{life}")
 }
-
-/// Reads the lower-case head of a request, and skips its body; none at the end of the connection.
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut buffer = Vec::new();
-    loop {
-        if let Some(end) = buffer.windows(4).position(|end| end == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&buffer[..end]).to_lowercase();
-            let length: usize = value(&head, "content-length").parse().unwrap_or(0);
-            if buffer.len() >= end + 4 + length {
-                return Some(head);
-            }
-        }
-        let mut piece = [0; 4096];
-        match stream.read(&mut piece).await {
-            Ok(0) | Err(_) => return None,
-            Ok(count) => buffer.extend_from_slice(&piece[..count]),
-        }
-    }
-}
-
-/// Returns the value of a header in a lower-case head; empty if it is missing.
-fn value<'a>(head: &'a str, name: &str) -> &'a str {
-    let mut lines = head.lines();
-    let found = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
-    found.unwrap_or_default()
-}
