--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -265,7 +265,7 @@
         extra: prompt("daka510000", turn),
         deadline_ms: 5000,
     };
-    let load = world.load(ms(40), ask);
+    let load = world.load(ms(14), ask);
     sleep_s(3.0);
     let count = AtomicU64::new(0);
     let conduct: Conduct = Arc::new(move |_: &Request| {
@@ -451,12 +451,12 @@
     let load = world.load(ms(50), ask);
     sleep_s(2.0);
     let copy = world.store.copy();
-    sleep_s(3.0);
+    sleep_s(1.0);
     let revoked = config_with(5, &routes, &services, without);
     world.store.put("keyed.op", "config", &revoked);
     let acknowledged = record.now();
     record.say("the configuration without the key is acknowledged");
-    sleep_s(1.0);
+    sleep_s(2.5);
     if is_troubled {
         world.store.leave();
         record.say("the store is away");
@@ -464,15 +464,14 @@
     sleep_s(1.5);
     if is_troubled {
         world.store.come_back(copy);
-        record.say("the store is back from a copy that is 5.5 s old");
+        record.say("the store is back from a copy that is 5 s old");
         for server in &servers {
             server.beat();
         }
     }
-    sleep_s(1.5);
+    sleep_s(0.2);
     world.restart_instance(0)?;
-    sleep_s(1.0);
-    sleep_s(2.5);
+    sleep_s(2.0);
     if is_troubled {
         world.store.put("keyed.op", "config", &revoked);
         record.say("the operator has written the configuration again");
