--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -47,6 +47,9 @@
 /// Kind of a plain route that may be repeated.
 const SAFE: &str = "\"kind\":\"safe\",\"timeoutMs\":1000,\"targetLatencyMs\":150,\
     \"priority\":2,\"maxAttempts\":2";
+/// Kind of a plain route with a later deadline.
+const SLOW_SAFE: &str = "\"kind\":\"safe\",\"timeoutMs\":20000,\"targetLatencyMs\":2000,\
+    \"priority\":2,\"maxAttempts\":2";
 /// Kind of a route with streams that may be resumed.
 const RESUMABLE: &str = "\"kind\":\"streaming\",\"timeoutMs\":5000,\"targetLatencyMs\":1000,\
     \"priority\":1,\"maxAttempts\":3,\"sticky\":true,\"resumable\":true,\"gapAimMs\":1000";
@@ -107,13 +110,12 @@
         route("look", "app", SAFE)
     );
     let mut world = World::open(record, &config(&routes, &plain_service("app")));
+    let kind = |number| Kind {
+        work: ms(120),
+        ..plain_server(number, "app", always(Deed::Answer(200)))
+    };
     let servers: Vec<Server> = (0..9)
-        .map(|number| {
-            Server::start(
-                plain_server(number, "app", always(Deed::Answer(200))),
-                &world,
-            )
-        })
+        .map(|number| Server::start(kind(number), &world))
         .collect();
     world.start_instances(MACHINES)?;
     let ask = |turn: u64| Ask {
@@ -123,8 +125,8 @@
         extra: String::new(),
         deadline_ms: 1000,
     };
-    // Twelve requests at a time, once a second.
-    let load = world.clumps(12, ms(1000), ask);
+    // 27 requests at a time, once a second.
+    let load = world.clumps(27, ms(1000), ask);
     sleep_s(2.0);
     // A third of the heartbeats gets no answer; the store executes them 5.9 s later.
     let leaving = &servers[..3];
@@ -144,16 +146,31 @@
         }
         record.say("the store has executed the entries of before");
     }
-    sleep_s(4.0);
+    sleep_s(0.13);
+    // The servers exit some time after drainMs, as they may.
+    for server in leaving {
+        server.crash();
+    }
+    sleep_s(3.8);
     load.end();
-    sleep_s(1.0);
+    sleep_s(1.5);
     let late = world.arrivals().into_iter().filter(|arrival| {
         let index = leaving.iter().position(|one| one.kind.id == arrival.server);
         index.is_some_and(|index| arrival.at > drained[index] + 2.0)
     });
+    let late: Vec<Arrival> = late.collect();
+    let told = load.told();
+    let is_lost = |late: &&Arrival| {
+        let told = told.iter().find(|told| told.id == late.id);
+        late.path.starts_with("/send/") && told.is_some_and(|told| told.answer.status != 200)
+    };
+    let lost = late.iter().filter(is_lost).count();
+    record.say(format!(
+        "{lost} notices that came late were cut by the exit of their server"
+    ));
     Ok(describe(
         "reached a server over drainMs after it drained",
-        &late.collect::<Vec<_>>(),
+        &late,
     ))
 }
 
@@ -497,3 +514,78 @@
         &late,
     ))
 }
+
+/// Fault: clients read large answers slowly.
+pub fn slow_readers(record: &Record, is_troubled: bool) -> Verdict {
+    const MEMORY_MB: u64 = 260;
+    const ENDS: usize = 3;
+    /// A turn takes some 50 milliseconds.
+    const MAX_TURNS: usize = 1600;
+    let routes = format!(
+        "{},{}",
+        route("list", "app", SLOW_SAFE),
+        route("send", "app", UNSAFE)
+    );
+    let mut world = World::open(record, &config(&routes, &plain_service("app")));
+    let conduct: Conduct = Arc::new(|request: &Request| {
+        if request.path().starts_with("/list/") {
+            Deed::Large(4 << 20)
+        } else {
+            Deed::Answer(200)
+        }
+    });
+    for number in 0..4 {
+        Server::start(plain_server(number, "app", conduct.clone()), &world);
+    }
+    world.start_instances(MACHINES)?;
+    let ask = |turn: u64| Ask {
+        method: "POST",
+        path: format!("/send/{turn}"),
+        key: KEY,
+        extra: String::new(),
+        deadline_ms: 1000,
+    };
+    let load = world.load(ms(50), ask);
+    let mut ends = [0; MACHINES as usize];
+    let mut largest = 0;
+    for turn in 0..MAX_TURNS {
+        for (instance, ended) in ends.iter_mut().enumerate() {
+            if *ended == ENDS {
+                continue;
+            }
+            let ask = Ask {
+                method: "GET",
+                path: format!("/list/{turn}"),
+                key: KEY,
+                extra: String::new(),
+                deadline_ms: 20_000,
+            };
+            let bytes = is_troubled.then_some(256 << 10);
+            world.ask_slowly(instance, ask, bytes);
+            let taken = world.instances[instance].resident_mb();
+            largest = largest.max(taken);
+            // The platform kills a process that takes more, and starts it again.
+            if taken > MEMORY_MB {
+                record.say(format!(
+                    "instance {instance} takes {taken} MB of {MEMORY_MB}"
+                ));
+                world.restart_instance(instance)?;
+                *ended += 1;
+            }
+        }
+        if ends.iter().all(|ended| *ended == ENDS) {
+            break;
+        }
+        thread::sleep(ms(50));
+    }
+    load.end();
+    sleep_s(1.5);
+    let told = load.told();
+    let lost = told.iter().filter(|told| told.answer.status != 200).count();
+    record.say(format!("largest memory seen {largest} MB"));
+    record.say(format!("{lost} of {} other requests failed", told.len()));
+    let machines = ends.iter().filter(|ended| **ended == ENDS).count();
+    Ok((machines >= 2).then(|| {
+        format!("the processes of {machines} machines ended {ENDS} times for lack of memory")
+    }))
+}
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -70,6 +70,8 @@
     Answer(u16),
     /// Streams so many events, and names its confidence.
     Stream { events: u32, confidence: u32 },
+    /// Answers with a body of so many bytes.
+    Large(usize),
     /// Streams one event, half of another one, and closes the connection.
     BreakOff,
 }
@@ -319,6 +321,10 @@
                 }
                 writer.write_all(b"0\r\n\r\n").ok()
             }
+            Deed::Large(bytes) => {
+                let body = vec![b'x'; bytes];
+                http::write_answer(writer, 200, &headers, &body).ok()
+            }
             Deed::BreakOff => {
                 headers.push(("Confidence", "90"));
                 begin_stream(writer, &headers)?;
@@ -362,8 +368,17 @@
 }
 
 impl Instance {
+    /// Returns the memory that the process takes, in megabytes.
+    pub fn resident_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+        kb.unwrap_or(0_u64) / 1024
+    }
+
     /// Asks for the readiness as the platform does.
-    fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         let head = format!("GET /-/readiness HTTP/1.1\r\nHost: {}\r\n\r\n", self.ready);
         http::call(self.ready, &head, b"", ms(500)).status == 200
     }
@@ -532,6 +547,25 @@
         load
     }
 
+    /// Sends a request to an instance without waiting for the answer. So many bytes of it are read every
+    /// second until the client's deadline or the end of the connection, or all at once.
+    pub fn ask_slowly(&self, instance: usize, ask: Ask, bytes: Option<usize>) {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (caller, record) = (self.instances[instance].caller, self.record.clone());
+        thread::spawn(move || {
+            let (id, head) = head_of(number, &ask);
+            record.line(format!(
+                "slow request {id} {} {} to {caller}",
+                ask.method, ask.path
+            ));
+            match bytes {
+                Some(bytes) => http::call_slowly(caller, &head, bytes, ms(ask.deadline_ms)),
+                None => drop(http::call(caller, &head, b"", ms(ask.deadline_ms))),
+            }
+            record.line(format!("slow request {id} is over"));
+        });
+    }
+
     /// Returns the requests that reached servers so far.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("no panic").clone()
@@ -550,13 +584,19 @@
         .map_err(|error| format!("target/release/citrontrack: {error}"))
 }
 
-fn send(record: &Record, caller: SocketAddr, number: u64, ask: &Ask) -> Told {
+/// Returns the id and the head of a request.
+fn head_of(number: u64, ask: &Ask) -> (String, String) {
     let id = format!("{number:016x}");
     let head = format!(
         "{} {} HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
          Authorization: Bearer {}\r\nContent-Length: 0\r\n{}\r\n",
         ask.method, ask.path, ask.deadline_ms, ask.key, ask.extra
     );
+    (id, head)
+}
+
+fn send(record: &Record, caller: SocketAddr, number: u64, ask: &Ask) -> Told {
+    let (id, head) = head_of(number, ask);
     let sent = record.now();
     record.line(format!(
         "request {id} {} {} to {caller}",
