--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -247,27 +247,33 @@
     sleep_s(4.0);
     load.end();
     sleep_s(1.0);
-    let at: Vec<f64> = world
+    let told = load.told();
+    let sent_at = |id: &String| {
+        told.iter()
+            .find(|told| &told.id == id)
+            .map(|told| told.sent)
+    };
+    // When each request was sent by its client and when it arrived, ordered by the former.
+    let mut seen: Vec<(f64, f64)> = world
         .arrivals()
         .iter()
         .filter(|arrival| arrival.server == flapping.kind.id)
-        .map(|arrival| arrival.at)
         // It is cold from its first restart to 3 s after its last one, and down in between.
-        .filter(|at| (begun + DOWN_S..end.min(crashed)).contains(at))
+        .filter(|arrival| (begun + DOWN_S..end.min(crashed)).contains(&arrival.at))
+        .filter_map(|arrival| Some((sent_at(&arrival.id)?, arrival.at)))
         .collect();
+    seen.sort_by(|one, other| one.0.total_cmp(&other.0));
     let bound = COLD_PER_S * 1.5 + 5.0;
     let mut worst = (0, 0.0);
-    for (index, from) in at.iter().enumerate() {
-        let count = at[index..]
-            .iter()
-            .take_while(|at| **at < from + 1.0)
-            .count();
+    for (index, (from, _)) in seen.iter().enumerate() {
+        // Sent and arrived inside the second.
+        let later = seen[index..].iter();
+        let count = later.filter(|(_, at)| *at < from + 1.0).count();
         if count > worst.0 {
             worst = (count, *from);
         }
     }
     let (count, from) = worst;
-    let told = load.told();
     let is_lost = |id: &&String| {
         let told = told.iter().find(|told| &told.id == *id);
         told.is_some_and(|told| told.answer.status != 200 || !told.answer.whole)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod store;
 mod world;
 
+use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 use world::Record;
 
@@ -21,7 +22,8 @@
     let is_troubled = std::env::var("TROUBLE").map_or(true, |text| text != "0");
     let record = Record::create(&format!("{folder}/record.txt"));
     record.say(format!("case {case}, disruption {is_troubled}"));
-    let verdict = match case.as_str() {
+    // A panic ends the processes that were started, as any end of a case does, and is no verdict.
+    let verdict = panic::catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "late-entry" => cases::late_entry(&record, is_troubled),
         "cold-again" => cases::cold_again(&record, is_troubled),
         "broken-release" => cases::broken_release(&record, is_troubled),
@@ -29,8 +31,8 @@
         "doubt" => cases::doubt(&record, is_troubled),
         "false-promise" => cases::false_promise(&record, is_troubled),
         _ => Err(format!("there is no case {case}")),
-    };
-    match verdict {
+    }));
+    match verdict.unwrap_or_else(|_| Err("a stand-in has panicked".to_owned())) {
         Ok(None) => {
             record.say("the rule held");
             ExitCode::SUCCESS
